Lay the frame: schema, outcomes, platform traits, kernel, interfaces of the parts

Cause: the parts are built side by side and need compiled interfaces to meet at. Ruled out: separate crates for each part (their interfaces would be public too early). Conclusion: enough to start the parts.

--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,110 @@
+//! Time as the decisions see it.
+//!
+//! A decision never reads a clock: it is handed a [`Time`], so that a test can
+//! replay it from a seed and a benchmark can run it in virtual time. Only the
+//! shells call [`Clock::now`].
+
+use std::fmt;
+use std::ops::{Add, AddAssign, Sub};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// A point in time: microseconds since an origin that the process chose.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Time(u64);
+
+impl Time {
+    /// The origin itself.
+    pub const ZERO: Self = Self(0);
+    /// Later than everything else, for "never".
+    pub const MAX: Self = Self(u64::MAX);
+
+    /// The point `micros` microseconds after the origin.
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// The point `millis` milliseconds after the origin.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis.saturating_mul(1_000))
+    }
+
+    /// Microseconds since the origin.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Milliseconds since the origin, rounded down.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    /// Time passed since `earlier`, zero if `earlier` lies in the future.
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Self;
+
+    fn add(self, rhs: Duration) -> Self {
+        let micros = u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
+
+impl AddAssign<Duration> for Time {
+    fn add_assign(&mut self, rhs: Duration) {
+        *self = *self + rhs;
+    }
+}
+
+impl Sub<Duration> for Time {
+    type Output = Self;
+
+    fn sub(self, rhs: Duration) -> Self {
+        let micros = u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
+
+impl fmt::Display for Time {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:06}s", self.0 / 1_000_000, self.0 % 1_000_000)
+    }
+}
+
+/// The monotonic clock of this process, with its origin at process start.
+///
+/// One is made at start and copied to every shell, so that times from
+/// different threads can be compared.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    origin: Instant,
+}
+
+impl Clock {
+    /// Starts a clock whose origin lies an hour ago, so that subtracting a
+    /// timeout from an early time does not run into the origin.
+    pub fn start() -> Self {
+        let now = Instant::now();
+        let hour = Duration::from_secs(3_600);
+        Self {
+            origin: now.checked_sub(hour).unwrap_or(now),
+        }
+    }
+
+    /// The present time.
+    pub fn now(&self) -> Time {
+        Time::ZERO + self.origin.elapsed()
+    }
+}
+
+/// Milliseconds since 1970 by the wall clock, for rows and people.
+///
+/// VMs' wall clocks differ, so nothing that must be safe may rest on it.
+pub fn unix_millis() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,23 @@
+//! Auburnspoke serves online questions and batch jobs to language models on
+//! one shared fleet. docs/ARCHITECTURE.md shows how the modules fit together.
+//!
+//! Modules that decide (`dispatch`, `route`, `limit`, `retry`, `member`,
+//! `lease`, `job`, ...) take the present time as an argument and hold no
+//! socket, clock, random source or log; the modules that act on their answers
+//! hold nothing that has to be decided.
+
+pub mod clock;
+pub mod config;
+pub mod dispatch;
+pub mod event;
+pub mod kernel;
+pub mod member;
+pub mod metric;
+pub mod name;
+pub mod outcome;
+pub mod platform;
+pub mod request;
+pub mod rpc;
+pub mod settings;
+pub mod snapshot;
+pub mod wire;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The auburnspoke program.
+
+fn main() {}
--- /dev/null
+++ b/src/member.rs
@@ -0,0 +1,66 @@
+//! Which nodes there are, as this node sees it.
+
+use serde::{Deserialize, Serialize};
+
+use crate::name::Name;
+
+/// How a node seems to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum State {
+    /// It answers.
+    Alive,
+    /// It did not answer lately; it is given time to say that it lives.
+    Suspect,
+    /// It is taken for gone.
+    Dead,
+    /// It said that it is leaving.
+    Leaving,
+}
+
+/// A node as the others know it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its name, unique in the fleet.
+    pub name: Name,
+    /// Where callers reach it, as ip:port.
+    pub address: Name,
+    /// Where other nodes send it requests, as ip:port.
+    pub link: Name,
+    /// Where other nodes send it control messages, as ip:port.
+    pub control: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Counts up when it restarts or contradicts a suspicion.
+    pub incarnation: u64,
+    /// How it seems to be.
+    pub state: State,
+    /// The configuration version that it has in force.
+    pub config_version: u64,
+}
+
+/// An immutable list of members, sorted by name, this node among them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct View {
+    /// The members.
+    pub members: Vec<Member>,
+}
+
+impl View {
+    /// The members that may be given work: alive or only suspected.
+    ///
+    /// A suspected one stays, because dropping a node that is merely slow would
+    /// move its endpoints to others and back again.
+    pub fn usable(&self) -> impl Iterator<Item = &Member> {
+        self.members
+            .iter()
+            .filter(|member| matches!(member.state, State::Alive | State::Suspect))
+    }
+
+    /// The member of that name, whatever its state.
+    pub fn find(&self, name: &str) -> Option<&Member> {
+        self.members
+            .binary_search_by(|member| (*member.name).cmp(name))
+            .ok()
+            .map(|at| &self.members[at])
+    }
+}
--- /dev/null
+++ b/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! The stand-ins for the platform and the endpoints.
+
+fn main() {}
