Serve and call HTTP in one place

Cause: RPC, the embedded platform and the embedded engine each need a server with a graceful stop. Ruled out: actix-server, whose workers and signal handling would stand beside our own threads. Change: http::serve on actix-http with a stop flag that waits for open connections.

--- /dev/null
+++ b/src/embedded.rs
@@ -0,0 +1,2 @@
+//! Stand-ins for the platform and the endpoints, as `try` embeds them and the
+//! `standin` program runs them as processes of their own.
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,159 @@
+//! The HTTP server and client that every part shares.
+//!
+//! A server runs on the thread that calls [`serve`]; several threads serve one
+//! address by cloning the listening socket.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::fmt;
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::{BoxBody, MessageBody};
+use actix_http::error::PayloadError;
+use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode, header};
+use actix_service::{Service as _, ServiceFactory as _, fn_service};
+use bytes::{Bytes, BytesMut};
+use futures_util::{Stream, StreamExt as _};
+use tokio::sync::watch;
+
+/// A caller that has sent no complete head within this time is cut off, so
+/// that idle connections can't use up the process's descriptors.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long an idle connection is kept for the next request.
+const KEEP_ALIVE: Duration = Duration::from_secs(75);
+/// How long to pause when a connection can't be accepted, as when the process
+/// is out of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How often [`serve`] looks whether the last connection has ended.
+const IDLE_POLL: Duration = Duration::from_millis(20);
+
+/// Why a body was not read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyError {
+    /// Longer than the bound, which is named in bytes.
+    TooLong(usize),
+    /// The sender broke off.
+    Broken,
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TooLong(bound) => write!(f, "the body is longer than {bound} bytes"),
+            Self::Broken => f.write_str("the body broke off"),
+        }
+    }
+}
+
+impl std::error::Error for BodyError {}
+
+/// Opens a listening socket for [`serve`].
+///
+/// # Errors
+/// As the operating system gives them, for instance when the port is taken.
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let listener = TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+/// Serves HTTP/1 on `listener` with `handler`.
+///
+/// When `stop` turns true it accepts no further connection and returns once
+/// the open ones have ended.
+///
+/// # Errors
+/// When the socket can't be registered with this thread's runtime.
+pub async fn serve<H, F, B>(
+    listener: TcpListener,
+    mut stop: watch::Receiver<bool>,
+    handler: H,
+) -> std::io::Result<()>
+where
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response<B>> + 'static,
+    B: MessageBody + 'static,
+{
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let open = Rc::new(Cell::new(0_usize));
+    let service = HttpService::build()
+        .client_request_timeout(HEAD_TIMEOUT)
+        .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
+        .h1(fn_service(move |request: Request| {
+            let answer = handler(request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        }))
+        .tcp()
+        .new_service(())
+        .await
+        .map_err(|()| std::io::Error::other("the HTTP service can't start"))?;
+    let service = Rc::new(service);
+    while !*stop.borrow() {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    // Pieces of an answer are small; waiting to fill a packet
+                    // would add tens of milliseconds between tokens.
+                    let _ = stream.set_nodelay(true);
+                    let service = Rc::clone(&service);
+                    let open = Rc::clone(&open);
+                    open.set(open.get() + 1);
+                    actix_rt::spawn(async move {
+                        // A broken connection is the other side's affair.
+                        let _ = service.call(stream).await;
+                        open.set(open.get() - 1);
+                    });
+                }
+                Err(_) => actix_rt::time::sleep(ACCEPT_PAUSE).await,
+            },
+            changed = stop.changed() => if changed.is_err() { break },
+        }
+    }
+    drop(listener);
+    while open.get() > 0 {
+        actix_rt::time::sleep(IDLE_POLL).await;
+    }
+    Ok(())
+}
+
+/// Reads the whole body of a request or an answer.
+///
+/// # Errors
+/// [`BodyError`] when it is above `bound` bytes or breaks off.
+pub async fn read_body<S>(body: &mut S, bound: usize) -> Result<Bytes, BodyError>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
+    let mut whole = BytesMut::new();
+    while let Some(part) = body.next().await {
+        let part = part.map_err(|_| BodyError::Broken)?;
+        if whole.len() + part.len() > bound {
+            return Err(BodyError::TooLong(bound));
+        }
+        whole.extend_from_slice(&part);
+    }
+    Ok(whole.freeze())
+}
+
+/// An answer with a body of the given media type.
+pub fn reply<B>(status: StatusCode, media: &'static str, body: B) -> Response<BoxBody>
+where
+    B: MessageBody + 'static,
+{
+    Response::build(status)
+        .insert_header((header::CONTENT_TYPE, media))
+        .body(body)
+        .map_into_boxed_body()
+}
+
+/// A client for this thread. `timeout` bounds the time until an answer's head.
+pub fn client(timeout: Duration) -> awc::Client {
+    awc::Client::builder()
+        .timeout(timeout)
+        .disable_redirects()
+        .no_default_headers()
+        .finish()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,7 +9,9 @@
 pub mod clock;
 pub mod config;
 pub mod dispatch;
+pub mod embedded;
 pub mod event;
+pub mod http;
 pub mod kernel;
 pub mod member;
 pub mod metric;
