--- a/src/event.rs
+++ b/src/event.rs
@@ -40,4 +40,10 @@
     302 REQUEST_RETRIED "request_retried";
     303 LINK_CLOSED "link_closed";
     304 FRAME_REFUSED "frame_refused";
+    401 CHUNK_CLAIMED "chunk_claimed";
+    402 CHUNK_TAKEN_OVER "chunk_taken_over";
+    403 CHUNK_COMMITTED "chunk_committed";
+    404 CHUNK_LOST "chunk_lost";
+    405 CHUNK_RELEASED "chunk_released";
+    406 CHUNK_CANCELLED "chunk_cancelled";
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod embedded;
 pub mod event;
 pub mod http;
+pub mod job;
 pub mod kernel;
 pub mod member;
 pub mod metric;
