Platform: table, store, list and their stand-in

Cause: every part waits for a platform to work against, with faults that a test can bring about.

Ruled out: a path for each operation (nine handlers that say the same); reading any error of the client's connect phase as "nothing was sent": awc reports ConnectError::Disconnected when the connection closes between request and answer.

Change: platform::memory (rows, objects, lagging list, weight store), platform::fault (limits and faults as a pure decision, by seed and by command), platform::protocol (one CBOR call, one answer), platform::http::Client, embedded::platform (HTTP server; /call, /fault, /counts) and `standin platform`.

Conclusion: a broken call is unknown unless no connection was ever made.

--- /dev/null
+++ b/src/embedded/platform.rs
@@ -0,0 +1,104 @@
+//! The stand-in platform as an HTTP server.
+//!
+//! `POST /call` carries the operations, `POST /fault` takes a
+//! [`Command`] as JSON and `GET /counts` answers what was asked so far, so that
+//! tests can bring about faults and bound the number of operations.
+
+use std::io;
+use std::net::TcpListener;
+
+use actix_http::body::{BodyStream, BoxBody};
+use actix_http::{Method, Request, Response, StatusCode};
+use bytes::Bytes;
+use futures_util::stream;
+use tokio::sync::watch;
+
+use crate::http;
+use crate::platform::Fault;
+use crate::platform::fault::Command;
+use crate::platform::memory::Platform;
+use crate::platform::protocol::{
+    Answer, CALL_PATH, COUNTS_PATH, Call, Exchange as _, FAULT_PATH, MAX_BODY,
+};
+
+const CBOR: &str = "application/cbor";
+const JSON: &str = "application/json";
+const TEXT: &str = "text/plain";
+/// A command is far smaller than this.
+const MAX_COMMAND: usize = 64 * 1024;
+
+/// Serves `platform` on `listener` until `stop` turns true.
+///
+/// # Errors
+/// When the socket can't be registered with this thread's runtime.
+pub async fn serve(
+    platform: Platform,
+    listener: TcpListener,
+    stop: watch::Receiver<bool>,
+) -> io::Result<()> {
+    http::serve(listener, stop, move |request| {
+        let platform = platform.clone();
+        async move { answer(&platform, request).await }
+    })
+    .await
+}
+
+async fn answer(platform: &Platform, mut request: Request) -> Response<BoxBody> {
+    let method = request.method().clone();
+    let path = request.path().to_owned();
+    let mut body = request.take_payload();
+    match (method, path.as_str()) {
+        (Method::POST, CALL_PATH) => match http::read_body(&mut body, MAX_BODY).await {
+            Ok(body) => call(platform, &body).await,
+            Err(error) => http::reply(StatusCode::BAD_REQUEST, TEXT, error.to_string()),
+        },
+        (Method::POST, FAULT_PATH) => match http::read_body(&mut body, MAX_COMMAND).await {
+            Ok(body) => command(platform, &body),
+            Err(error) => http::reply(StatusCode::BAD_REQUEST, TEXT, error.to_string()),
+        },
+        (Method::GET, COUNTS_PATH) => match serde_json::to_vec(&platform.counts()) {
+            Ok(body) => http::reply(StatusCode::OK, JSON, body),
+            Err(error) => http::reply(StatusCode::INTERNAL_SERVER_ERROR, TEXT, error.to_string()),
+        },
+        _ => http::reply(StatusCode::NOT_FOUND, TEXT, "no such path\n"),
+    }
+}
+
+async fn call(platform: &Platform, body: &[u8]) -> Response<BoxBody> {
+    let call: Call = match ciborium::from_reader(body) {
+        Ok(call) => call,
+        Err(error) => return http::reply(StatusCode::BAD_REQUEST, TEXT, error.to_string()),
+    };
+    let answer = platform.call(call).await;
+    if answer == Err(Fault::Unknown) {
+        return lost();
+    }
+    encode(&answer)
+}
+
+fn encode(answer: &Answer) -> Response<BoxBody> {
+    let mut body = Vec::with_capacity(256);
+    match ciborium::into_writer(answer, &mut body) {
+        Ok(()) => http::reply(StatusCode::OK, CBOR, body),
+        Err(error) => http::reply(StatusCode::INTERNAL_SERVER_ERROR, TEXT, error.to_string()),
+    }
+}
+
+/// An answer that breaks off, as when the platform's connection is cut after
+/// the change took effect.
+fn lost() -> Response<BoxBody> {
+    let broken = stream::iter([Err::<Bytes, _>(io::Error::other("injected loss"))]);
+    Response::build(StatusCode::OK)
+        .body(BodyStream::new(broken))
+        .map_into_boxed_body()
+}
+
+fn command(platform: &Platform, body: &[u8]) -> Response<BoxBody> {
+    match serde_json::from_slice::<Command>(body) {
+        Ok(command) => {
+            platform.command(&command);
+            http::reply(StatusCode::OK, TEXT, "ok\n")
+        }
+        Err(error) => http::reply(StatusCode::BAD_REQUEST, TEXT, format!("{error}\n")),
+    }
+}
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -14,6 +14,11 @@
 
 use crate::name::Name;
 
+pub mod fault;
+pub mod http;
+pub mod memory;
+pub mod protocol;
+
 /// A row of the table. Keys sort by their bytes; `/` separates their parts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
@@ -62,6 +67,15 @@
     },
 }
 
+impl Write {
+    /// The key of the row that it changes.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Put { key, .. } | Self::Delete { key } => key,
+        }
+    }
+}
+
 /// Changes that take effect together, and only if every check holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Transaction {
--- /dev/null
+++ b/src/platform/memory.rs
@@ -0,0 +1,405 @@
+//! The whole platform in the memory of one process, for `try`, for the
+//! stand-in program and for tests.
+//!
+//! Clones share one state and may be used from several threads. Faults and
+//! limits go through [`super::fault::Gate`]; without commands there are none.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use super::fault::{Ask, Bucket, Command, Fate, Gate, Verdict};
+use super::protocol::{Answer, Call, Exchange, Value};
+use super::{Expect, Fault, Page, Row, Transaction, Vm, Write};
+use crate::clock::{Clock, Time};
+use crate::name::Name;
+
+/// Rows of a scan that count as one read.
+const ROWS_A_READ: usize = 100;
+/// Most rows that one page returns.
+const MAX_PAGE: usize = 1_000;
+/// How long an operation without an answer keeps its asker waiting.
+const SILENCE: Duration = Duration::from_secs(60);
+
+/// Reads and writes of keys that share their first part.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Use {
+    /// Rows written or removed, and objects stored or removed.
+    pub writes: u64,
+    /// Reads as the limits count them.
+    pub reads: u64,
+}
+
+/// What the platform has been asked since it started.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Rows and objects written or removed by operations that took effect.
+    pub writes: u64,
+    /// Reads as the limits count them.
+    pub reads: u64,
+    /// Transactions that took effect.
+    pub transactions: u64,
+    /// Transactions that failed a check.
+    pub conflicts: u64,
+    /// Operations refused by an outage or a limit.
+    pub refused: u64,
+    /// Writes whose answers were lost.
+    pub lost: u64,
+    /// Reads of the list of VMs.
+    pub lists: u64,
+    /// Loads that the weight store admitted.
+    pub admitted: u64,
+    /// Loads that the weight store refused.
+    pub load_refused: u64,
+    /// By the part of the key before its first `/`.
+    pub by_prefix: BTreeMap<String, Use>,
+}
+
+/// Where the present time comes from.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    Real(Clock),
+    Virtual(Time),
+}
+
+#[derive(Debug)]
+struct State {
+    source: Source,
+    gate: Gate,
+    rows: BTreeMap<String, (u64, Bytes)>,
+    objects: BTreeMap<String, Bytes>,
+    version: u64,
+    vms: BTreeMap<Name, Vm>,
+    lists: VecDeque<(Time, Vec<Vm>)>,
+    lag: Duration,
+    weight: Bucket,
+    counts: Counts,
+}
+
+/// A platform in memory.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    state: Arc<Mutex<State>>,
+}
+
+impl Platform {
+    /// A platform without limits, faults or lag, on the real clock.
+    pub fn new(seed: u64) -> Self {
+        Self::on(Source::Real(Clock::start()), seed)
+    }
+
+    /// The same in virtual time, which [`Platform::set_time`] moves. Injected
+    /// slowness has no effect on it.
+    pub fn in_virtual_time(now: Time, seed: u64) -> Self {
+        Self::on(Source::Virtual(now), seed)
+    }
+
+    fn on(source: Source, seed: u64) -> Self {
+        let now = source.now();
+        Self {
+            state: Arc::new(Mutex::new(State {
+                source,
+                gate: Gate::new(now, seed),
+                rows: BTreeMap::new(),
+                objects: BTreeMap::new(),
+                version: 0,
+                vms: BTreeMap::new(),
+                lists: VecDeque::new(),
+                lag: Duration::ZERO,
+                weight: Bucket::new(now, 0.0, 0.0),
+                counts: Counts::default(),
+            })),
+        }
+    }
+
+    /// Moves virtual time; without effect on the real clock.
+    pub fn set_time(&self, now: Time) {
+        let mut state = self.lock();
+        if let Source::Virtual(at) = &mut state.source {
+            *at = now;
+        }
+    }
+
+    /// Obeys a command, see [`Command`].
+    pub fn command(&self, command: &Command) {
+        self.lock().command(command);
+    }
+
+    /// What was asked so far.
+    pub fn counts(&self) -> Counts {
+        self.lock().counts.clone()
+    }
+
+    /// Puts a VM into the list, as the platform does when it starts one.
+    pub fn register(&self, vm: Vm) {
+        self.lock().command(&Command::Register(vm));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        // No code between lock and unlock can leave the state half changed.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Exchange for Platform {
+    async fn call(&self, call: Call) -> Answer {
+        let (verdict, real) = {
+            let mut state = self.lock();
+            let verdict = state.judge(&call);
+            (verdict, matches!(state.source, Source::Real(_)))
+        };
+        match verdict {
+            Verdict::Refuse { retry_after } => Err(Fault::Refused { retry_after }),
+            Verdict::Silence => {
+                if real {
+                    actix_rt::time::sleep(SILENCE).await;
+                }
+                Err(Fault::Unknown)
+            }
+            Verdict::Go { delay, fate } => {
+                if real && !delay.is_zero() {
+                    actix_rt::time::sleep(delay).await;
+                }
+                self.lock().apply(call, fate)
+            }
+        }
+    }
+}
+
+impl Source {
+    fn now(&self) -> Time {
+        match self {
+            Self::Real(clock) => clock.now(),
+            Self::Virtual(at) => *at,
+        }
+    }
+}
+
+impl State {
+    fn command(&mut self, command: &Command) {
+        let now = self.source.now();
+        match command {
+            Command::Lag { ms } => self.lag = Duration::from_millis(*ms),
+            Command::Weight { per_minute, burst } => {
+                let per_second = f64::from(*per_minute) / 60.0;
+                self.weight = Bucket::new(now, per_second, f64::from(*burst));
+            }
+            Command::Register(vm) => {
+                self.vms.insert(vm.name.clone(), vm.clone());
+                self.publish(now);
+            }
+            Command::Leaving { name } => {
+                if let Some(vm) = self.vms.get_mut(name) {
+                    vm.leaving = true;
+                }
+                self.publish(now);
+            }
+            Command::Remove { name } => {
+                self.vms.remove(name);
+                self.publish(now);
+            }
+            Command::Clear
+            | Command::Outage { .. }
+            | Command::Slow { .. }
+            | Command::Limit { .. }
+            | Command::Lose { .. }
+            | Command::LoseSome { .. } => self.gate.command(now, command),
+        }
+    }
+
+    /// Keeps the list as it is now, to be shown once it is old enough.
+    fn publish(&mut self, now: Time) {
+        let list = self.vms.values().cloned().collect();
+        self.lists.push_back((now, list));
+    }
+
+    fn judge(&mut self, call: &Call) -> Verdict {
+        let now = self.source.now();
+        let verdict = match call {
+            Call::Transact(transaction) => {
+                let keys: Vec<&str> = transaction.writes.iter().map(Write::key).collect();
+                self.gate.ask(now, Ask::Write(&keys))
+            }
+            Call::PutObject { name, .. } | Call::DeleteObject { name } => {
+                self.gate.ask(now, Ask::Write(&[name]))
+            }
+            Call::Get { key } => self.read(now, key, 1),
+            Call::GetObject { name } => self.read(now, name, 1),
+            Call::Scan {
+                prefix,
+                after,
+                limit,
+            } => {
+                let rows = self.range(prefix, after).take(page_size(*limit)).count();
+                let reads = rows.div_ceil(ROWS_A_READ).max(1);
+                self.read(now, prefix, u32::try_from(reads).unwrap_or(u32::MAX))
+            }
+            Call::List | Call::Admit { .. } | Call::Register(_) => self.gate.ask(now, Ask::Other),
+        };
+        if matches!(verdict, Verdict::Refuse { .. }) {
+            self.counts.refused += 1;
+        }
+        verdict
+    }
+
+    fn read(&mut self, now: Time, key: &str, reads: u32) -> Verdict {
+        let verdict = self.gate.ask(now, Ask::Read(reads));
+        if matches!(verdict, Verdict::Go { .. }) {
+            self.counts.reads += u64::from(reads);
+            self.used(key).reads += u64::from(reads);
+        }
+        verdict
+    }
+
+    fn used(&mut self, key: &str) -> &mut Use {
+        let part = key.split('/').next().unwrap_or_default();
+        self.counts.by_prefix.entry(part.to_owned()).or_default()
+    }
+
+    fn wrote(&mut self, key: &str) {
+        self.counts.writes += 1;
+        self.used(key).writes += 1;
+    }
+
+    fn apply(&mut self, call: Call, fate: Fate) -> Answer {
+        if fate != Fate::Answered {
+            self.counts.lost += 1;
+        }
+        if fate == Fate::LostBefore {
+            return Err(Fault::Unknown);
+        }
+        let answer = self.effect(call);
+        if fate == Fate::LostAfter {
+            return Err(Fault::Unknown);
+        }
+        answer
+    }
+
+    fn effect(&mut self, call: Call) -> Answer {
+        match call {
+            Call::Transact(transaction) => self.transact(transaction).map(Value::Version),
+            Call::Get { key } => Ok(Value::Row(self.row(&key))),
+            Call::Scan {
+                prefix,
+                after,
+                limit,
+            } => Ok(Value::Page(self.page(&prefix, &after, limit))),
+            Call::PutObject { name, value } => {
+                self.wrote(&name);
+                self.objects.insert(name, value);
+                Ok(Value::Done)
+            }
+            Call::GetObject { name } => Ok(Value::Object(self.objects.get(&name).cloned())),
+            Call::DeleteObject { name } => {
+                self.wrote(&name);
+                self.objects.remove(&name);
+                Ok(Value::Done)
+            }
+            Call::List => Ok(Value::List(self.list())),
+            Call::Admit { .. } => self.admit().map(|()| Value::Done),
+            Call::Register(vm) => {
+                self.command(&Command::Register(vm));
+                Ok(Value::Done)
+            }
+        }
+    }
+
+    fn transact(&mut self, transaction: Transaction) -> Result<u64, Fault> {
+        for check in &transaction.checks {
+            let version = self.rows.get(&check.key).map_or(0, |(version, _)| *version);
+            let holds = match check.expect {
+                Expect::Absent => version == 0,
+                Expect::Version(expected) => version != 0 && version == expected,
+                Expect::Present => version != 0,
+            };
+            if !holds {
+                self.counts.conflicts += 1;
+                let key = check.key.clone();
+                return Err(Fault::Conflict { key, version });
+            }
+        }
+        // One counter for all rows, so that a row that was removed and put back
+        // never shows a version that it had before.
+        self.version += 1;
+        self.counts.transactions += 1;
+        for write in transaction.writes {
+            self.wrote(write.key());
+            match write {
+                Write::Put { key, value } => {
+                    self.rows.insert(key, (self.version, value));
+                }
+                Write::Delete { key } => {
+                    self.rows.remove(&key);
+                }
+            }
+        }
+        Ok(self.version)
+    }
+
+    fn row(&self, key: &str) -> Option<Row> {
+        let (version, value) = self.rows.get(key)?;
+        Some(Row {
+            key: key.to_owned(),
+            version: *version,
+            value: value.clone(),
+        })
+    }
+
+    fn range(&self, prefix: &str, after: &str) -> impl Iterator<Item = (&String, &(u64, Bytes))> {
+        let from = if after > prefix { after } else { prefix }.to_owned();
+        let (prefix, after) = (prefix.to_owned(), after.to_owned());
+        self.rows
+            .range(from..)
+            .skip_while(move |(key, _)| **key <= after && !after.is_empty())
+            .take_while(move |(key, _)| key.starts_with(&prefix))
+    }
+
+    fn page(&self, prefix: &str, after: &str, limit: usize) -> Page {
+        let limit = page_size(limit);
+        let mut rows: Vec<Row> = self
+            .range(prefix, after)
+            .take(limit + 1)
+            .map(|(key, (version, value))| Row {
+                key: key.clone(),
+                version: *version,
+                value: value.clone(),
+            })
+            .collect();
+        let more = rows.len() > limit;
+        rows.truncate(limit);
+        Page { rows, more }
+    }
+
+    fn list(&mut self) -> Vec<Vm> {
+        self.counts.lists += 1;
+        let seen = self.source.now() - self.lag;
+        while self.lists.get(1).is_some_and(|(at, _)| *at <= seen) {
+            self.lists.pop_front();
+        }
+        match self.lists.front() {
+            Some((at, list)) if *at <= seen => list.clone(),
+            _ => Vec::new(),
+        }
+    }
+
+    fn admit(&mut self) -> Result<(), Fault> {
+        let now = self.source.now();
+        match self.weight.take(now, 1.0) {
+            Ok(()) => {
+                self.counts.admitted += 1;
+                Ok(())
+            }
+            Err(retry_after) => {
+                self.counts.load_refused += 1;
+                Err(Fault::Refused { retry_after })
+            }
+        }
+    }
+}
+
+fn page_size(limit: usize) -> usize {
+    limit.clamp(1, MAX_PAGE)
+}
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,3 +1,28 @@
 //! The stand-ins for the platform and the endpoints.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::Command;
+
+mod platform;
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_default_env().init();
+    let matches = Command::new("standin")
+        .about("Stand-ins for the platform and the endpoints, and the policy benchmark")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(platform::command())
+        .get_matches();
+    let result = match matches.subcommand() {
+        Some(("platform", arguments)) => platform::run(arguments),
+        _ => Ok(()),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("standin: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
