Mark online requests once, and bound what jobs cost the platform

Cause: requests that must not be repeated need a durable mark before they are sent; and the table's several hundred writes a second are a hard bound.

Ruled out: a transaction for each mark. Giving a claim up on a collision: 40 nodes that started together collided 80 times for 79 claims and looked at the index anew each time.

Change: `once::Marks` inserts the marks of a burst in one transaction and resolves lost answers by its own token. A claim that collides is decided again on the row as it is; nodes look at the index at different phases.

`cargo test`: job_* and once_* pass.

--- a/src/job/runner.rs
+++ b/src/job/runner.rs
@@ -15,6 +15,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::index::Index;
 use super::key::Id;
@@ -40,6 +41,8 @@
 
 /// Longest time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(100);
+/// Time over which the nodes spread that are told of a new job.
+const ACCEPTED_SPREAD: Duration = Duration::from_millis(250);
 /// Virtual origin, so that periods that passed before the start count as over.
 const ORIGIN: Time = Time::from_millis(3_600_000);
 
@@ -231,6 +234,14 @@
         ORIGIN + self.started.elapsed()
     }
 
+    /// A part of `period` that differs between nodes. Nodes that looked at the
+    /// index in the same millisecond would all claim the same rows.
+    fn phase(&self, period: Duration) -> Duration {
+        let hash = xxh3_64(self.lease.session.as_bytes());
+        let micros = u64::try_from(period.as_micros()).unwrap_or(u64::MAX);
+        Duration::from_micros(hash % micros.max(1))
+    }
+
     fn count<F>(&self, change: F)
     where
         F: FnOnce(&mut Tally),
@@ -250,8 +261,11 @@
                 self.weights = weights;
             }
             Input::Accepted(service) => {
+                let now = self.now();
+                let poll = self.setting.poll;
+                let wait = self.phase(ACCEPTED_SPREAD);
                 if let Some(search) = self.services.get_mut(&service) {
-                    search.scanned = Time::ZERO;
+                    search.scanned = search.scanned.min((now + wait) - poll);
                 }
             }
         }
--- a/src/job/runner/claim.rs
+++ b/src/job/runner/claim.rs
@@ -1,5 +1,6 @@
 //! Finds chunks and claims them.
 
+use std::cell::RefCell;
 use std::hash::Hasher;
 use std::rc::Rc;
 
@@ -274,29 +275,45 @@
             change::close(&platform.table, &place).await;
             return None;
         }
-        let (next, held) = self.wanted()?;
         let guard = match &self.kind {
             Kind::Lost(_, guard) => Some(guard),
             Kind::Free | Kind::Mine(_) => None,
         };
-        let before = &self.open.lane;
+        let wanted = RefCell::new(None);
         let known = Some(self.open.row.clone());
-        let decide = |lane: &Lane| decide(lane, before, &next, &held);
+        let decide = |lane: &Lane| self.decide(lane, &mut wanted.borrow_mut());
         match change::apply(&platform.table, &place, known, guard, decide).await {
-            Change::Settled => Some(self.load(platform, place, held).await),
+            Change::Settled => {
+                let held = wanted.take()?;
+                Some(self.load(platform, place, held).await)
+            }
             // When the answer was lost, the next look at the index finds this
             // node's own session in the row and takes the chunk up.
             Change::Lost | Change::Over | Change::Unsure(_) => None,
         }
     }
 
-    fn wanted(&self) -> Option<(Lane, Held)> {
-        let lane = &self.open.lane;
-        match self.kind {
+    /// The row as it is now decides which chunk is claimed, so that a collision
+    /// costs another try and not another look at the index. `wanted` is what the
+    /// try before this one wanted: found in the row, that try has taken effect.
+    fn decide(&self, lane: &Lane, wanted: &mut Option<Held>) -> Step {
+        let mine = |held: &Held| {
+            let found = lane.holding(held.epoch);
+            found.is_some_and(|found| found.session == held.session)
+        };
+        if wanted.as_ref().is_some_and(mine) {
+            return Step::Already;
+        }
+        let change = match self.kind {
             Kind::Free => lane.claim(&self.session, self.from),
             Kind::Lost(epoch, _) => lane.take_over(epoch, &self.session, self.from),
             Kind::Mine(epoch) => lane.resume(epoch, &self.session, self.from),
-        }
+        };
+        let Some((next, held)) = change else {
+            return Step::Lost;
+        };
+        *wanted = Some(held);
+        Step::Write(next)
     }
 
     /// Reads the items and what earlier holders logged. The chunk is claimed by
@@ -326,21 +343,6 @@
     }
 }
 
-/// The claim succeeds only on the row that it was made from; anything else is a
-/// collision, unless the row shows that the claim itself has taken effect.
-fn decide(lane: &Lane, before: &Lane, next: &Lane, held: &Held) -> Step {
-    let mine = lane
-        .holding(held.epoch)
-        .is_some_and(|found| found.session == held.session);
-    if mine {
-        Step::Already
-    } else if lane == before {
-        Step::Write(next.clone())
-    } else {
-        Step::Lost
-    }
-}
-
 async fn read<S>(store: &S, job: &Job, held: &Held) -> Result<(Vec<Item>, Vec<Entry>), Fault>
 where
     S: Store,
--- a/src/job/runner/drive.rs
+++ b/src/job/runner/drive.rs
@@ -16,11 +16,11 @@
 use crate::platform::{Store, Table, Transaction};
 
 impl Search {
-    fn new(service: Name, ledger: Ledger) -> Self {
+    fn new(service: Name, ledger: Ledger, scanned: Time) -> Self {
         Self {
             index: Index::new(service),
             ledger,
-            scanned: Time::ZERO,
+            scanned,
             scanning: false,
             claiming: BTreeSet::new(),
             unseen: Rc::new(Cell::new(0)),
@@ -64,7 +64,8 @@
         if !self.services.contains_key(service) {
             let mut ledger = Ledger::default();
             ledger.weigh(self.weights.clone());
-            let search = Search::new(service.clone(), ledger);
+            let scanned = self.now() - self.phase(self.setting.poll);
+            let search = Search::new(service.clone(), ledger, scanned);
             self.services.insert(service.clone(), search);
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod member;
 pub mod metric;
 pub mod name;
+pub mod once;
 pub mod outcome;
 pub mod platform;
 pub mod request;
--- a/tests/job_cancel.rs
+++ b/tests/job_cancel.rs
@@ -31,8 +31,7 @@
 #[gtest]
 fn cancel_stops_within_the_check_period() {
     run(async {
-        let mut fleet = Fleet::new(1, 0);
-        fleet.took = Duration::from_secs(3);
+        let mut fleet = Fleet::with(1, 0, Duration::from_secs(3));
         for _ in 0..3 {
             fleet.add();
         }
--- a/tests/job_exactly_once.rs
+++ b/tests/job_exactly_once.rs
@@ -100,8 +100,7 @@
         once in any::<bool>(),
     ) {
         run(async {
-            let mut fleet = Fleet::new(seed, 3);
-            fleet.took = Duration::from_secs(1);
+            let mut fleet = Fleet::with(seed, 3, Duration::from_secs(1));
             let mut wanted = submission("menu", items(count));
             wanted.once = once;
             let id = fleet.submit(&wanted).await;
@@ -137,8 +136,7 @@
 fn kill_at_each_step() {
     run(async {
         for step in 0..400u64 {
-            let mut fleet = Fleet::new(step, 1);
-            fleet.took = Duration::from_millis(20);
+            let mut fleet = Fleet::with(step, 1, Duration::from_millis(20));
             fleet.setting.flush = Duration::from_millis(100);
             let node = fleet.add();
             fleet.kill(0);
@@ -162,8 +160,7 @@
 fn freeze_past_the_lease() {
     run(async {
         for step in 0..60u64 {
-            let mut fleet = Fleet::new(step, 1);
-            fleet.took = Duration::from_millis(500);
+            let mut fleet = Fleet::with(step, 1, Duration::from_millis(500));
             let id = fleet.submit(&submission("menu", items(60))).await;
             fleet.pass(Duration::from_millis(step * 83)).await;
             fleet.freeze(0, true);
@@ -266,8 +263,7 @@
 #[gtest]
 fn loss_redoes_seconds_of_work() {
     run(async {
-        let mut fleet = Fleet::new(14, 1);
-        fleet.took = Duration::from_millis(400);
+        let mut fleet = Fleet::with(14, 1, Duration::from_millis(400));
         let id = fleet.submit(&submission("menu", items(128))).await;
         fleet
             .until(|fleet| fleet.world.borrow().runs.len() >= 120)
--- a/tests/job_support/fleet.rs
+++ b/tests/job_support/fleet.rs
@@ -24,7 +24,7 @@
 use bytes::Bytes;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::task::LocalSet;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -133,7 +133,7 @@
     service: Name,
     world: Rc<RefCell<World>>,
     running: Rc<Cell<usize>>,
-    kills: Rc<Cell<u64>>,
+    kills: watch::Sender<()>,
     origin: Instant,
 }
 
@@ -155,15 +155,8 @@
 impl Endpoint {
     /// Waits for an item's time, or until the endpoint is killed.
     async fn work(&self, took: Duration) -> bool {
-        let kills = self.kills.get();
-        let end = Instant::now() + took;
-        while Instant::now() < end {
-            sleep(Duration::from_millis(10)).await;
-            if self.kills.get() != kills {
-                return false;
-            }
-        }
-        true
+        let mut kills = self.kills.subscribe();
+        timeout(took, kills.changed()).await.is_err()
     }
 }
 
@@ -204,7 +197,7 @@
             .await;
         slot.whole = true;
         if &*prompt == "kill the endpoint" {
-            self.kills.set(self.kills.get() + 1);
+            self.kills.send_replace(());
         }
         if &*prompt == "kill the vm" {
             self.world.borrow_mut().doomed.push(self.node);
@@ -250,6 +243,11 @@
 
 impl Fleet {
     pub fn new(seed: u64, nodes: usize) -> Self {
+        Self::with(seed, nodes, Duration::from_millis(200))
+    }
+
+    /// A fleet whose endpoints take that long for an item.
+    pub fn with(seed: u64, nodes: usize, took: Duration) -> Self {
         let platform = Platform::in_virtual_time(Time::ZERO, seed);
         let remote = Remote::new(platform.clone(), seed);
         let mut fleet = Self {
@@ -260,7 +258,7 @@
             nodes: BTreeMap::new(),
             setting: Setting::default(),
             slots: 8,
-            took: Duration::from_millis(200),
+            took,
             next: 0,
             readable: BTreeMap::new(),
             origin: Instant::now(),
@@ -287,7 +285,7 @@
             service: service.into(),
             world: self.world.clone(),
             running: running.clone(),
-            kills: Rc::default(),
+            kills: watch::Sender::default(),
             origin: self.origin,
         };
         let session = format!("node-{number}").into();
--- /dev/null
+++ b/tests/once_marks.rs
@@ -0,0 +1,260 @@
+//! A request that must run at most once does.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use auburnspoke::name::Name;
+use auburnspoke::once::{Fate, Group, Key, Marks, Verdict, unmark};
+use auburnspoke::outcome::Reason;
+use auburnspoke::platform::fault::Command;
+use auburnspoke::platform::memory::Platform;
+use auburnspoke::platform::{Fault, Table};
+use futures_util::future::join_all;
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+use crate::fleet::{Remote, run};
+
+#[path = "job_support/fleet.rs"]
+mod fleet;
+
+fn key(text: &str) -> Key {
+    Key {
+        organisation: "association".into(),
+        key: text.into(),
+    }
+}
+
+fn platform() -> Platform {
+    Platform::in_virtual_time(auburnspoke::clock::Time::ZERO, 1)
+}
+
+fn marks(owner: &str, platform: &Platform) -> Marks<Remote> {
+    Marks::new(Name::from(owner), Remote::new(platform.clone(), 1))
+}
+
+/// Runs in virtual time inside a `LocalSet`, as on an arbiter.
+fn local<F>(test: F)
+where
+    F: Future<Output = ()>,
+{
+    run(async { tokio::task::LocalSet::new().run_until(test).await });
+}
+
+/// A clerk's client sends a remittance again through another node, at the same
+/// moment. With two marks a supplier is paid twice.
+#[gtest]
+fn mark_concurrently_on_two_nodes() {
+    local(async {
+        let platform = platform();
+        let nodes: Vec<_> = (0..8)
+            .map(|n| marks(&format!("node-{n}"), &platform))
+            .collect();
+        let invoice = key("invoice-7");
+        let tries = nodes.iter().map(|marks| marks.mark(&invoice));
+        let results = join_all(tries).await;
+        expect_that!(results.iter().filter(|r| r.is_ok()).count(), eq(1));
+        let refused = results.iter().filter_map(|result| result.as_ref().err());
+        for refusal in refused {
+            expect_that!(refusal.reason, eq(Reason::AlreadyRun));
+        }
+    });
+}
+
+/// The same, through one node and so in one transaction.
+#[gtest]
+fn mark_twice_in_one_group() {
+    local(async {
+        let marks = marks("node", &platform());
+        let invoice = key("invoice-7");
+        let results = join_all((0..5).map(|_| marks.mark(&invoice))).await;
+        expect_that!(results.iter().filter(|r| r.is_ok()).count(), eq(1));
+    });
+}
+
+/// A burst of such requests must not cost the table a transaction each.
+#[gtest]
+fn mark_groups_a_burst() {
+    local(async {
+        let platform = platform();
+        let marks = marks("node", &platform);
+        let keys: Vec<Key> = (0..200).map(|n| key(&format!("invoice-{n}"))).collect();
+        let results = join_all(keys.iter().map(|key| marks.mark(key))).await;
+        expect_that!(results.iter().all(Result::is_ok), eq(true));
+        let counts = platform.counts();
+        expect_that!(counts.writes, eq(200));
+        expect_that!(counts.transactions, le(5));
+    });
+}
+
+/// One request of a burst was seen before. The others must not be refused for
+/// it, nor it be let through with them.
+#[gtest]
+fn mark_groups_a_burst_with_one_taken() {
+    local(async {
+        let platform = platform();
+        let first = marks("first", &platform);
+        first
+            .mark(&key("invoice-3"))
+            .await
+            .expect("nobody was before");
+        let second = marks("second", &platform);
+        let keys: Vec<Key> = (0..20).map(|n| key(&format!("invoice-{n}"))).collect();
+        let results = join_all(keys.iter().map(|key| second.mark(key))).await;
+        for (number, result) in results.iter().enumerate() {
+            expect_that!(result.is_ok(), eq(number != 3));
+        }
+    });
+}
+
+/// The answer to the mark is lost, with and without effect. Taken for a failure,
+/// the request would be refused although nothing stands against it; taken for
+/// another's mark, its key would be used up by itself.
+#[gtest]
+fn mark_lost_answer() {
+    local(async {
+        for before in [false, true] {
+            let platform = platform();
+            let marks = marks("node", &platform);
+            platform.command(&Command::Lose {
+                prefix: "once/".into(),
+                count: 3,
+                before,
+            });
+            let keys: Vec<Key> = (0..5).map(|n| key(&format!("invoice-{n}"))).collect();
+            let results = join_all(keys.iter().map(|key| marks.mark(key))).await;
+            expect_that!(results.iter().all(Result::is_ok), eq(true));
+            let again = marks.mark(&keys[0]).await;
+            expect_that!(again.is_err(), eq(true));
+        }
+    });
+}
+
+/// The table is down. A request that is sent without its mark could run twice,
+/// so it is refused, and was not run.
+#[gtest]
+fn mark_during_an_outage() {
+    local(async {
+        let platform = platform();
+        let marks = marks("node", &platform);
+        platform.command(&Command::Outage {
+            ms: Some(60_000),
+            silent: false,
+        });
+        let refusal = marks
+            .mark(&key("invoice"))
+            .await
+            .expect_err("the table is down");
+        expect_that!(refusal.reason, eq(Reason::Platform));
+        expect_that!(refusal.retry_after, some(gt(Duration::ZERO)));
+        platform.command(&Command::Clear);
+        expect_that!(marks.mark(&key("invoice")).await.is_ok(), eq(true));
+    });
+}
+
+/// A request was refused before any byte of it was sent, so that its caller may
+/// come back with the same key.
+#[gtest]
+fn unmark_lets_the_caller_come_back() {
+    local(async {
+        let platform = platform();
+        let marks = marks("node", &platform);
+        let invoice = key("invoice");
+        marks.mark(&invoice).await.expect("nobody was before");
+        unmark(&platform, &invoice)
+            .await
+            .expect("the table answers");
+        expect_that!(marks.mark(&invoice).await.is_ok(), eq(true));
+    });
+}
+
+#[gtest]
+fn mark_invalid_key() {
+    local(async {
+        let refusal = marks("node", &platform()).mark(&key("a/b")).await;
+        expect_that!(refusal.expect_err("no name").reason, eq(Reason::Invalid));
+    });
+}
+
+/// What the table may do with one transaction.
+#[derive(Clone, Debug)]
+enum Luck {
+    Fine,
+    LostAfter,
+    LostBefore,
+    Refused,
+    /// It arrives only after the following one was answered.
+    Late,
+}
+
+proptest! {
+    /// Two nodes insert overlapping groups while answers are lost, refused, or
+    /// overtake each other. Whatever happens, no key is marked for two.
+    #[test]
+    fn group_marks_each_key_for_one(
+        luck in prop::collection::vec(prop_oneof![
+            Just(Luck::Fine), Just(Luck::LostAfter), Just(Luck::LostBefore),
+            Just(Luck::Refused), Just(Luck::Late),
+        ], 40),
+        turns in prop::collection::vec(any::<bool>(), 80),
+        keys in 1usize..5,
+    ) {
+        let platform = Rc::new(RefCell::new(std::collections::BTreeMap::<String, String>::new()));
+        let insert = |marks: &[(String, String)]| -> std::result::Result<u64, Fault> {
+            let mut rows = platform.borrow_mut();
+            if let Some((key, _)) = marks.iter().find(|(row, _)| rows.contains_key(row)) {
+                return Err(Fault::Conflict { key: key.clone(), version: 1 });
+            }
+            rows.extend(marks.iter().cloned());
+            Ok(1)
+        };
+        let rows = |owner: &str| -> Vec<(String, String)> {
+            (0..keys).map(|n| (format!("once/{n}"), format!("{owner}/{n}"))).collect()
+        };
+        let mut groups = [Group::new(rows("a")), Group::new(rows("b"))];
+        let mut late: Vec<Vec<(String, String)>> = Vec::new();
+        let mut luck = luck.into_iter().cycle();
+        for turn in turns.into_iter().cycle().take(300) {
+            let group = &mut groups[usize::from(turn)];
+            let Some(open) = group.open() else { continue };
+            let answer = match luck.next().expect("endless") {
+                Luck::Fine => insert(&open),
+                Luck::LostAfter => { let _ = insert(&open); Err(Fault::Unknown) }
+                Luck::LostBefore => Err(Fault::Unknown),
+                Luck::Refused => Err(Fault::Refused { retry_after: Duration::from_secs(1) }),
+                Luck::Late => { late.push(open); Err(Fault::Unknown) }
+            };
+            if late.len() > 1 {
+                let _ = insert(&late.remove(0));
+            }
+            if let Verdict::Read(row) = group.answered(&answer) {
+                let found = platform.borrow().get(&row).cloned();
+                group.read(&row, &Ok(found.map(Into::into)));
+            }
+        }
+        let fates: Vec<Vec<Fate>> = groups.iter().map(|group| group.fates().collect()).collect();
+        for (number, (one, other)) in fates[0].iter().zip(&fates[1]).enumerate() {
+            prop_assert!(
+                !(*one == Fate::Marked && *other == Fate::Marked),
+                "key {number} is marked for two"
+            );
+        }
+    }
+}
+
+/// The count of rows is what the table's limit counts.
+#[gtest]
+fn mark_costs_one_row() {
+    local(async {
+        let platform = platform();
+        let marks = marks("node", &platform);
+        marks
+            .mark(&key("invoice"))
+            .await
+            .expect("nobody was before");
+        expect_that!(platform.counts().writes, eq(1));
+        let row = Table::get(&platform, "once/association/invoice").await;
+        expect_that!(row.is_ok_and(|row| row.is_some()), eq(true));
+    });
+}
