Carry a question from gateway to dispatcher to endpoint

Cause: the thin path needs its online half. Ruled out: connections shared between threads (locks on the path of a request). Change: RPC server in the Connect convention, gateway, links between nodes over websockets with CBOR frames, dispatch shell, clients of model engines and plain services, node start and stop. Configuration and members are read from the platform directly for now.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -12,8 +12,12 @@
 use crate::outcome::Refusal;
 use crate::request::Class;
 
+pub mod handle;
 mod queue;
+mod run;
+pub mod shell;
 
+pub use handle::Handle;
 pub use queue::Queue;
 
 /// Identity of a request at one dispatcher; never used twice.
--- /dev/null
+++ b/src/dispatch/run.rs
@@ -0,0 +1,138 @@
+//! One run of a request at an endpoint.
+
+use std::cell::RefCell;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+
+use super::End;
+use super::handle::Event;
+use crate::config::{Document, Kind};
+use crate::endpoint::{Failure, Target, completion, plain};
+use crate::outcome::{Outcome, Reason, Refusal};
+use crate::request::{Answer, Body, Piece, Request};
+
+/// How far an answer has come over all its runs.
+#[derive(Clone, Debug, Default)]
+pub struct Progress {
+    /// Tokens so far, those before the request came here included.
+    pub tokens: u32,
+    /// Their text.
+    pub text: String,
+}
+
+impl Progress {
+    /// The progress that a request arrives with.
+    pub fn resumed(request: &Request) -> Self {
+        Self {
+            tokens: request.resume_from,
+            text: request.resume_text.to_string(),
+        }
+    }
+
+    /// Takes a piece if it is the next one.
+    ///
+    /// An engine that repeats or skips tokens after a resume would otherwise
+    /// reach the caller as a doubled or torn answer.
+    pub fn take(&mut self, piece: &Piece) -> bool {
+        if piece.offset != self.tokens {
+            return false;
+        }
+        self.tokens += piece.tokens;
+        self.text.push_str(&piece.text);
+        true
+    }
+}
+
+/// Where a request goes, or nothing when its service is not configured.
+pub fn target(config: &Document, endpoint: &str, request: &Request) -> Option<Target> {
+    let endpoint = config.endpoints.get(endpoint)?;
+    let service = config.services.get(&request.service)?;
+    let fits = matches!(
+        (&request.body, service.kind),
+        (Body::Prompt { .. }, Kind::Model) | (Body::Call { .. }, Kind::Plain)
+    );
+    fits.then(|| Target {
+        name: endpoint.name.clone(),
+        address: endpoint.address.clone(),
+        model: service.model.clone(),
+    })
+}
+
+/// Runs a request to its end, or until `left` has passed.
+pub async fn run<F>(
+    client: &awc::Client,
+    target: &Target,
+    request: &Request,
+    progress: &RefCell<Progress>,
+    reply: &mpsc::Sender<Event>,
+    left: Duration,
+    tokens: F,
+) -> (Outcome<Answer>, End)
+where
+    F: Fn(u32),
+{
+    let running = once(client, target, request, progress, reply, left, tokens);
+    match tokio::time::timeout(left, running).await {
+        Ok(Ok(answer)) => (Outcome::Done(answer), End::Complete),
+        Ok(Err(failure)) => {
+            let end = match failure {
+                Failure::Rejected(_) => End::Complete,
+                Failure::Broken(_) | Failure::Unreached(_) => End::Failed,
+            };
+            (failure.outcome(), end)
+        }
+        Err(_) => {
+            let refusal = Refusal::new(Reason::Deadline);
+            (Outcome::MayHaveRun(refusal), End::Failed)
+        }
+    }
+}
+
+async fn once<F>(
+    client: &awc::Client,
+    target: &Target,
+    request: &Request,
+    progress: &RefCell<Progress>,
+    reply: &mpsc::Sender<Event>,
+    left: Duration,
+    tokens: F,
+) -> Result<Answer, Failure>
+where
+    F: Fn(u32),
+{
+    let (prompt, max_tokens) = match &request.body {
+        Body::Call { path, body } => {
+            let body = body.clone();
+            return plain::call(client, target, path, &request.key, body, left).await;
+        }
+        Body::Prompt { prompt, max_tokens } => (prompt, *max_tokens),
+    };
+    let so_far = progress.borrow().clone();
+    let prompt = completion::Prompt {
+        model: &target.model,
+        prompt,
+        max_tokens,
+        stream: true,
+        request_id: &request.key,
+        resume_from: so_far.tokens,
+        resume_text: &so_far.text,
+    };
+    let tokens = &tokens;
+    completion::run(client, target, &prompt, left, move |piece| async move {
+        if progress.borrow_mut().take(&piece) {
+            tokens(piece.tokens);
+            // A slow reader stops its own stream here, and so its own engine
+            // connection.
+            let _ = reply.send(Event::Piece(piece)).await;
+        }
+    })
+    .await?;
+    let progress = progress.borrow();
+    Ok(Answer {
+        text: progress.text.clone(),
+        tokens: progress.tokens,
+        endpoint: target.name.to_string(),
+        ..Answer::default()
+    })
+}
--- /dev/null
+++ b/src/dispatch/shell.rs
@@ -0,0 +1,393 @@
+//! Acts on what the queues decide: runs requests at endpoints, passes their
+//! answers on, and tells the queues what happened.
+//!
+//! One shell lives on each traffic thread and owns the dispatchers of the
+//! endpoints that hash to it, so nothing here is locked.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_rt::task::JoinHandle;
+use tokio::sync::{Notify, mpsc};
+
+use super::handle::{Event, Submit};
+use super::run::{self, Progress};
+use super::{Action, End, Id, Input, Load, Offer, Queue, Setting};
+use crate::clock::{Clock, Time};
+use crate::config::Document;
+use crate::name::Name;
+use crate::outcome::{Outcome, Reason, Refusal};
+use crate::request::{Answer, Body, Request};
+use crate::snapshot;
+
+/// How often the shell looks for due work when no queue names a time.
+const IDLE_TICK: Duration = Duration::from_millis(100);
+/// Characters that make up a token, roughly, for estimates of prompts.
+const CHARS_PER_TOKEN: usize = 4;
+
+/// The dispatchers of one thread.
+pub struct Shell {
+    clock: Clock,
+    config: Arc<snapshot::Cell<Document>>,
+    client: awc::Client,
+    state: RefCell<State>,
+    /// Wakes the timer when an earlier time became due.
+    changed: Notify,
+}
+
+#[derive(Default)]
+struct State {
+    last_id: Id,
+    stands: HashMap<Name, Stand>,
+}
+
+/// One endpoint's queue and the requests it holds.
+struct Stand {
+    queue: Queue,
+    setting: Setting,
+    entries: HashMap<Id, Entry>,
+}
+
+struct Entry {
+    request: Rc<Request>,
+    deadline: Time,
+    progress: Rc<RefCell<Progress>>,
+    reply: mpsc::Sender<Event>,
+    run: Option<JoinHandle<()>>,
+    /// Times it was sent to the endpoint.
+    runs: u32,
+    /// Ends the request when its requester goes away.
+    watch: JoinHandle<()>,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.watch.abort();
+        if let Some(run) = self.run.take() {
+            run.abort();
+        }
+    }
+}
+
+impl Shell {
+    /// A shell without dispatchers; they appear with the first request for
+    /// their endpoint.
+    pub fn new(clock: Clock, config: Arc<snapshot::Cell<Document>>) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            config,
+            client: crate::http::client(crate::endpoint::CONNECT_TIMEOUT),
+            state: RefCell::default(),
+            changed: Notify::new(),
+        })
+    }
+
+    /// Serves requests until the other end of `submits` is gone.
+    pub async fn run(self: Rc<Self>, mut submits: mpsc::Receiver<Submit>) {
+        loop {
+            let now = self.clock.now();
+            let due = self.due().unwrap_or(now + IDLE_TICK).min(now + IDLE_TICK);
+            tokio::select! {
+                submit = submits.recv() => match submit {
+                    Some(submit) => self.submit(submit),
+                    None => return,
+                },
+                () = self.changed.notified() => {}
+                () = actix_rt::time::sleep(due.since(now)) => self.tick(),
+            }
+        }
+    }
+
+    /// Requests that wait or run here, of both classes.
+    pub fn in_flight(&self) -> usize {
+        let state = self.state.borrow();
+        state.stands.values().map(|stand| stand.entries.len()).sum()
+    }
+
+    /// How busy each endpoint is that has a dispatcher here.
+    pub fn loads(&self) -> Vec<(Name, Load)> {
+        let state = self.state.borrow();
+        let loads = state.stands.iter();
+        loads
+            .map(|(name, stand)| (name.clone(), stand.queue.load()))
+            .collect()
+    }
+
+    fn due(&self) -> Option<Time> {
+        let state = self.state.borrow();
+        state.stands.values().filter_map(|s| s.queue.wake()).min()
+    }
+
+    fn tick(self: &Rc<Self>) {
+        let now = self.clock.now();
+        let names: Vec<Name> = self.state.borrow().stands.keys().cloned().collect();
+        for name in names {
+            self.follow_config(&name);
+            self.feed(&name, now, Input::Tick);
+        }
+    }
+
+    /// Tells a queue when the configuration of its endpoint has changed.
+    fn follow_config(self: &Rc<Self>, name: &Name) {
+        let setting = setting_of(&self.config.read(), name);
+        let changed = {
+            let mut state = self.state.borrow_mut();
+            let Some(stand) = state.stands.get_mut(name) else {
+                return;
+            };
+            let changed = stand.setting != setting;
+            stand.setting = setting;
+            changed
+        };
+        if changed {
+            self.feed(name, self.clock.now(), Input::Setting(setting));
+        }
+    }
+
+    fn submit(self: &Rc<Self>, submit: Submit) {
+        let now = self.clock.now();
+        let Submit {
+            endpoint,
+            request,
+            reply,
+        } = submit;
+        if !self.config.read().endpoints.contains_key(&endpoint) {
+            // The gateway knows a newer or older configuration than this node.
+            let refusal = Refusal::new(Reason::NoEndpoint).after(IDLE_TICK);
+            let _ = reply.try_send(Event::End(Outcome::NotRun(refusal), Load::default()));
+            return;
+        }
+        let offer = self.enter(now, &endpoint, request, reply);
+        self.follow_config(&endpoint);
+        self.feed(&endpoint, now, Input::Offer(offer));
+    }
+
+    fn enter(
+        self: &Rc<Self>,
+        now: Time,
+        endpoint: &Name,
+        request: Request,
+        reply: mpsc::Sender<Event>,
+    ) -> Offer {
+        let setting = setting_of(&self.config.read(), endpoint);
+        let mut state = self.state.borrow_mut();
+        state.last_id += 1;
+        let id = state.last_id;
+        let deadline = now + request.time_left;
+        let offer = offer_of(id, deadline, &request);
+        let stand = state
+            .stands
+            .entry(endpoint.clone())
+            .or_insert_with(|| Stand {
+                queue: Queue::new(now, setting),
+                setting,
+                entries: HashMap::new(),
+            });
+        let progress = Progress::resumed(&request);
+        let entry = Entry {
+            request: Rc::new(request),
+            deadline,
+            progress: Rc::new(RefCell::new(progress)),
+            watch: self.watch(endpoint, id, reply.clone()),
+            reply,
+            run: None,
+            runs: 0,
+        };
+        stand.entries.insert(id, entry);
+        offer
+    }
+
+    /// A requester that went away must not use a slot any longer.
+    fn watch(
+        self: &Rc<Self>,
+        endpoint: &Name,
+        id: Id,
+        reply: mpsc::Sender<Event>,
+    ) -> JoinHandle<()> {
+        let shell = Rc::clone(self);
+        let endpoint = endpoint.clone();
+        actix_rt::spawn(async move {
+            reply.closed().await;
+            shell.feed(&endpoint, shell.clock.now(), Input::Withdraw { id });
+            shell.forget(&endpoint, id);
+        })
+    }
+
+    /// Hands an input to a queue and does what it answers.
+    fn feed(self: &Rc<Self>, endpoint: &Name, now: Time, input: Input) {
+        let mut actions = Vec::new();
+        if let Some(stand) = self.state.borrow_mut().stands.get_mut(endpoint) {
+            stand.queue.step(now, input, &mut actions);
+        }
+        for action in actions {
+            match action {
+                Action::Start { id } => self.start(endpoint, id),
+                Action::Stop { id } => self.stop(endpoint, id),
+                Action::Refuse { id, refusal } => {
+                    self.end(endpoint, id, 0, Outcome::NotRun(refusal));
+                }
+            }
+        }
+        self.changed.notify_one();
+    }
+
+    fn start(self: &Rc<Self>, endpoint: &Name, id: Id) {
+        let shell = Rc::clone(self);
+        let name = endpoint.clone();
+        let mut state = self.state.borrow_mut();
+        let Some(entry) = state
+            .stands
+            .get_mut(endpoint)
+            .and_then(|stand| stand.entries.get_mut(&id))
+        else {
+            return;
+        };
+        let request = Rc::clone(&entry.request);
+        let progress = Rc::clone(&entry.progress);
+        let reply = entry.reply.clone();
+        let deadline = entry.deadline;
+        let Some(target) = run::target(&self.config.read(), endpoint, &request) else {
+            drop(state);
+            // The service left the configuration while the request waited.
+            actix_rt::spawn(async move { shell.abandon(&name, id) });
+            return;
+        };
+        entry.runs += 1;
+        entry.run = Some(actix_rt::spawn(async move {
+            let left = deadline.since(shell.clock.now());
+            let tokens = |count| {
+                shell.feed(&name, shell.clock.now(), Input::Tokens { id, count });
+            };
+            let running = run::run(
+                &shell.client,
+                &target,
+                &request,
+                &progress,
+                &reply,
+                left,
+                tokens,
+            );
+            let (outcome, end) = running.await;
+            shell.finish(&name, id, outcome, end);
+        }));
+    }
+
+    /// Cancels a run; what it generated stays for the next start.
+    fn stop(self: &Rc<Self>, endpoint: &Name, id: Id) {
+        let run = {
+            let mut state = self.state.borrow_mut();
+            let entry = state
+                .stands
+                .get_mut(endpoint)
+                .and_then(|stand| stand.entries.get_mut(&id));
+            entry.and_then(|entry| entry.run.take())
+        };
+        if let Some(run) = run {
+            // Dropping the run closes its connection, which cancels it at the
+            // endpoint.
+            run.abort();
+            let now = self.clock.now();
+            self.feed(
+                endpoint,
+                now,
+                Input::Ended {
+                    id,
+                    end: End::Stopped,
+                },
+            );
+        }
+    }
+
+    fn finish(self: &Rc<Self>, endpoint: &Name, id: Id, outcome: Outcome<Answer>, end: End) {
+        if let Some(stand) = self.state.borrow_mut().stands.get_mut(endpoint)
+            && let Some(entry) = stand.entries.get_mut(&id)
+        {
+            // This is the run itself: it must not abort itself half way.
+            entry.run = None;
+        }
+        self.feed(endpoint, self.clock.now(), Input::Ended { id, end });
+        // The first run itself can prove that nothing reached the endpoint.
+        self.end(endpoint, id, 1, outcome);
+    }
+
+    fn abandon(self: &Rc<Self>, endpoint: &Name, id: Id) {
+        self.feed(endpoint, self.clock.now(), Input::Withdraw { id });
+        let refusal = Refusal::new(Reason::UnknownService);
+        self.end(endpoint, id, 0, Outcome::NotRun(refusal));
+    }
+
+    /// Gives the requester the last word.
+    ///
+    /// A request that was stopped and refused later did reach the endpoint,
+    /// although the queue that refuses it has nothing running: with more than
+    /// `innocent` runs it is never said to have not run.
+    fn end(self: &Rc<Self>, endpoint: &Name, id: Id, innocent: u32, outcome: Outcome<Answer>) {
+        let (entry, load) = {
+            let mut state = self.state.borrow_mut();
+            let Some(stand) = state.stands.get_mut(endpoint) else {
+                return;
+            };
+            let load = stand.queue.load();
+            (stand.entries.remove(&id), load)
+        };
+        let Some(entry) = entry else { return };
+        let outcome = match outcome {
+            Outcome::NotRun(refusal) if entry.runs > innocent => Outcome::MayHaveRun(refusal),
+            other => other,
+        };
+        let reply = entry.reply.clone();
+        let event = Event::End(outcome, load);
+        if let Err(mpsc::error::TrySendError::Full(event)) = reply.try_send(event) {
+            // The reader is behind; only this stream waits for it.
+            actix_rt::spawn(async move {
+                let _ = reply.send(event).await;
+            });
+        }
+    }
+
+    fn forget(self: &Rc<Self>, endpoint: &Name, id: Id) {
+        let mut state = self.state.borrow_mut();
+        if let Some(stand) = state.stands.get_mut(endpoint) {
+            stand.entries.remove(&id);
+        }
+    }
+}
+
+fn setting_of(config: &Document, endpoint: &str) -> Setting {
+    let Some(endpoint) = config.endpoints.get(endpoint) else {
+        return Setting {
+            slots: 0,
+            latency_weight: 0,
+            closed: true,
+        };
+    };
+    let weights = endpoint
+        .services
+        .iter()
+        .filter_map(|name| config.services.get(name))
+        .map(|service| service.latency_weight);
+    Setting {
+        slots: endpoint.slots,
+        latency_weight: weights.max().unwrap_or(0),
+        closed: endpoint.leaving,
+    }
+}
+
+fn offer_of(id: Id, deadline: Time, request: &Request) -> Offer {
+    let (prompt_tokens, max_tokens) = match &request.body {
+        Body::Prompt { prompt, max_tokens } => (prompt.len() / CHARS_PER_TOKEN, *max_tokens),
+        Body::Call { .. } => (0, 1),
+    };
+    Offer {
+        id,
+        class: request.class,
+        organisation: request.organisation.clone(),
+        deadline,
+        prompt_tokens: u32::try_from(prompt_tokens).unwrap_or(u32::MAX),
+        max_tokens,
+        once: request.once,
+    }
+}
--- /dev/null
+++ b/src/endpoint/completion.rs
@@ -0,0 +1,137 @@
+//! The streaming completion protocol of model engines.
+//!
+//! docs/design/engine.md describes it: one POST, answered by an event stream
+//! whose events carry the offset of their tokens.
+
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use eventsource_stream::Eventsource as _;
+use futures_util::StreamExt as _;
+use serde::{Deserialize, Serialize};
+
+use super::{Failure, STALL_TIMEOUT, Target};
+use crate::request::Piece;
+
+/// The end of an event stream.
+const DONE: &str = "[DONE]";
+/// Largest error body that is read.
+const ERROR_BODY: usize = 4 * 1024;
+
+/// What an engine is asked.
+#[derive(Clone, Debug, Serialize)]
+pub struct Prompt<'a> {
+    /// The model.
+    pub model: &'a str,
+    /// The text to complete.
+    pub prompt: &'a str,
+    /// Most tokens of the whole answer.
+    pub max_tokens: u32,
+    /// Always true: answers are streamed.
+    pub stream: bool,
+    /// Identity of the run, for cancelling it.
+    pub request_id: &'a str,
+    /// Tokens that the caller has already.
+    pub resume_from: u32,
+    /// Their text.
+    pub resume_text: &'a str,
+}
+
+#[derive(Debug, Deserialize)]
+struct Event {
+    offset: u32,
+    tokens: u32,
+    choices: [Choice; 1],
+}
+
+#[derive(Debug, Deserialize)]
+struct Choice {
+    text: String,
+    finish_reason: Option<String>,
+}
+
+/// Runs a prompt and hands each piece to `on_piece`.
+///
+/// Dropping the future closes the connection, which cancels the run at the
+/// engine. `first_wait` bounds the time to the first piece, which may wait
+/// behind others at the engine.
+///
+/// # Errors
+/// [`Failure`], which tells whether anything may have run.
+pub async fn run<F, A>(
+    client: &awc::Client,
+    target: &Target,
+    prompt: &Prompt<'_>,
+    first_wait: Duration,
+    mut on_piece: F,
+) -> Result<(), Failure>
+where
+    F: FnMut(Piece) -> A,
+    A: Future<Output = ()>,
+{
+    let url = format!("http://{}/v1/completions", target.address);
+    let mut response = client
+        .post(url)
+        .timeout(first_wait)
+        .send_json(prompt)
+        .await
+        .map_err(|error| Failure::of_send(&error))?;
+    if response.status() != StatusCode::OK {
+        let body = response.body().limit(ERROR_BODY).await.unwrap_or_default();
+        let text = format!(
+            "{} {}",
+            response.status(),
+            String::from_utf8_lossy(&body).trim()
+        );
+        return Err(if is_final(response.status()) {
+            Failure::Rejected(text)
+        } else {
+            Failure::Broken(text)
+        });
+    }
+    let mut events = response.eventsource();
+    let mut wait = first_wait;
+    let mut finished = false;
+    loop {
+        let next = tokio::time::timeout(wait, events.next()).await;
+        let event = match next {
+            Err(_) => return Err(Failure::Broken("it stalled".into())),
+            Ok(None) => return Err(Failure::Broken("the stream ended early".into())),
+            Ok(Some(Err(error))) => return Err(Failure::Broken(error.to_string())),
+            Ok(Some(Ok(event))) => event,
+        };
+        wait = STALL_TIMEOUT;
+        if event.data == DONE {
+            // An engine that dies can close a stream in good order; only its
+            // own finish reason makes the answer whole.
+            if finished {
+                return Ok(());
+            }
+            return Err(Failure::Broken("no finish reason came".into()));
+        }
+        let event: Event = serde_json::from_str(&event.data)
+            .map_err(|error| Failure::Broken(format!("an event can't be read: {error}")))?;
+        let [choice] = event.choices;
+        match choice.finish_reason.as_deref() {
+            Some("error") => return Err(Failure::Rejected(choice.text)),
+            Some(_) => finished = true,
+            None => {}
+        }
+        if event.tokens > 0 {
+            on_piece(Piece {
+                offset: event.offset,
+                tokens: event.tokens,
+                text: choice.text,
+            })
+            .await;
+        }
+    }
+}
+
+/// True for answers that another engine would give as well.
+fn is_final(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE | StatusCode::UNPROCESSABLE_ENTITY
+    )
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -15,6 +15,7 @@
 use actix_http::error::PayloadError;
 use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode, header};
 use actix_service::{Service as _, ServiceFactory as _, fn_service};
+use awc::error::{ConnectError, SendRequestError};
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt as _};
 use tokio::sync::watch;
@@ -149,6 +150,25 @@
         .map_into_boxed_body()
 }
 
+/// True when it is certain that no byte of a request was sent.
+///
+/// Only a connection that was never made proves it. The client library also
+/// reports a [`ConnectError::Disconnected`] when a connection closes between
+/// the request and its answer, so that one proves nothing.
+pub fn was_unsent(error: &SendRequestError) -> bool {
+    matches!(
+        error,
+        SendRequestError::Url(_)
+            | SendRequestError::Connect(
+                ConnectError::Io(_)
+                    | ConnectError::Timeout
+                    | ConnectError::Resolver(_)
+                    | ConnectError::NoRecords
+                    | ConnectError::Unresolved
+            )
+    )
+}
+
 /// A client for this thread. `timeout` bounds the time until an answer's head.
 pub fn client(timeout: Duration) -> awc::Client {
     awc::Client::builder()
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use actix_http::StatusCode;
-use awc::error::{ConnectError, SendRequestError};
+use awc::error::SendRequestError;
 use bytes::Bytes;
 
 use super::protocol::{Answer, CALL_PATH, Call, Exchange, MAX_BODY, Value};
@@ -74,21 +74,12 @@
     }
 }
 
-/// Only a connection that was never made proves that nothing was sent.
-/// [`ConnectError::Disconnected`] is not that: the client library also reports
-/// it when the connection closes between request and answer.
 fn fault_of(error: &SendRequestError) -> Fault {
-    match error {
-        SendRequestError::Url(_)
-        | SendRequestError::Connect(
-            ConnectError::Io(_)
-            | ConnectError::Timeout
-            | ConnectError::Resolver(_)
-            | ConnectError::NoRecords
-            | ConnectError::Unresolved,
-        ) => Fault::Refused {
+    if http::was_unsent(error) {
+        Fault::Refused {
             retry_after: CONNECT_RETRY,
-        },
-        _ => Fault::Unknown,
+        }
+    } else {
+        Fault::Unknown
     }
 }
--- a/src/rpc.rs
+++ b/src/rpc.rs
@@ -1,4 +1,14 @@
 //! The schema's types, and the server and client that speak it.
+//!
+//! The convention is Connect's: a unary call is one POST with a JSON or a
+//! protobuf body, a server stream is one POST answered by enveloped messages.
+//! docs/design/rpc.md says why.
+
+pub mod caller;
+pub mod codec;
+pub mod error;
+pub mod operator;
+pub mod server;
 
 /// Types generated from proto/auburnspoke/v1 by `cargo run -p schema`.
 #[allow(missing_docs, clippy::all, clippy::pedantic)]
--- /dev/null
+++ b/src/rpc/server.rs
@@ -0,0 +1,297 @@
+//! Answers callers and operators over HTTP.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use actix_http::body::{BodyStream, BoxBody};
+use actix_http::{ConnectionType, HttpMessage as _, Method, Request, Response, StatusCode, header};
+use bytes::Bytes;
+use futures_util::StreamExt as _;
+use prost::Message;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::sync::mpsc;
+
+use super::codec::{self, Format, Media};
+use super::{caller, error, operator, v1};
+use crate::gateway::{Gateway, Shared};
+use crate::http::{self, BodyError};
+use crate::node::CONFIG_ROW;
+use crate::outcome::{Outcome, Reason, Refusal};
+use crate::platform::http::Client;
+use crate::platform::{Expect, Fault, Table as _, Transaction};
+use crate::request::Class;
+
+const CALLER: &str = "/auburnspoke.v1.Caller/";
+const OPERATOR: &str = "/auburnspoke.v1.Operator/";
+/// Largest body of a question.
+const MAX_BODY: usize = 1024 * 1024;
+/// Largest body of a job.
+const MAX_JOB_BODY: usize = 128 * 1024 * 1024;
+/// Pieces of an answer that may wait for a caller that reads slowly.
+const PIECES: usize = 64;
+
+/// What one traffic thread answers with.
+pub struct Server {
+    shared: Shared,
+    gateway: Rc<Gateway>,
+    platform: Client,
+    /// True once the node leaves: connections are closed after their answer,
+    /// so that callers go to another address.
+    leaving: Arc<AtomicBool>,
+}
+
+impl Server {
+    /// A server over this thread's gateway.
+    pub fn new(
+        shared: Shared,
+        gateway: Rc<Gateway>,
+        platform: Client,
+        leaving: Arc<AtomicBool>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            shared,
+            gateway,
+            platform,
+            leaving,
+        })
+    }
+
+    /// Answers one HTTP request.
+    pub async fn handle(self: Rc<Self>, request: Request) -> Response<BoxBody> {
+        let leaving = Arc::clone(&self.leaving);
+        let mut response = self.route(request).await;
+        if leaving.load(Ordering::Relaxed) {
+            response
+                .head_mut()
+                .set_connection_type(ConnectionType::Close);
+        }
+        response
+    }
+
+    async fn route(self: Rc<Self>, request: Request) -> Response<BoxBody> {
+        let path = request.path().to_owned();
+        match *request.method() {
+            Method::GET => self.page(&path),
+            Method::POST => self.call(&path, request).await,
+            _ => plain(StatusCode::METHOD_NOT_ALLOWED, "use POST for methods\n"),
+        }
+    }
+
+    fn page(&self, path: &str) -> Response<BoxBody> {
+        match path {
+            // The process answers: restarting it would not help.
+            "/healthz" => plain(StatusCode::OK, "alive\n"),
+            // New callers may be sent here.
+            "/readyz" if self.ready() => plain(StatusCode::OK, "ready\n"),
+            "/readyz" => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            "/metrics" => http::reply(
+                StatusCode::OK,
+                "application/openmetrics-text; version=1.0.0; charset=utf-8",
+                self.shared.metrics.text(),
+            ),
+            _ => plain(StatusCode::NOT_FOUND, "no such page\n"),
+        }
+    }
+
+    fn ready(&self) -> bool {
+        !self.leaving.load(Ordering::Relaxed) && self.shared.config.read().version > 0
+    }
+
+    async fn call(self: Rc<Self>, path: &str, mut request: Request) -> Response<BoxBody> {
+        let content_type = request
+            .headers()
+            .get(header::CONTENT_TYPE)
+            .and_then(|value| value.to_str().ok());
+        let Some(media) = content_type.and_then(Media::of) else {
+            return plain(
+                StatusCode::UNSUPPORTED_MEDIA_TYPE,
+                "send application/json or application/proto\n",
+            );
+        };
+        let bound = if path.ends_with("/SubmitJob") {
+            MAX_JOB_BODY
+        } else {
+            MAX_BODY
+        };
+        let body = match http::read_body(&mut request.take_payload(), bound).await {
+            Ok(body) => body,
+            Err(error) => return refused(media, true, &too_long(error)),
+        };
+        if let Some(method) = path.strip_prefix(CALLER) {
+            if method == "AskStream" {
+                return self.ask_stream(media, body);
+            }
+            return answer(media, self.caller(method, media.format, body).await);
+        }
+        if let Some(method) = path.strip_prefix(OPERATOR) {
+            return answer(media, self.operator(method, media.format, body).await);
+        }
+        plain(StatusCode::NOT_FOUND, "no such method\n")
+    }
+
+    async fn caller(&self, method: &str, format: Format, body: Bytes) -> Outcome<Bytes> {
+        match method {
+            "Ask" => unary(format, &body, |ask| self.ask(ask)).await,
+            _ => unknown_method(method),
+        }
+    }
+
+    async fn operator(&self, method: &str, format: Format, body: Bytes) -> Outcome<Bytes> {
+        match method {
+            "ApplyConfig" => unary(format, &body, |apply| self.apply(apply)).await,
+            "ListMembers" => {
+                let list = |_: v1::ListMembersRequest| async {
+                    Outcome::Done(operator::members(&self.shared.view.read()))
+                };
+                unary(format, &body, list).await
+            }
+            _ => unknown_method(method),
+        }
+    }
+
+    async fn ask(&self, ask: v1::AskRequest) -> Outcome<v1::AskResponse> {
+        let request = match caller::request(ask) {
+            Ok(request) => request,
+            Err(refusal) => return self.invalid(refusal),
+        };
+        // The answer is wanted whole: its pieces go nowhere.
+        let (pieces, _) = mpsc::channel(1);
+        self.gateway.ask(request, pieces).await.map(caller::answer)
+    }
+
+    async fn apply(&self, apply: v1::ApplyConfigRequest) -> Outcome<v1::ApplyConfigResponse> {
+        let document = operator::document(&apply.config.unwrap_or_default());
+        let value = serde_json::to_vec(&document).unwrap_or_default();
+        let expect = match apply.expect_version {
+            0 => Expect::Absent,
+            version => Expect::Version(version),
+        };
+        let change = Transaction::default()
+            .check(CONFIG_ROW, expect)
+            .put(CONFIG_ROW, value);
+        match self.platform.transact(change).await {
+            Ok(version) => Outcome::Done(v1::ApplyConfigResponse {
+                version,
+                ..v1::ApplyConfigResponse::default()
+            }),
+            Err(Fault::Conflict { .. }) => Outcome::NotRun(Refusal::new(Reason::Conflict)),
+            Err(Fault::Refused { retry_after }) => {
+                Outcome::NotRun(Refusal::new(Reason::Platform).after(retry_after))
+            }
+            Err(Fault::Unknown) => Outcome::MayHaveRun(Refusal::new(Reason::Platform)),
+        }
+    }
+
+    fn ask_stream(self: Rc<Self>, media: Media, body: Bytes) -> Response<BoxBody> {
+        if !media.stream {
+            let refusal = Refusal::new(Reason::Invalid)
+                .because("AskStream needs application/connect+json or application/connect+proto");
+            return refused(media, true, &refusal);
+        }
+        let asked = open_request(media.format, body)
+            .and_then(caller::request)
+            .map_err(|refusal| self.invalid::<()>(refusal));
+        let request = match asked {
+            Ok(request) => request,
+            Err(outcome) => return answer(media, outcome.map(|()| Bytes::new())),
+        };
+        let (sender, receiver) = mpsc::channel(PIECES);
+        let gateway = Rc::clone(&self.gateway);
+        let asking = async move { gateway.ask(request, sender).await };
+        let format = media.format;
+        let messages = caller::pieces(asking, receiver)
+            .map(move |piece| codec::envelope(0, &codec::encode(format, &piece)));
+        let end = codec::envelope(codec::END_OF_STREAM, b"{}");
+        let stream = messages
+            .chain(futures_util::stream::iter([end]))
+            .map(Ok::<_, std::convert::Infallible>);
+        http::reply(
+            StatusCode::OK,
+            media.name(),
+            BodyStream::new(Box::pin(stream)),
+        )
+    }
+
+    fn invalid<T>(&self, refusal: Refusal) -> Outcome<T> {
+        self.shared.metrics.refuse(Class::Online, refusal.reason);
+        Outcome::NotRun(refusal)
+    }
+}
+
+/// Decodes a question out of its envelope.
+fn open_request(format: Format, body: Bytes) -> Result<v1::AskRequest, Refusal> {
+    let invalid = |what: &str| Refusal::new(Reason::Invalid).because(what);
+    let mut bytes = body.into();
+    let Some((0, message)) = codec::open(&mut bytes) else {
+        return Err(invalid("the body is not one uncompressed envelope"));
+    };
+    codec::decode(format, &message).map_err(|what| invalid(&what))
+}
+
+/// Decodes, calls and encodes.
+async fn unary<Q, A, F, R>(format: Format, body: &Bytes, method: F) -> Outcome<Bytes>
+where
+    Q: Message + Default + DeserializeOwned,
+    A: Message + Serialize,
+    F: FnOnce(Q) -> R,
+    R: Future<Output = Outcome<A>>,
+{
+    match codec::decode(format, body) {
+        Ok(question) => method(question)
+            .await
+            .map(|answer| codec::encode(format, &answer)),
+        Err(what) => Outcome::NotRun(
+            Refusal::new(Reason::Invalid).because(format!("the body can't be read: {what}")),
+        ),
+    }
+}
+
+fn unknown_method(method: &str) -> Outcome<Bytes> {
+    Outcome::NotRun(Refusal::new(Reason::Invalid).because(format!(
+        "there is no method {method}; see proto/auburnspoke/v1"
+    )))
+}
+
+fn too_long(error: BodyError) -> Refusal {
+    let reason = match error {
+        BodyError::TooLong(_) => Reason::TooLarge,
+        BodyError::Broken => Reason::Invalid,
+    };
+    Refusal::new(reason).because(format!("{error}; send less, or split it"))
+}
+
+fn answer(media: Media, outcome: Outcome<Bytes>) -> Response<BoxBody> {
+    match outcome {
+        Outcome::Done(body) => http::reply(StatusCode::OK, media.name(), body),
+        Outcome::NotRun(refusal) => refused(media, true, &refusal),
+        Outcome::MayHaveRun(refusal) => refused(media, false, &refusal),
+    }
+}
+
+/// An error answer: a status and a JSON body for unary calls, an end-of-stream
+/// message for streams.
+fn refused(media: Media, not_run: bool, refusal: &Refusal) -> Response<BoxBody> {
+    let body = error::body(not_run, refusal);
+    if media.stream {
+        let end = serde_json::json!({ "error": body }).to_string();
+        let message = codec::envelope(codec::END_OF_STREAM, end.as_bytes());
+        return http::reply(StatusCode::OK, media.name(), message);
+    }
+    // The body is plain strings and numbers, which JSON can always say.
+    let text = serde_json::to_string(&body).unwrap_or_default();
+    let (_, status) = error::code(refusal.reason);
+    let mut response = http::reply(status, "application/json", text);
+    if let Some(wait) = refusal.retry_after {
+        response.headers_mut().insert(
+            header::RETRY_AFTER,
+            header::HeaderValue::from(error::retry_seconds(wait)),
+        );
+    }
+    response
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Response<BoxBody> {
+    http::reply(status, "text/plain; charset=utf-8", text)
+}
