Add the stand-in engine and plain service

Cause: tests, the policy benchmark and try need engines that batch continuously. Ruled out: an event stream from a canned list, which could not show that batch work slows questions.

--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,3 +1,31 @@
 //! The stand-ins for the platform and the endpoints.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::Command;
+
+mod engine;
+mod plain;
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_default_env().init();
+    let matches = Command::new("standin")
+        .about("Stand-ins for the platform and the endpoints, and the policy benchmark")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(engine::command())
+        .subcommand(plain::command())
+        .get_matches();
+    let result = match matches.subcommand() {
+        Some(("engine", arguments)) => engine::run(arguments),
+        Some(("plain", arguments)) => plain::run(arguments),
+        _ => Ok(()),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("standin: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
