--- a/src/dispatch/run.rs
+++ b/src/dispatch/run.rs
@@ -114,7 +114,7 @@
         prompt,
         max_tokens,
         stream: true,
-        request_id: &request.key,
+        key: &request.key,
         resume_from: so_far.tokens,
         resume_text: &so_far.text,
     };
--- a/src/endpoint/completion.rs
+++ b/src/endpoint/completion.rs
@@ -29,8 +29,8 @@
     pub max_tokens: u32,
     /// Always true: answers are streamed.
     pub stream: bool,
-    /// Identity of the run, for cancelling it.
-    pub request_id: &'a str,
+    /// The caller's identity of the request, for the engine's log.
+    pub key: &'a str,
     /// Tokens that the caller has already.
     pub resume_from: u32,
     /// Their text.
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -4,6 +4,8 @@
 
 use clap::Command;
 
+mod engine;
+mod plain;
 mod platform;
 
 fn main() -> ExitCode {
@@ -13,9 +15,13 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(platform::command())
+        .subcommand(engine::command())
+        .subcommand(plain::command())
         .get_matches();
     let result = match matches.subcommand() {
         Some(("platform", arguments)) => platform::run(arguments),
+        Some(("engine", arguments)) => engine::run(arguments),
+        Some(("plain", arguments)) => plain::run(arguments),
         _ => Ok(()),
     };
     match result {
