Let nodes find each other and notice who is gone

Change: member::gossip decides (probes in shuffled rounds, help from others, suspicion, incarnations, leaving, news with bounded sends, comparison by buckets, reconnecting to lost addresses, a byte budget); member::shell runs it on UDP; wire::control is the datagram. Failed first: a version carried in a datagram's head was taken before the same datagram's rumour, which then was no news and was not passed on; in_force_is_known_everywhere (48 members) never ended. The head's version is now passed on as well. Conclusion: three shells on loopback see each other, leave and end; 48 members agree in virtual time.

--- a/src/event.rs
+++ b/src/event.rs
@@ -36,6 +36,11 @@
     102 NODE_LEAVING "node_leaving";
     103 NODE_STOPPED "node_stopped";
     104 LISTEN_FAILED "listen_failed";
+    201 MEMBER_CHANGED "member_changed";
+    202 MEMBER_REFUTED "member_refuted";
+    203 NODE_PAUSED "node_paused";
+    204 NAME_TAKEN "name_taken";
+    205 DATAGRAM_REFUSED "datagram_refused";
     301 REQUEST_REFUSED "request_refused";
     302 REQUEST_RETRIED "request_retried";
     303 LINK_CLOSED "link_closed";
--- a/src/member.rs
+++ b/src/member.rs
@@ -1,9 +1,19 @@
 //! Which nodes there are, as this node sees it.
+//!
+//! [`gossip`] decides, [`shell`] acts, and docs/design/members.md weighs the
+//! ways.
 
 use serde::{Deserialize, Serialize};
 
 use crate::name::Name;
 
+pub mod gossip;
+pub mod probe;
+pub mod record;
+pub mod rumour;
+pub mod shell;
+pub mod tuning;
+
 /// How a node seems to be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum State {
--- /dev/null
+++ b/src/member/gossip/sync.rs
@@ -0,0 +1,156 @@
+//! Comparing members with a peer, and finding those one has lost.
+
+use std::hash::Hasher;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use xxhash_rust::xxh3::Xxh3;
+
+use super::{Action, Gossip};
+use crate::clock::Time;
+use crate::member::State;
+use crate::member::record::Record;
+use crate::wire::control::{Body, HEAD_ROOM, MAX_DATAGRAM, Update};
+
+/// Members are compared in this many buckets, so that one that differs costs
+/// the sending of a few and not of all.
+const BUCKETS: usize = 32;
+/// A node without peers tries again this often.
+const ALONE: Duration = Duration::from_secs(1);
+/// A node that meets unknown peers asks one of them this often.
+const ASK: Duration = Duration::from_millis(500);
+/// Addresses that a node without peers tries at a time.
+const TRIES: usize = 3;
+
+fn bucket(name: &str) -> usize {
+    let mut hash = Xxh3::new();
+    hash.write(name.as_bytes());
+    usize::try_from(hash.finish() % BUCKETS as u64).unwrap_or_default()
+}
+
+impl Gossip {
+    /// Compares members with one live peer.
+    pub(super) fn compare(&mut self, actions: &mut Vec<Action>) {
+        for (_, to) in self.some_peers(1, None) {
+            self.offer(to, false, actions);
+        }
+    }
+
+    fn offer(&mut self, to: SocketAddr, answer: bool, actions: &mut Vec<Action>) {
+        let digests = self.digests();
+        let first = vec![Update::Record(self.me.clone())];
+        self.post(to, Body::Sync { digests, answer }, first, actions);
+    }
+
+    /// Asks a peer for what this node lacks.
+    pub(super) fn ask(&mut self, now: Time, to: SocketAddr, actions: &mut Vec<Action>) {
+        if now >= self.due.ask {
+            self.due.ask = now + ASK;
+            self.offer(to, false, actions);
+        }
+    }
+
+    /// Tries addresses that should belong to a member and don't: those on the
+    /// platform's list, those of members taken for dead, and the seeds.
+    ///
+    /// Without this, regions that were cut apart would stay apart for ever, as
+    /// would nodes that all restart while the platform's list is down.
+    pub(super) fn reconnect(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let alone = self.peers().next().is_none();
+        let wait = if alone { ALONE } else { self.tuning.reconnect };
+        self.due.reconnect = now + wait;
+        let living: Vec<SocketAddr> = self.peers().map(|entry| entry.control).collect();
+        let own = self.me.member.control.parse().ok();
+        let dead = self
+            .entries
+            .values()
+            .filter(|entry| entry.record.member.state == State::Dead);
+        let lost: Vec<SocketAddr> = dead
+            .map(|entry| entry.control)
+            .chain(self.roster.iter().copied())
+            .chain(self.seeds.iter().copied())
+            .filter(|address| !living.contains(address) && Some(*address) != own)
+            .collect();
+        let count = if alone { TRIES } else { 1 };
+        let chosen: Vec<SocketAddr> = lost
+            .choose_multiple(&mut self.rng, count)
+            .copied()
+            .collect();
+        for to in chosen {
+            self.offer(to, false, actions);
+        }
+    }
+
+    /// Sends what differs and, unless this was the answer, asks back.
+    pub(super) fn synchronise(
+        &mut self,
+        to: SocketAddr,
+        digests: &[u32],
+        answer: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let own = self.digests();
+        if digests.len() != own.len() {
+            actions.push(Action::Refused);
+            return;
+        }
+        if own == digests {
+            return;
+        }
+        if !answer {
+            self.offer(to, true, actions);
+        }
+        let start = self.rng.random_range(0..BUCKETS);
+        for step in 0..BUCKETS {
+            let at = (start + step) % BUCKETS;
+            if own[at] != digests[at] {
+                self.send_bucket(to, at, actions);
+            }
+        }
+    }
+
+    /// Sends the members of one bucket, as far as the budget goes; what is left
+    /// differs the next time again.
+    fn send_bucket(&mut self, to: SocketAddr, at: usize, actions: &mut Vec<Action>) {
+        let records: Vec<Record> = self
+            .records()
+            .filter(|record| bucket(&record.member.name) == at)
+            .cloned()
+            .collect();
+        let mut updates = Vec::new();
+        let mut size = 0;
+        for update in records.into_iter().map(Update::Record) {
+            if size + update.size() > MAX_DATAGRAM - HEAD_ROOM {
+                self.post(to, Body::Table, std::mem::take(&mut updates), actions);
+                size = 0;
+            }
+            if self.budget == 0 {
+                return;
+            }
+            size += update.size();
+            updates.push(update);
+        }
+        if !updates.is_empty() {
+            self.post(to, Body::Table, updates, actions);
+        }
+    }
+
+    fn records(&self) -> impl Iterator<Item = &Record> {
+        self.entries
+            .values()
+            .map(|entry| &entry.record)
+            .chain(std::iter::once(&self.me))
+    }
+
+    fn digests(&self) -> Vec<u32> {
+        let mut digests = vec![0_u32; BUCKETS];
+        for record in self.records() {
+            if record.member.state != State::Dead {
+                digests[bucket(&record.member.name)] ^= record.digest();
+            }
+        }
+        digests
+    }
+}
--- /dev/null
+++ b/src/member/record.rs
@@ -0,0 +1,145 @@
+//! A member together with the process that stands behind its name.
+//!
+//! docs/design/members.md tells why names, boots and incarnations are needed.
+
+use std::fmt;
+use std::hash::Hasher;
+
+use serde::de::{Error, SeqAccess, Visitor};
+use serde::ser::SerializeTuple;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use xxhash_rust::xxh3::Xxh3;
+
+use super::{Member, State};
+
+/// A member and the identity of its process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// The member.
+    pub member: Member,
+    /// Drawn when its process started. It only tells two processes of the same
+    /// name apart, and breaks ties between them; it is never taken for a time.
+    pub boot: u64,
+}
+
+/// How far a state outweighs others of the same incarnation.
+const fn rank(state: State) -> u8 {
+    match state {
+        State::Alive => 0,
+        State::Suspect => 1,
+        State::Leaving => 2,
+        State::Dead => 3,
+    }
+}
+
+impl Record {
+    /// True when this says something newer of the name than `known` does.
+    ///
+    /// Frames arrive late, twice and out of order. A total order on what they
+    /// say makes every node end at the same record, whatever came when.
+    pub fn supersedes(&self, known: &Self) -> bool {
+        let order = |r: &Self| (r.member.incarnation, r.boot, rank(r.member.state));
+        order(self) > order(known)
+    }
+
+    /// Folds what two nodes must agree on into one number.
+    ///
+    /// Suspicion passes and the configuration version spreads by itself, so
+    /// neither counts.
+    pub fn digest(&self) -> u32 {
+        let mut hash = Xxh3::new();
+        hash.update(self.member.name.as_bytes());
+        hash.write_u64(self.boot);
+        hash.write_u64(self.member.incarnation);
+        hash.write_u8(u8::from(self.member.state == State::Leaving));
+        let folded = hash.finish();
+        u32::try_from(folded >> 32).unwrap_or_default()
+    }
+
+    /// Bytes that the record takes in a frame, at most.
+    pub fn size(&self) -> usize {
+        let member = &self.member;
+        let text = [
+            &member.name,
+            &member.address,
+            &member.link,
+            &member.control,
+            &member.zone,
+        ];
+        let names: usize = text.iter().map(|name| name.len() + 3).sum();
+        names + 3 * 9 + 8
+    }
+}
+
+/// Number of elements of an encoded record.
+const FIELDS: usize = 9;
+
+impl Serialize for Record {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        let mut tuple = serializer.serialize_tuple(FIELDS)?;
+        tuple.serialize_element(&self.member.name)?;
+        tuple.serialize_element(&self.member.address)?;
+        tuple.serialize_element(&self.member.link)?;
+        tuple.serialize_element(&self.member.control)?;
+        tuple.serialize_element(&self.member.zone)?;
+        tuple.serialize_element(&self.member.incarnation)?;
+        tuple.serialize_element(&rank(self.member.state))?;
+        tuple.serialize_element(&self.member.config_version)?;
+        tuple.serialize_element(&self.boot)?;
+        tuple.end()
+    }
+}
+
+struct Fields;
+
+impl<'de> Visitor<'de> for Fields {
+    type Value = Record;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a record of {FIELDS} elements")
+    }
+
+    fn visit_seq<A>(self, mut seq: A) -> Result<Record, A::Error>
+    where
+        A: SeqAccess<'de>,
+    {
+        fn next<'de, T, A>(seq: &mut A, at: usize) -> Result<T, A::Error>
+        where
+            T: Deserialize<'de>,
+            A: SeqAccess<'de>,
+        {
+            seq.next_element()?
+                .ok_or_else(|| A::Error::invalid_length(at, &Fields))
+        }
+        let member = Member {
+            name: next(&mut seq, 0)?,
+            address: next(&mut seq, 1)?,
+            link: next(&mut seq, 2)?,
+            control: next(&mut seq, 3)?,
+            zone: next(&mut seq, 4)?,
+            incarnation: next(&mut seq, 5)?,
+            state: match next(&mut seq, 6)? {
+                0_u8 => State::Alive,
+                1 => State::Suspect,
+                2 => State::Leaving,
+                3 => State::Dead,
+                other => return Err(A::Error::custom(format_args!("state {other} is unknown"))),
+            },
+            config_version: next(&mut seq, 7)?,
+        };
+        let boot = next(&mut seq, 8)?;
+        Ok(Record { member, boot })
+    }
+}
+
+impl<'de> Deserialize<'de> for Record {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        deserializer.deserialize_tuple(FIELDS, Fields)
+    }
+}
--- /dev/null
+++ b/src/member/rumour.rs
@@ -0,0 +1,91 @@
+//! News on its way, each item to be sent a bounded number of times.
+
+use crate::name::Name;
+use crate::wire::control::Update;
+
+/// What an update is about; a newer one of the same key replaces the older.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Key {
+    Record(Name),
+    InForce(Name),
+    Committed,
+    Note(u8, Name),
+}
+
+fn key(update: &Update) -> Key {
+    match update {
+        Update::Record(record) => Key::Record(record.member.name.clone()),
+        Update::InForce { name, .. } => Key::InForce(name.clone()),
+        Update::Committed(_) => Key::Committed,
+        Update::Note(note) => Key::Note(note.topic, note.key.clone()),
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Rumour {
+    key: Key,
+    update: Update,
+    size: usize,
+    sent: u32,
+}
+
+/// News that still has to be sent.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    rumours: Vec<Rumour>,
+}
+
+/// Most rumours kept; beyond it those sent most often go first, because others
+/// carry them on and [`crate::wire::control::Body::Sync`] mends the rest.
+const MAX_RUMOURS: usize = 4_096;
+
+impl Queue {
+    /// Adds news, in place of older news of the same thing.
+    pub fn push(&mut self, update: Update) {
+        let key = key(&update);
+        let size = update.size();
+        let rumour = Rumour {
+            key,
+            update,
+            size,
+            sent: 0,
+        };
+        if let Some(known) = self.rumours.iter_mut().find(|r| r.key == rumour.key) {
+            *known = rumour;
+            return;
+        }
+        if self.rumours.len() >= MAX_RUMOURS {
+            self.rumours.sort_by_key(|r| r.sent);
+            self.rumours.pop();
+        }
+        self.rumours.push(rumour);
+    }
+
+    /// Takes what fits into `room` bytes, least sent first, and forgets what
+    /// has now been sent `limit` times.
+    pub fn take(&mut self, room: usize, limit: u32) -> Vec<Update> {
+        self.rumours.sort_by_key(|r| r.sent);
+        let mut left = room;
+        let mut taken = Vec::new();
+        for rumour in &mut self.rumours {
+            if rumour.size > left {
+                continue;
+            }
+            left -= rumour.size;
+            rumour.sent += 1;
+            taken.push(rumour.update.clone());
+        }
+        self.rumours.retain(|r| r.sent < limit);
+        taken
+    }
+
+    /// True when there is nothing to send.
+    pub fn is_empty(&self) -> bool {
+        self.rumours.is_empty()
+    }
+
+    /// Number of items still to be sent.
+    pub fn len(&self) -> usize {
+        self.rumours.len()
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+pub mod control;
 pub mod traffic;
 
 /// Version of the protocol; nodes of different versions refuse each other.
--- /dev/null
+++ b/tests/member_gossip.rs
@@ -0,0 +1,57 @@
+//! Membership in virtual time: how it forms and what it costs.
+
+#[path = "member/net.rs"]
+mod net;
+
+use auburnspoke::member::State;
+use auburnspoke::member::gossip::{Action, Input};
+use auburnspoke::wire::control::Note;
+use googletest::prelude::*;
+use net::{Net, secs};
+
+#[gtest]
+fn fleet_forms_from_seeds() {
+    for count in [3, 12, 48] {
+        let net = Net::fleet(1, count);
+        expect_that!(net.agreed(count), eq(true));
+        expect_that!(net.became(State::Suspect, net.now - secs(60)), is_empty());
+    }
+}
+
+#[gtest]
+fn in_force_is_known_everywhere() {
+    let mut net = Net::fleet(2, 48);
+    net.input(5, Input::InForce(9));
+    let took = net.run_until(secs(13), |net| {
+        net.nodes.values().all(|node| node.gossip.committed() == 9)
+    });
+    expect_that!(took, some(lt(secs(4))));
+    let name = net::member(5).name;
+    let took = net.run_until(secs(13), |net| {
+        let mut views = net.nodes.values().map(|node| node.gossip.view());
+        views.all(|view| view.find(&name).map(|m| m.config_version) == Some(9))
+    });
+    expect_that!(took, some(lt(secs(4))));
+}
+
+#[gtest]
+fn note_reaches_each_once() {
+    let mut net = Net::fleet(3, 48);
+    net.doubling = 0.3;
+    let note = Note {
+        topic: 1,
+        key: "job-1".into(),
+        version: 1,
+        value: bytes::Bytes::from_static(b"x"),
+    };
+    net.input(0, Input::Note(note.clone()));
+    net.run(secs(20));
+    for node in net.nodes.values() {
+        let notes = node.actions.iter();
+        let heard = notes
+            .filter(|(_, a)| *a == Action::Note(note.clone()))
+            .count();
+        let own = usize::from(node.address == net::address(0));
+        expect_that!(heard, eq(1 - own));
+    }
+}
--- /dev/null
+++ b/tests/member_shell.rs
@@ -0,0 +1,189 @@
+//! Members on real sockets of loopback.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_rt::time::{sleep, timeout};
+use auburnspoke::clock::Clock;
+use auburnspoke::member::shell::{Counts, Event, Handle, Setup, start};
+use auburnspoke::member::tuning::Tuning;
+use auburnspoke::member::{Member, State, View};
+use auburnspoke::platform::{Fault, Roster, Vm};
+use auburnspoke::snapshot::Cell;
+use auburnspoke::wire::control::Note;
+use bytes::Bytes;
+use googletest::prelude::*;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+/// The platform's list; `None` is an outage.
+#[derive(Clone, Default)]
+struct List(Rc<RefCell<Option<Vec<Vm>>>>);
+
+impl Roster for List {
+    async fn list(&self) -> std::result::Result<Vec<Vm>, Fault> {
+        let retry_after = Duration::from_secs(1);
+        self.0
+            .borrow()
+            .clone()
+            .ok_or(Fault::Refused { retry_after })
+    }
+}
+
+struct Node {
+    handle: Handle,
+    events: mpsc::Receiver<Event>,
+    view: Arc<Cell<View>>,
+    counts: Counts,
+    control: SocketAddr,
+}
+
+async fn node(name: &str, seeds: Vec<SocketAddr>, list: List) -> Node {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let control = socket.local_addr().unwrap();
+    let view = Arc::new(Cell::new(View::default()));
+    let counts = Counts::default();
+    let me = Member {
+        name: name.into(),
+        address: "127.0.0.1:1".into(),
+        link: "127.0.0.1:2".into(),
+        control: control.to_string().into(),
+        zone: "zone-a".into(),
+        incarnation: 1,
+        state: State::Alive,
+        config_version: 0,
+    };
+    let setup = Setup {
+        me,
+        boot: u64::from(control.port()),
+        seeds,
+        tuning: Tuning::default(),
+        clock: Clock::start(),
+        view: view.clone(),
+        counts: counts.clone(),
+    };
+    let (handle, events) = start(setup, socket, list);
+    Node {
+        handle,
+        events,
+        view,
+        counts,
+        control,
+    }
+}
+
+async fn wait<F>(mut done: F)
+where
+    F: FnMut() -> bool,
+{
+    let all = async {
+        while !done() {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(Duration::from_secs(60), all)
+        .await
+        .expect("the condition did not come about");
+}
+
+fn usable(node: &Node) -> usize {
+    node.view.read().usable().count()
+}
+
+fn state(node: &Node, of: &str) -> Option<State> {
+    node.view.read().find(of).map(|m| m.state)
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn start_three_nodes_see_each_other() {
+    let a = node("a", Vec::new(), List::default()).await;
+    let b = node("b", vec![a.control], List::default()).await;
+    let c = node("c", vec![a.control], List::default()).await;
+    wait(|| [&a, &b, &c].iter().all(|n| usable(n) == 3)).await;
+    b.handle.leave();
+    wait(|| state(&a, "b") == Some(State::Leaving)).await;
+    wait(|| state(&c, "b") == Some(State::Leaving)).await;
+    b.handle.exit().await;
+    wait(|| state(&a, "b") == Some(State::Dead)).await;
+    expect_that!(a.counts.malformed.get(), eq(0));
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn start_seeds_come_from_the_platforms_list() {
+    let a = node("a", Vec::new(), List::default()).await;
+    let list = List::default();
+    let b = node("b", Vec::new(), list.clone()).await;
+    wait(|| b.counts.roster_failed.get() > 0).await;
+    expect_that!(usable(&b), eq(1));
+    let vm = Vm {
+        name: "a".into(),
+        link: "127.0.0.1:2".into(),
+        control: a.control.to_string().into(),
+        address: "127.0.0.1:1".into(),
+        zone: "zone-a".into(),
+        leaving: false,
+    };
+    *list.0.borrow_mut() = Some(vec![vm]);
+    wait(|| usable(&a) == 2 && usable(&b) == 2).await;
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn handle_tells_the_others() {
+    let a = node("a", Vec::new(), List::default()).await;
+    let mut b = node("b", vec![a.control], List::default()).await;
+    wait(|| usable(&a) == 2 && usable(&b) == 2).await;
+    let note = Note {
+        topic: 7,
+        key: "job-1".into(),
+        version: 1,
+        value: Bytes::from_static(b"cancelled"),
+    };
+    a.handle.note(note.clone());
+    a.handle
+        .direct("b".into(), 8, Bytes::from_static(b"demand"));
+    a.handle.in_force(3);
+    wait(|| b.view.read().find("a").map(|m| m.config_version) == Some(3)).await;
+    let mut got = Vec::new();
+    while got.len() < 3 {
+        let event = timeout(Duration::from_secs(60), b.events.recv()).await;
+        got.push(event.unwrap().unwrap());
+    }
+    let direct = Event::Direct {
+        from: "a".into(),
+        topic: 8,
+        value: Bytes::from_static(b"demand"),
+    };
+    expect_that!(
+        got,
+        unordered_elements_are![
+            eq(&Event::Note(note)),
+            eq(&direct),
+            eq(&Event::Committed(3))
+        ]
+    );
+}
+
+/// Whatever else arrives at a node's control address, by mistake or malice, is
+/// dropped and counted by its kind, and the node goes on as before.
+#[gtest]
+#[actix_rt::test]
+async fn receive_rubbish_counts_and_changes_nothing() {
+    let a = node("a", Vec::new(), List::default()).await;
+    let before = a.view.take();
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    for bytes in [&[][..], &[1], &[1, 0xff, 0], &[2, 0xa0], &[1; 1_300], &[0]] {
+        socket.send_to(bytes, a.control).await.unwrap();
+    }
+    wait(|| a.counts.received.get() == 6).await;
+    expect_that!(a.counts.malformed.get(), eq(3));
+    expect_that!(a.counts.wrong_version.get(), eq(2));
+    expect_that!(a.counts.too_long.get(), eq(1));
+    expect_that!(a.counts.sent.get(), eq(0));
+    expect_that!(*a.view.take(), eq(&*before));
+}
