Know the other nodes by gossip on the control thread

Cause: the view was the platform's lagging list. Ruled out: keeping the list as the only source (it lags by seconds and fails with the platform). Change: membership runs on the control thread's UDP socket; its counters are on /metrics. Conclusion: the view is gossiped; configuration is still polled.

--- a/src/metric.rs
+++ b/src/metric.rs
@@ -70,6 +70,14 @@
         }
     }
 
+    /// Lets another part register its own metrics; only before the node starts.
+    pub fn extend<F>(&mut self, register: F)
+    where
+        F: FnOnce(&mut Registry),
+    {
+        register(&mut self.registry);
+    }
+
     /// Counts a refusal.
     pub fn refuse(&self, class: Class, reason: Reason) {
         self.refused.get_or_create(&cause(class, reason)).inc();
--- a/src/node.rs
+++ b/src/node.rs
@@ -20,6 +20,8 @@
 use crate::gateway::Shared;
 use crate::http;
 use crate::kernel::Kernel;
+use crate::member::shell::{self, Setup};
+use crate::member::tuning::Tuning;
 use crate::member::{Member, State, View};
 use crate::metric::Metrics;
 use crate::platform;
@@ -60,13 +62,14 @@
     in_flight: Arc<AtomicUsize>,
     stop: watch::Sender<bool>,
     arbiters: Vec<Arbiter>,
+    members: Option<shell::Handle>,
 }
 
 /// The listening sockets, all bound before anything is told to anyone.
 struct Sockets {
     callers: TcpListener,
     link: TcpListener,
-    control: TcpListener,
+    control: std::net::UdpSocket,
 }
 
 impl Sockets {
@@ -79,11 +82,20 @@
         Ok(Self {
             callers: bind("callers", settings.listen.callers)?,
             link: bind("links", settings.listen.link)?,
-            control: bind("control", settings.listen.control)?,
+            control: datagrams(settings.listen.control)?,
         })
     }
 }
 
+/// Control messages are datagrams; docs/design/members.md says why.
+fn datagrams(address: SocketAddr) -> Result<std::net::UdpSocket> {
+    let socket = std::net::UdpSocket::bind(address).wrap_err_with(|| {
+        format!("can't listen on {address} for control; is the port taken by another node?")
+    })?;
+    socket.set_nonblocking(true)?;
+    Ok(socket)
+}
+
 /// Runs a node until it is told to stop, and prints where it listens.
 ///
 /// # Errors
@@ -108,7 +120,10 @@
 pub fn start(settings: &Settings) -> Result<Running> {
     let clock = Clock::start();
     let sockets = Sockets::bind(settings)?;
+    let control = sockets.control.local_addr()?;
     let own = own_member(settings, &sockets)?;
+    let mut metrics = Metrics::new();
+    let counts = control::counts(&mut metrics);
     let (dispatch, receivers) = Handle::new(settings.traffic_threads);
     let view = View {
         members: vec![own.clone()],
@@ -119,7 +134,7 @@
         config: Arc::new(Cell::new(Document::default())),
         view: Arc::new(Cell::new(view)),
         dispatch,
-        metrics: Arc::new(Metrics::new()),
+        metrics: Arc::new(metrics),
     };
     let kernel = register(&shared);
     let (stop, stopped) = watch::channel(false);
@@ -140,18 +155,31 @@
         arbiter.spawn_fn(move || thread.start());
         arbiters.push(arbiter);
     }
-    let running = Running {
+    let mut running = Running {
         callers: sockets.callers.local_addr()?,
         link: sockets.link.local_addr()?,
-        control: sockets.control.local_addr()?,
+        control,
         kernel,
         leaving,
         in_flight,
         stop,
         arbiters,
+        members: None,
     };
     let client = platform::http::Client::new(settings.platform.address, PLATFORM_TIMEOUT);
-    control::start(&shared, own, client);
+    let membership = control::Membership {
+        setup: Setup {
+            me: own,
+            boot: control::boot(),
+            seeds: Vec::new(),
+            tuning: Tuning::default(),
+            clock,
+            view: Arc::clone(&shared.view),
+            counts,
+        },
+        socket: tokio::net::UdpSocket::from_std(sockets.control)?,
+    };
+    running.members = Some(control::start(&shared, membership, client));
     log::info!(
         "{} node={} zone={} callers={}",
         event::NODE_STARTED,
@@ -168,7 +196,7 @@
         name: settings.node.name.clone(),
         address: text(&sockets.callers)?,
         link: text(&sockets.link)?,
-        control: text(&sockets.control)?,
+        control: sockets.control.local_addr()?.to_string().into(),
         zone: settings.node.zone.clone(),
         incarnation: crate::clock::unix_millis(),
         state: State::Alive,
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -5,72 +5,74 @@
 
 use eyre::{Result, WrapErr};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
 
 use crate::gateway::Shared;
-use crate::member::{Member, State, View};
+use crate::member::shell::{self, Event, Handle, Setup};
+
 use crate::platform::http::Client;
-use crate::platform::{Roster as _, Table as _, Vm};
+use crate::platform::{Table as _, Vm};
 
 /// How often the platform is asked.
 const POLL: Duration = Duration::from_millis(500);
 /// The row that holds the configuration in force.
 pub const CONFIG_ROW: &str = "config/current";
 
+/// What membership starts with.
+pub struct Membership {
+    /// Identity, seeds and counters.
+    pub setup: Setup,
+    /// The socket of the control address.
+    pub socket: tokio::net::UdpSocket,
+}
+
 /// Starts the control services on this thread.
-pub fn start(shared: &Shared, own: Member, client: Client) {
-    let shared = shared.clone();
-    actix_rt::spawn(async move {
-        let vm = Vm {
-            name: own.name.clone(),
-            link: own.link.clone(),
-            control: own.control.clone(),
-            address: own.address.clone(),
-            zone: own.zone.clone(),
-            leaving: false,
-        };
-        let mut registered = false;
-        loop {
-            if !registered {
-                registered = client.register(vm.clone()).await.is_ok();
-            }
-            if let Ok(vms) = client.list().await {
-                shared.view.publish(view(&own, &vms));
-            }
-            if let Ok(Some(row)) = client.get(CONFIG_ROW).await
-                && row.version > shared.config.read().version
-                && let Ok(mut document) =
-                    serde_json::from_slice::<crate::config::Document>(&row.value)
-            {
-                document.version = row.version;
-                shared.config.publish(document);
-            }
-            actix_rt::time::sleep(POLL).await;
+pub fn start(shared: &Shared, membership: Membership, client: Client) -> Handle {
+    let me = &membership.setup.me;
+    let vm = Vm {
+        name: me.name.clone(),
+        link: me.link.clone(),
+        control: me.control.clone(),
+        address: me.address.clone(),
+        zone: me.zone.clone(),
+        leaving: false,
+    };
+    actix_rt::spawn(register(client.clone(), vm));
+    let (handle, events) = shell::start(membership.setup, membership.socket, client.clone());
+    actix_rt::spawn(listen(events));
+    actix_rt::spawn(follow_config(shared.clone(), client, handle.clone()));
+    handle
+}
+
+/// Tells the stand-in platform that this VM runs; a real platform knows.
+async fn register(client: Client, vm: Vm) {
+    while client.register(vm.clone()).await.is_err() {
+        actix_rt::time::sleep(POLL).await;
+    }
+}
+
+async fn listen(mut events: mpsc::Receiver<Event>) {
+    while events.recv().await.is_some() {}
+}
+
+async fn follow_config(shared: Shared, client: Client, handle: Handle) {
+    loop {
+        if let Ok(Some(row)) = client.get(CONFIG_ROW).await
+            && row.version > shared.config.read().version
+            && let Ok(mut document) = serde_json::from_slice::<crate::config::Document>(&row.value)
+        {
+            document.version = row.version;
+            shared.config.publish(document);
+            handle.in_force(row.version);
         }
-    });
+        actix_rt::time::sleep(POLL).await;
+    }
 }
 
-fn view(own: &Member, vms: &[Vm]) -> View {
-    let mut members: Vec<Member> = vms
-        .iter()
-        .filter(|vm| vm.name != own.name)
-        .map(|vm| Member {
-            name: vm.name.clone(),
-            address: vm.address.clone(),
-            link: vm.link.clone(),
-            control: vm.control.clone(),
-            zone: vm.zone.clone(),
-            incarnation: 0,
-            state: if vm.leaving {
-                State::Leaving
-            } else {
-                State::Alive
-            },
-            config_version: 0,
-        })
-        .collect();
-    members.push(own.clone());
-    members.sort_by(|a, b| a.name.cmp(&b.name));
-    View { members }
+/// A number that tells this process from others of the same name: the wall
+/// clock first, so that a later process usually has the higher one, then chance.
+pub fn boot() -> u64 {
+    (crate::clock::unix_millis() << 20) | (rand::random::<u64>() & 0xF_FFFF)
 }
 
 /// Waits until the process is told to stop.
@@ -86,3 +88,10 @@
     }
     Ok(())
 }
+
+/// Registers membership's counters.
+pub fn counts(metrics: &mut crate::metric::Metrics) -> shell::Counts {
+    let counts = shell::Counts::default();
+    metrics.extend(|registry| counts.register(registry));
+    counts
+}
