--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 //! socket, clock, random source or log; the modules that act on their answers
 //! hold nothing that has to be decided.
 
+pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod dispatch;
@@ -16,6 +17,7 @@
 pub mod http;
 pub mod kernel;
 pub mod link;
+pub mod logger;
 pub mod member;
 pub mod metric;
 pub mod name;
--- a/src/node.rs
+++ b/src/node.rs
@@ -108,7 +108,7 @@
             running.callers, running.link, running.control
         );
         control::terminated().await?;
-        running.stop(Duration::from_secs(30)).await;
+        running.stop(settings.leave.limit).await;
         Ok(())
     })
 }
@@ -171,7 +171,7 @@
         setup: Setup {
             me: own,
             boot: control::boot(),
-            seeds: Vec::new(),
+            seeds: settings.seeds.clone(),
             tuning: Tuning::default(),
             clock,
             view: Arc::clone(&shared.view),
--- a/src/rpc.rs
+++ b/src/rpc.rs
@@ -10,6 +10,10 @@
 pub mod operator;
 pub mod server;
 
+pub mod client;
+pub mod envelope;
+pub mod method;
+
 /// Types generated from proto/auburnspoke/v1 by `cargo run -p schema`.
 #[allow(missing_docs, clippy::all, clippy::pedantic)]
 #[rustfmt::skip]
--- a/tests/support/env.rs
+++ b/tests/support/env.rs
@@ -164,15 +164,15 @@
         self
     }
 
-    /// Starts a node without keeping it, for tests that restart one. `more` is
-    /// appended to its settings.
+    /// Starts a node without keeping it, for tests that restart one. `more` stands
+    /// before its other settings.
     pub fn start_node(&self, name: &str, zone: &str, listen: &str, more: &str) -> Process {
         let path = self.folder.path().join(format!("{name}.toml"));
         let platform = self.platform.address("listening");
         let settings = format!(
-            "[node]\nname = \"{name}\"\nzone = \"{zone}\"\n\n\
+            "{more}\n[node]\nname = \"{name}\"\nzone = \"{zone}\"\n\n\
              [listen]\ncallers = \"{listen}\"\nlink = \"127.0.0.1:0\"\ncontrol = \"127.0.0.1:0\"\n\n\
-             [platform]\naddress = \"{platform}\"\n\n{more}"
+             [platform]\naddress = \"{platform}\"\n"
         );
         std::fs::write(&path, settings).expect("settings can be written");
         let path = path.to_str().expect("the folder's name is text");
