Let a node listen on a port that the system chooses

Cause: two nodes of a test on one machine must not race for a port. Change: port 0 is refused only where this node connects to; the node tells others the port it got.

--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -95,7 +95,7 @@
     let mut taken: Vec<(SocketAddr, &'static str)> = Vec::new();
     let mut read = |key: &'static str, example: &str, faults: &mut Faults| {
         let entry = section.require(key, example, faults)?;
-        let address = address(&entry, faults)?;
+        let address = any_address(&entry, faults)?;
         if address.ip().is_unspecified() {
             entry.fault(
                 faults,
@@ -298,11 +298,22 @@
     Some(Name::from(text))
 }
 
+/// An address that this node connects to.
 fn address(entry: &Entry<'_>, faults: &mut Faults) -> Option<SocketAddr> {
+    let address = any_address(entry, faults)?;
+    if address.port() == 0 {
+        entry.fault(faults, "nothing listens on port 0; write the port");
+        return None;
+    }
+    Some(address)
+}
+
+/// An address that this node listens on. With port 0 the system chooses one,
+/// and others are told the one that it chose.
+fn any_address(entry: &Entry<'_>, faults: &mut Faults) -> Option<SocketAddr> {
     let text = entry.text(faults)?;
     let message = match text.parse::<SocketAddr>() {
-        Ok(address) if address.port() != 0 => return Some(address),
-        Ok(_) => "port 0 can't be told to others; write the port".to_owned(),
+        Ok(address) => return Some(address),
         Err(_) if text.parse::<IpAddr>().is_ok() => {
             format!("`{text}` has no port; write it as \"{text}:7001\"")
         }
