--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod event;
 pub mod gateway;
 pub mod http;
+pub mod job;
 pub mod kernel;
 pub mod link;
 pub mod logger;
