--- /dev/null
+++ b/src/limit/limiter.rs
@@ -0,0 +1,204 @@
+//! The side of a gateway, which admits within its share.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::{Bound, Demand, GRANT_HOLDS, Grant, REPORT_EVERY};
+use crate::clock::Time;
+use crate::name::Name;
+use crate::outcome::{Reason, Refusal};
+
+/// Seconds of a share's rate that may be used at once.
+const BURST_SECONDS: f64 = 1.0;
+/// Soonest that a refused caller should come back.
+const MIN_WAIT: Duration = Duration::from_millis(50);
+/// An organisation that asks nothing for this long is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+/// Share of the newest interval in the measured rate.
+const GAIN: f32 = 0.5;
+
+#[derive(Clone, Copy, Debug)]
+struct Account {
+    tokens: f64,
+    filled: Time,
+    running: u32,
+    /// Most at a time since the last report, the refused ones among them.
+    peak: u32,
+    asked: u32,
+    rate: f32,
+    asked_at: Time,
+    reported: Option<Time>,
+    grant: Option<(Grant, Time)>,
+}
+
+/// Admits the questions of organisations at one gateway.
+#[derive(Debug)]
+pub struct Limiter {
+    nodes: u32,
+    bounds: HashMap<Name, Bound>,
+    accounts: HashMap<Name, Account>,
+}
+
+impl Limiter {
+    /// A limiter that knows no bound yet, in a fleet of `nodes`.
+    pub fn new(nodes: u32) -> Self {
+        Self {
+            nodes: nodes.max(1),
+            bounds: HashMap::new(),
+            accounts: HashMap::new(),
+        }
+    }
+
+    /// The number of nodes changed.
+    pub fn nodes(&mut self, nodes: u32) {
+        self.nodes = nodes.max(1);
+    }
+
+    /// Takes the bounds of a new configuration.
+    pub fn update<B>(&mut self, bounds: B)
+    where
+        B: IntoIterator<Item = (Name, Bound)>,
+    {
+        self.bounds = bounds.into_iter().collect();
+    }
+
+    /// The bound of an organisation.
+    pub fn bound(&self, organisation: &str) -> Bound {
+        self.bounds.get(organisation).copied().unwrap_or_default()
+    }
+
+    /// Admits one question, which [`Limiter::release`] must end.
+    ///
+    /// # Errors
+    /// [`Reason::Limited`] with when to come back; nothing has run.
+    pub fn admit(&mut self, now: Time, organisation: &Name) -> Result<(), Refusal> {
+        let bound = self.bound(organisation);
+        let nodes = self.nodes;
+        let account = self
+            .accounts
+            .entry(Name::clone(organisation))
+            .or_insert_with(|| Account::new(now));
+        account.asked += 1;
+        account.asked_at = now;
+        account.peak = account.peak.max(account.running + 1);
+        let share = account.share(now, bound, nodes);
+        if bound.concurrency > 0 && account.running >= share.concurrency {
+            return Err(refusal("too many questions at a time", REPORT_EVERY));
+        }
+        if bound.rate > 0 {
+            account.take(now, share.rate)?;
+        }
+        account.running += 1;
+        Ok(())
+    }
+
+    /// A question that was admitted has ended.
+    pub fn release(&mut self, organisation: &str) {
+        if let Some(account) = self.accounts.get_mut(organisation) {
+            account.running = account.running.saturating_sub(1);
+        }
+    }
+
+    /// Reports that are due, to be sent to each organisation's owner. Only
+    /// bounded organisations are reported.
+    pub fn reports(&mut self, now: Time) -> Vec<(Name, Demand)> {
+        let bounds = &self.bounds;
+        self.accounts
+            .retain(|_, account| account.running > 0 || now.since(account.asked_at) < FORGET_AFTER);
+        let mut due = Vec::new();
+        for (name, account) in &mut self.accounts {
+            let bounded = bounds
+                .get(name)
+                .is_some_and(|bound| bound.rate > 0 || bound.concurrency > 0);
+            if bounded && let Some(demand) = account.report(now) {
+                due.push((Name::clone(name), demand));
+            }
+        }
+        due
+    }
+
+    /// The owner granted a share.
+    pub fn grant(&mut self, now: Time, organisation: &str, grant: Grant) {
+        if let Some(account) = self.accounts.get_mut(organisation) {
+            account.grant = Some((grant, now));
+        }
+    }
+
+    /// Questions that run here.
+    pub fn running(&self, organisation: &str) -> u32 {
+        self.accounts.get(organisation).map_or(0, |a| a.running)
+    }
+}
+
+impl Account {
+    fn new(now: Time) -> Self {
+        Self {
+            tokens: 1.0,
+            filled: now,
+            running: 0,
+            peak: 0,
+            asked: 0,
+            rate: 0.0,
+            asked_at: now,
+            reported: None,
+            grant: None,
+        }
+    }
+
+    /// The granted share, or an equal part while there is none: at least one
+    /// question, so that a first one need not wait for the owner.
+    fn share(&self, now: Time, bound: Bound, nodes: u32) -> Grant {
+        match self.grant {
+            Some((grant, at)) if now.since(at) < GRANT_HOLDS => grant,
+            _ => Grant {
+                rate: bound.rate as f32 / nodes as f32,
+                concurrency: (bound.concurrency / nodes).max(1),
+            },
+        }
+    }
+
+    fn take(&mut self, now: Time, rate: f32) -> Result<(), Refusal> {
+        let rate = f64::from(rate);
+        let passed = now.since(self.filled).as_secs_f64();
+        self.filled = now;
+        let most = (rate * BURST_SECONDS).max(1.0);
+        self.tokens = (self.tokens + passed * rate).min(most);
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        let wait = if rate > 0.0 {
+            Duration::from_secs_f64(((1.0 - self.tokens) / rate).min(60.0))
+        } else {
+            REPORT_EVERY
+        };
+        Err(refusal("too many questions a second", wait))
+    }
+
+    fn report(&mut self, now: Time) -> Option<Demand> {
+        let passed = match self.reported {
+            Some(at) if now.since(at) < REPORT_EVERY => return None,
+            Some(at) => now.since(at),
+            None => REPORT_EVERY,
+        };
+        let newest = self.asked as f32 / passed.as_secs_f32();
+        self.rate = match self.reported {
+            Some(_) => self.rate + GAIN * (newest - self.rate),
+            None => newest,
+        };
+        let demand = Demand {
+            rate: self.rate,
+            concurrency: self.peak.max(self.running),
+        };
+        self.reported = Some(now);
+        self.asked = 0;
+        self.peak = self.running;
+        Some(demand)
+    }
+}
+
+fn refusal(message: &str, wait: Duration) -> Refusal {
+    Refusal::new(Reason::Limited)
+        .after(wait.max(MIN_WAIT))
+        .because(message)
+}
