Run batch jobs on a thread of their own: the thin path is whole

Ruled out: running items through the gateway (it would take another node's slots; a dispatcher with idle slots claims). Change: dispatchers publish their loads on a board; the control thread works out which endpoints are this node's; the batch thread runs job::Runner on them; job methods in the schema.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::outcome::Refusal;
 use crate::request::Class;
 
+pub mod board;
 pub mod handle;
 mod queue;
 mod run;
--- a/src/dispatch/handle.rs
+++ b/src/dispatch/handle.rs
@@ -6,9 +6,11 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Load;
+use super::board::{Board, Loads};
 use crate::name::Name;
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::request::{Answer, Piece, Request};
+use crate::snapshot::Cell;
 
 /// Requests that may wait to be seen by one thread's dispatchers.
 const COMMANDS: usize = 1_024;
@@ -40,15 +42,34 @@
 #[derive(Clone, Debug)]
 pub struct Handle {
     threads: Arc<[mpsc::Sender<Submit>]>,
+    /// What the dispatchers publish of themselves.
+    pub board: Board,
+}
+
+/// One shell's end of a [`Handle`].
+#[derive(Debug)]
+pub struct Desk {
+    /// Requests for the dispatchers of this thread.
+    pub submits: mpsc::Receiver<Submit>,
+    /// Where the shell publishes their loads.
+    pub post: Arc<Cell<Loads>>,
 }
 
 impl Handle {
-    /// A handle to `threads` shells, and what each shell receives from.
-    pub fn new(threads: usize) -> (Self, Vec<mpsc::Receiver<Submit>>) {
-        let (senders, receivers): (Vec<_>, Vec<_>) =
-            (0..threads.max(1)).map(|_| mpsc::channel(COMMANDS)).unzip();
+    /// A handle to `threads` shells, and each shell's end of it.
+    pub fn new(threads: usize) -> (Self, Vec<Desk>) {
+        let threads = threads.max(1);
+        let board = Board::new(threads);
+        let mut senders = Vec::new();
+        let mut desks = Vec::new();
+        for thread in 0..threads {
+            let (sender, submits) = mpsc::channel(COMMANDS);
+            senders.push(sender);
+            let post = board.post(thread);
+            desks.push(Desk { submits, post });
+        }
         let threads = senders.into();
-        (Self { threads }, receivers)
+        (Self { threads, board }, desks)
     }
 
     /// Hands a request to the dispatcher of `endpoint`, which is always on the
--- a/src/dispatch/shell.rs
+++ b/src/dispatch/shell.rs
@@ -4,7 +4,7 @@
 //! One shell lives on each traffic thread and owns the dispatchers of the
 //! endpoints that hash to it, so nothing here is locked.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -13,6 +13,7 @@
 use actix_rt::task::JoinHandle;
 use tokio::sync::{Notify, mpsc};
 
+use super::board::Loads;
 use super::handle::{Event, Submit};
 use super::run::{self, Progress};
 use super::{Action, End, Id, Input, Load, Offer, Queue, Setting};
@@ -25,6 +26,8 @@
 
 /// How often the shell looks for due work when no queue names a time.
 const IDLE_TICK: Duration = Duration::from_millis(100);
+/// How fresh the published loads are.
+const PUBLISH_EVERY: Duration = Duration::from_millis(20);
 /// Characters that make up a token, roughly, for estimates of prompts.
 const CHARS_PER_TOKEN: usize = 4;
 
@@ -36,6 +39,8 @@
     state: RefCell<State>,
     /// Wakes the timer when an earlier time became due.
     changed: Notify,
+    post: Arc<snapshot::Cell<Loads>>,
+    published: Cell<Time>,
 }
 
 #[derive(Default)]
@@ -75,13 +80,19 @@
 impl Shell {
     /// A shell without dispatchers; they appear with the first request for
     /// their endpoint.
-    pub fn new(clock: Clock, config: Arc<snapshot::Cell<Document>>) -> Rc<Self> {
+    pub fn new(
+        clock: Clock,
+        config: Arc<snapshot::Cell<Document>>,
+        post: Arc<snapshot::Cell<Loads>>,
+    ) -> Rc<Self> {
         Rc::new(Self {
             clock,
             config,
             client: crate::http::client(crate::endpoint::CONNECT_TIMEOUT),
             state: RefCell::default(),
             changed: Notify::new(),
+            post,
+            published: Cell::new(Time::ZERO),
         })
     }
 
@@ -89,6 +100,7 @@
     pub async fn run(self: Rc<Self>, mut submits: mpsc::Receiver<Submit>) {
         loop {
             let now = self.clock.now();
+            self.publish(now);
             let due = self.due().unwrap_or(now + IDLE_TICK).min(now + IDLE_TICK);
             tokio::select! {
                 submit = submits.recv() => match submit {
@@ -101,19 +113,17 @@
         }
     }
 
-    /// Requests that wait or run here, of both classes.
-    pub fn in_flight(&self) -> usize {
-        let state = self.state.borrow();
-        state.stands.values().map(|stand| stand.entries.len()).sum()
-    }
-
-    /// How busy each endpoint is that has a dispatcher here.
-    pub fn loads(&self) -> Vec<(Name, Load)> {
+    /// Publishes the loads now and then: readers on other threads need them
+    /// fresh, but not for every token.
+    fn publish(&self, now: Time) {
+        if now.since(self.published.get()) < PUBLISH_EVERY {
+            return;
+        }
+        self.published.set(now);
         let state = self.state.borrow();
         let loads = state.stands.iter();
-        loads
-            .map(|(name, stand)| (name.clone(), stand.queue.load()))
-            .collect()
+        let loads = loads.map(|(name, stand)| (name.clone(), stand.queue.load()));
+        self.post.publish(loads.collect());
     }
 
     fn due(&self) -> Option<Time> {
--- a/src/node.rs
+++ b/src/node.rs
@@ -28,6 +28,8 @@
 use crate::settings::Settings;
 use crate::snapshot::Cell;
 
+mod assign;
+mod batch;
 mod control;
 mod traffic;
 
@@ -124,7 +126,7 @@
     let own = own_member(settings, &sockets)?;
     let mut metrics = Metrics::new();
     let counts = control::counts(&mut metrics);
-    let (dispatch, receivers) = Handle::new(settings.traffic_threads);
+    let (dispatch, desks) = Handle::new(settings.traffic_threads);
     let view = View {
         members: vec![own.clone()],
     };
@@ -141,10 +143,10 @@
     let leaving = Arc::new(AtomicBool::new(false));
     let in_flight = Arc::new(AtomicUsize::new(0));
     let mut arbiters = Vec::new();
-    for submits in receivers {
+    for desk in desks {
         let thread = traffic::Thread {
             shared: shared.clone(),
-            submits,
+            desk,
             callers: sockets.callers.try_clone()?,
             links: sockets.link.try_clone()?,
             leaving: Arc::clone(&leaving),
@@ -155,6 +157,10 @@
         arbiter.spawn_fn(move || thread.start());
         arbiters.push(arbiter);
     }
+    let assignment = Arc::new(Cell::new(assign::Assignment::new()));
+    actix_rt::spawn(assign::follow(shared.clone(), Arc::clone(&assignment)));
+    let boot = control::boot();
+    arbiters.push(start_batch(&shared, assignment, settings, boot, stopped));
     let mut running = Running {
         callers: sockets.callers.local_addr()?,
         link: sockets.link.local_addr()?,
@@ -170,7 +176,7 @@
     let membership = control::Membership {
         setup: Setup {
             me: own,
-            boot: control::boot(),
+            boot,
             seeds: settings.seeds.clone(),
             tuning: Tuning::default(),
             clock,
@@ -190,6 +196,25 @@
     Ok(running)
 }
 
+/// Starts the thread that runs batch work.
+fn start_batch(
+    shared: &Shared,
+    assignment: Arc<Cell<assign::Assignment>>,
+    settings: &Settings,
+    boot: u64,
+    stopped: watch::Receiver<bool>,
+) -> Arbiter {
+    let arbiter = Arbiter::new();
+    let shared = shared.clone();
+    let platform = settings.platform.address;
+    let session = format!("{}-{boot:x}", shared.node).into();
+    arbiter.spawn_fn(move || {
+        let (runner, _handle) = batch::runner(shared, assignment, platform, session);
+        actix_rt::spawn(batch::run(runner, stopped));
+    });
+    arbiter
+}
+
 fn own_member(settings: &Settings, sockets: &Sockets) -> Result<Member> {
     let text = |listener: &TcpListener| listener.local_addr().map(|a| a.to_string().into());
     Ok(Member {
--- /dev/null
+++ b/src/node/batch.rs
@@ -0,0 +1,134 @@
+//! The batch thread: runs this node's share of all jobs on the endpoints that
+//! it dispatches for.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::sync::watch;
+
+use super::PLATFORM_TIMEOUT;
+use super::assign::{Assignment, Own};
+use crate::dispatch::handle::Event;
+use crate::gateway::Shared;
+use crate::job::runner::{self, Runner};
+use crate::job::{Execute, Setting};
+use crate::name::Name;
+use crate::outcome::{Outcome, Reason, Refusal};
+use crate::platform::http::Client;
+use crate::request::{Answer, Request};
+use crate::snapshot::Cell;
+
+/// Makes the runner of this node; it must be made on the thread that runs it.
+pub fn runner(
+    shared: Shared,
+    assignment: Arc<Cell<Assignment>>,
+    platform: SocketAddr,
+    session: Name,
+) -> (Runner<Client, Client, Executor>, runner::Handle) {
+    let client = Client::new(platform, PLATFORM_TIMEOUT);
+    let executor = Executor {
+        shared,
+        assignment,
+        running: RefCell::default(),
+    };
+    Runner::new(
+        session,
+        client.clone(),
+        client,
+        executor,
+        Setting::default(),
+    )
+}
+
+/// Runs the runner until `stopped` turns true.
+pub async fn run(runner: Runner<Client, Client, Executor>, mut stopped: watch::Receiver<bool>) {
+    let stop = async move {
+        // An error means that the node is gone, which is a stop as well.
+        let _ = stopped.wait_for(|stop| *stop).await;
+    };
+    runner.run(stop).await;
+}
+
+/// Hands batch items to the dispatchers of this node.
+pub struct Executor {
+    shared: Shared,
+    assignment: Arc<Cell<Assignment>>,
+    /// Items of ours at each endpoint: the published loads are a little old.
+    running: RefCell<HashMap<Name, u32>>,
+}
+
+/// Counts an item at its endpoint for as long as its future lives.
+struct Running<'a> {
+    executor: &'a Executor,
+    endpoint: Name,
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        if let Some(count) = self.executor.running.borrow_mut().get_mut(&self.endpoint) {
+            *count = count.saturating_sub(1);
+        }
+    }
+}
+
+impl Executor {
+    fn room_at(&self, own: &Own) -> usize {
+        let room = match self.shared.dispatch.board.load(&own.endpoint) {
+            Some(load) => load.room,
+            None => own.slots,
+        };
+        room as usize
+    }
+
+    /// The endpoint with the most room, those with fewer of our items first.
+    fn choose(&self, service: &str) -> Option<Name> {
+        let assignment = self.assignment.read();
+        let running = self.running.borrow();
+        let own = assignment.get(service)?.iter();
+        own.max_by_key(|own| {
+            let ours = running.get(&own.endpoint).copied().unwrap_or(0) as usize;
+            (self.room_at(own), std::cmp::Reverse(ours))
+        })
+        .map(|own| own.endpoint.clone())
+    }
+
+    fn enter(&self, endpoint: &Name) -> Running<'_> {
+        *self
+            .running
+            .borrow_mut()
+            .entry(endpoint.clone())
+            .or_default() += 1;
+        Running {
+            executor: self,
+            endpoint: endpoint.clone(),
+        }
+    }
+}
+
+impl Execute for Executor {
+    fn room(&self, service: &Name) -> usize {
+        let assignment = self.assignment.read();
+        let own = assignment.get(service).into_iter().flatten();
+        own.map(|own| self.room_at(own)).sum()
+    }
+
+    fn services(&self) -> Vec<Name> {
+        self.assignment.read().keys().cloned().collect()
+    }
+
+    async fn execute(&self, request: Request) -> Outcome<Answer> {
+        let Some(endpoint) = self.choose(&request.service) else {
+            return Outcome::NotRun(Refusal::new(Reason::NoEndpoint));
+        };
+        let _running = self.enter(&endpoint);
+        let mut events = self.shared.dispatch.submit(endpoint, request);
+        while let Some(event) = events.recv().await {
+            if let Event::End(outcome, _) = event {
+                return outcome;
+            }
+        }
+        Outcome::MayHaveRun(Refusal::new(Reason::Internal))
+    }
+}
--- a/src/node/traffic.rs
+++ b/src/node/traffic.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 
-use crate::dispatch::handle::Submit;
+use crate::dispatch::handle::Desk;
 use crate::dispatch::shell::Shell;
 use crate::event;
 use crate::gateway::{Gateway, Shared};
@@ -20,8 +20,8 @@
 pub struct Thread {
     /// What it shares with the rest of the node.
     pub shared: Shared,
-    /// Requests for the dispatchers of this thread.
-    pub submits: mpsc::Receiver<Submit>,
+    /// This thread's end of the dispatchers' handle.
+    pub desk: Desk,
     /// The callers' socket, which all threads accept from.
     pub callers: TcpListener,
     /// The other nodes' socket, which all threads accept from.
@@ -37,8 +37,9 @@
 impl Thread {
     /// Starts the thread's services on the runtime of the calling thread.
     pub fn start(self) {
-        let shell = Shell::new(self.shared.clock, Arc::clone(&self.shared.config));
-        actix_rt::spawn(shell.run(self.submits));
+        let config = Arc::clone(&self.shared.config);
+        let shell = Shell::new(self.shared.clock, config, self.desk.post);
+        actix_rt::spawn(shell.run(self.desk.submits));
         let links = link::server::serve(
             self.links,
             self.shared.node.clone(),
--- a/src/rpc.rs
+++ b/src/rpc.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod codec;
 pub mod error;
+pub mod job;
 pub mod operator;
 pub mod server;
 
--- /dev/null
+++ b/src/rpc/job.rs
@@ -0,0 +1,117 @@
+//! What callers may ask about batch jobs, between the schema and [`job::Jobs`].
+
+use std::time::Duration;
+
+use super::v1;
+use crate::job::{self, End, Id, Listing, Reply, Results, State, Status, Submission};
+use crate::name;
+use crate::outcome::{Reason, Refusal};
+
+/// Checks a job and turns it into a submission.
+///
+/// # Errors
+/// A refusal that names the field and what to write instead.
+pub fn submission(job: v1::SubmitJobRequest, most: usize) -> Result<Submission, Refusal> {
+    for (field, text) in [
+        ("service", &job.service),
+        ("organisation", &job.organisation),
+    ] {
+        if !name::is_valid(text) {
+            let message = format!("{field}: name one, of letters, digits and -_.:");
+            return Err(Refusal::new(Reason::Invalid).because(message));
+        }
+    }
+    if job.items.len() > most {
+        return Err(Refusal::new(Reason::TooLarge).because(format!(
+            "the job has {} items; send at most {most}, as several jobs",
+            job.items.len()
+        )));
+    }
+    let items = job.items.into_iter().map(|item| job::Item {
+        key: item.key.into(),
+        prompt: item.prompt.into(),
+        max_tokens: item.max_tokens,
+    });
+    Ok(Submission {
+        service: job.service.into(),
+        organisation: job.organisation.into(),
+        key: job.key.into(),
+        items: items.collect(),
+        due: Duration::from_millis(job.due_ms),
+        once: job.once,
+    })
+}
+
+/// Reads a job's name.
+///
+/// # Errors
+/// A refusal when no job can have that name.
+pub fn id(text: &str) -> Result<Id, Refusal> {
+    Id::parse(text).ok_or_else(|| {
+        Refusal::new(Reason::UnknownJob).because(format!(
+            "`{text}` is no job; `auburnspoke job list` names them"
+        ))
+    })
+}
+
+/// The schema's form of a status.
+pub fn status(status: &Status) -> v1::JobStatusResponse {
+    v1::JobStatusResponse {
+        job: status.id.to_string(),
+        state: state(status.job.state).into(),
+        items: status.job.items,
+        done: status.counts.done,
+        failed: status.counts.failed,
+        unknown: status.counts.unknown,
+        service: status.job.service.to_string(),
+        organisation: status.job.organisation.to_string(),
+        accepted_at_ms: status.job.accepted_at_ms,
+        due_at_ms: status.job.due_at_ms,
+    }
+}
+
+/// The schema's form of a page of results.
+pub fn results(results: Results) -> v1::JobResultsResponse {
+    v1::JobResultsResponse {
+        results: results.replies.into_iter().map(reply).collect(),
+        next_page: results
+            .next
+            .map_or_else(String::new, |next| next.to_string()),
+        state: state(results.state).into(),
+    }
+}
+
+/// The schema's form of a page of jobs.
+pub fn listing(listing: &Listing) -> v1::ListJobsResponse {
+    v1::ListJobsResponse {
+        jobs: listing.jobs.iter().map(status).collect(),
+        next_page: listing.next.clone(),
+    }
+}
+
+/// The schema's form of one result.
+pub fn reply(reply: Reply) -> v1::ItemResult {
+    let state = match reply.end {
+        End::Done => v1::ItemState::Done,
+        End::Failed => v1::ItemState::Failed,
+        End::MayHaveRun => v1::ItemState::MayHaveRun,
+        End::Cancelled => v1::ItemState::Cancelled,
+    };
+    v1::ItemResult {
+        number: reply.number,
+        key: reply.key.to_string(),
+        state: state.into(),
+        text: reply.text,
+        tokens: reply.tokens,
+        attempts: reply.attempts,
+    }
+}
+
+/// The schema's form of a job's state.
+pub const fn state(state: State) -> v1::JobState {
+    match state {
+        State::Active => v1::JobState::Active,
+        State::Ended => v1::JobState::Ended,
+        State::Cancelled => v1::JobState::Cancelled,
+    }
+}
--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -14,9 +14,11 @@
 use tokio::sync::mpsc;
 
 use super::codec::{self, Format, Media};
-use super::{caller, error, operator, v1};
+use super::{caller, error, job, operator, v1};
+use crate::clock::unix_millis;
 use crate::gateway::{Gateway, Shared};
 use crate::http::{self, BodyError};
+use crate::job::Jobs;
 use crate::node::CONFIG_ROW;
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::platform::http::Client;
@@ -29,6 +31,8 @@
 const MAX_BODY: usize = 1024 * 1024;
 /// Largest body of a job.
 const MAX_JOB_BODY: usize = 128 * 1024 * 1024;
+/// Most items of a job.
+const MAX_ITEMS: usize = 500_000;
 /// Pieces of an answer that may wait for a caller that reads slowly.
 const PIECES: usize = 64;
 
@@ -37,6 +41,7 @@
     shared: Shared,
     gateway: Rc<Gateway>,
     platform: Client,
+    jobs: Jobs<Client, Client>,
     /// True once the node leaves: connections are closed after their answer,
     /// so that callers go to another address.
     leaving: Arc<AtomicBool>,
@@ -53,6 +58,7 @@
         Rc::new(Self {
             shared,
             gateway,
+            jobs: Jobs::new(platform.clone(), platform.clone()),
             platform,
             leaving,
         })
@@ -134,6 +140,11 @@
     async fn caller(&self, method: &str, format: Format, body: Bytes) -> Outcome<Bytes> {
         match method {
             "Ask" => unary(format, &body, |ask| self.ask(ask)).await,
+            "SubmitJob" => unary(format, &body, |job| self.submit_job(job)).await,
+            "JobStatus" => unary(format, &body, |ask| self.job_status(ask)).await,
+            "JobResults" => unary(format, &body, |ask| self.job_results(ask)).await,
+            "CancelJob" => unary(format, &body, |ask| self.cancel_job(ask)).await,
+            "ListJobs" => unary(format, &body, |ask| self.list_jobs(ask)).await,
             _ => unknown_method(method),
         }
     }
@@ -161,6 +172,76 @@
         self.gateway.ask(request, pieces).await.map(caller::answer)
     }
 
+    async fn submit_job(&self, ask: v1::SubmitJobRequest) -> Outcome<v1::SubmitJobResponse> {
+        let config = self.shared.config.take();
+        let submission = match job::submission(ask, MAX_ITEMS) {
+            Ok(submission) => submission,
+            Err(refusal) => return Outcome::NotRun(refusal),
+        };
+        if !config.services.contains_key(&submission.service) {
+            return Outcome::NotRun(Refusal::new(Reason::UnknownService));
+        }
+        let accepted = self.jobs.submit(unix_millis(), submission).await;
+        accepted.map(|accepted| v1::SubmitJobResponse {
+            job: accepted.job.to_string(),
+            items: accepted.items,
+            resent: accepted.resent,
+        })
+    }
+
+    async fn job_status(&self, ask: v1::JobStatusRequest) -> Outcome<v1::JobStatusResponse> {
+        match job::id(&ask.job) {
+            Ok(id) => self.jobs.status(&id).await.map(|found| job::status(&found)),
+            Err(refusal) => Outcome::NotRun(refusal),
+        }
+    }
+
+    async fn job_results(&self, ask: v1::JobResultsRequest) -> Outcome<v1::JobResultsResponse> {
+        let id = match job::id(&ask.job) {
+            Ok(id) => id,
+            Err(refusal) => return Outcome::NotRun(refusal),
+        };
+        if !ask.item.is_empty() {
+            let found = self.jobs.result(&id, &ask.item).await;
+            return found.map(|reply| v1::JobResultsResponse {
+                results: reply.into_iter().map(job::reply).collect(),
+                ..v1::JobResultsResponse::default()
+            });
+        }
+        let from = match ask.page.as_str() {
+            "" => Ok(0),
+            page => page.parse(),
+        };
+        let Ok(from) = from else {
+            let refusal = Refusal::new(Reason::Invalid)
+                .because("page: send back next_page as it came, or nothing to start");
+            return Outcome::NotRun(refusal);
+        };
+        let page = self.jobs.results(&id, from, ask.limit as usize).await;
+        page.map(job::results)
+    }
+
+    async fn cancel_job(&self, ask: v1::CancelJobRequest) -> Outcome<v1::CancelJobResponse> {
+        match job::id(&ask.job) {
+            Ok(id) => self
+                .jobs
+                .cancel(&id)
+                .await
+                .map(|state| v1::CancelJobResponse {
+                    state: job::state(state).into(),
+                }),
+            Err(refusal) => Outcome::NotRun(refusal),
+        }
+    }
+
+    async fn list_jobs(&self, ask: v1::ListJobsRequest) -> Outcome<v1::ListJobsResponse> {
+        let listing = self
+            .jobs
+            .list(&ask.organisation, &ask.page, ask.limit as usize)
+            .await;
+        listing.map(|listing| job::listing(&listing))
+    }
+
     async fn apply(&self, apply: v1::ApplyConfigRequest) -> Outcome<v1::ApplyConfigResponse> {
         let document = operator::document(&apply.config.unwrap_or_default());
         let value = serde_json::to_vec(&document).unwrap_or_default();
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -40,3 +40,32 @@
     }
     expect_that!(fleet.plain_counts(0)["arrived"], eq(&json!(2)));
 }
+
+#[gtest]
+fn job_results_whole() {
+    // Twenty items go in at one node and their results are read at another.
+    let mut fleet = env::Fleet::new();
+    fleet
+        .engine(&["--faster", "20"])
+        .engine(&["--faster", "20"]);
+    fleet.node("zone-0").node("zone-1").node("zone-2");
+    fleet.settle(3);
+    fleet.configure();
+    let items: Vec<_> = (0..20)
+        .map(|item| json!({"key": format!("i{item}"), "prompt": format!("scale {item}"), "maxTokens": 4}))
+        .collect();
+    let job =
+        json!({"service": "recipes", "organisation": "trust", "key": "night-1", "items": items});
+    let accepted = fleet.caller(0, "SubmitJob", &job).unwrap();
+    let name = json!({"job": accepted["job"]});
+    env::until("the job ends", || {
+        fleet.caller(1, "JobStatus", &name).unwrap()["state"] == "JOB_STATE_ENDED"
+    });
+    let results = fleet.caller(2, "JobResults", &name).unwrap();
+    let results = results["results"].as_array().unwrap();
+    expect_that!(results.len(), eq(20));
+    for result in results {
+        expect_that!(result["state"], eq(&json!("ITEM_STATE_DONE")));
+        expect_that!(result["tokens"], eq(&json!(4)));
+    }
+}
