--- a/src/member/gossip/schedule.rs
+++ b/src/member/gossip/schedule.rs
@@ -23,6 +23,7 @@
             return;
         }
         self.prober.forget();
+        self.rumours.drop_accusations();
         self.last_heard = now;
         self.due.probe = now + self.tuning.period;
         for entry in self.entries.values_mut() {
--- a/src/member/rumour.rs
+++ b/src/member/rumour.rs
@@ -1,5 +1,6 @@
 //! News on its way, each item to be sent a bounded number of times.
 
+use super::State;
 use crate::name::Name;
 use crate::wire::control::Update;
 
@@ -79,6 +80,16 @@
         taken
     }
 
+    /// Forgets accusations, because they are too old to be passed on.
+    pub fn drop_accusations(&mut self) {
+        self.rumours.retain(|rumour| {
+            let Update::Record(record) = &rumour.update else {
+                return true;
+            };
+            matches!(record.member.state, State::Alive | State::Leaving)
+        });
+    }
+
     /// True when there is nothing to send.
     pub fn is_empty(&self) -> bool {
         self.rumours.is_empty()
