Learn from own streams what batch work an endpoint bears

Cause: the first queue filled every slot, first come first served; a burst would have waited behind batch work. Change: dispatch::Queue shares its line fairly between organisations, refuses at once what can't be answered in time, learns step time, prompt cost and KV size from tokens and reports, bounds batch work by latency_weight, stops and resumes batch streams, and closes a failing or silent endpoint. For the shell: a new Action::Abandon { id, refusal } (cancel the run if there is one, and answer MayHaveRun): it is given for runs at a silent endpoint and for stopped items that can't go on, which Refuse would wrongly call not run.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -12,8 +12,13 @@
 use crate::outcome::Refusal;
 use crate::request::Class;
 
+mod health;
+mod line;
+mod pace;
+mod policy;
 mod queue;
 
+pub use policy::Policy;
 pub use queue::Queue;
 
 /// Identity of a request at one dispatcher; never used twice.
@@ -110,6 +115,14 @@
         /// Which request.
         id: Id,
     },
+    /// Cancel the run at the endpoint, if there is one, and tell the requester
+    /// that it may have run. The queue has forgotten it.
+    Abandon {
+        /// Which request.
+        id: Id,
+        /// Why, and when to come back.
+        refusal: Refusal,
+    },
     /// Tell the requester that it did not run.
     Refuse {
         /// Which request.
--- /dev/null
+++ b/src/dispatch/policy.rs
@@ -0,0 +1,42 @@
+//! The ways of admitting batch work beside questions.
+
+/// How much batch work runs beside questions. Operators don't choose it: they
+/// set `latency_weight`. The other ways are kept to be measured against.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Policy {
+    /// Whatever arrives is sent on.
+    All,
+    /// Batch work gets a fixed part of the slots, in a hundred.
+    Split(u32),
+    /// Batch work gets what the endpoint has been seen to bear; what runs is
+    /// left to end.
+    Adaptive,
+    /// The same, and batch streams are stopped when questions need the room.
+    #[default]
+    AdaptiveCancel,
+}
+
+/// What `latency_weight` means for an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tolerance {
+    /// How much longer the slow steps may get by batch work, as a part of what
+    /// they are without it.
+    pub step: f64,
+    /// Batch prompts that may be computed at the same time while questions run.
+    pub prompts: u32,
+    /// True when a batch prompt that is being computed makes way for a question.
+    pub yields: bool,
+}
+
+impl Tolerance {
+    /// The tolerance at a weight from 0 (batch throughput) to 100 (online tail
+    /// latency). docs/POLICY.md shows what each costs.
+    pub fn new(latency_weight: u32) -> Self {
+        let ease = f64::from(100 - latency_weight.min(100)) / 100.0;
+        Self {
+            step: 0.02 + ease * ease,
+            prompts: if latency_weight >= 40 { 1 } else { 2 },
+            yields: latency_weight >= 20,
+        }
+    }
+}
