--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -28,6 +28,6 @@
         .expect("clap requires the settings");
     let settings = Settings::read(path)?;
     logger::init(&settings.log);
-    node::run(settings)?;
+    node::run(&settings)?;
     Ok(Exit::Done)
 }
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -103,7 +103,9 @@
             );
             return None;
         }
-        if let Some((_, other)) = taken.iter().find(|(used, _)| *used == address) {
+        // Port 0 lets the system choose, so two of them differ.
+        let same = |(used, _): &&(SocketAddr, _)| *used == address && address.port() != 0;
+        if let Some((_, other)) = taken.iter().find(same) {
             entry.fault(
                 faults,
                 format!("is the same as listen.{other}; give each its own port"),
@@ -132,7 +134,7 @@
     let entry = section.require("address", "\"10.0.0.5:7100\"", faults);
     section.finish(faults);
     let entry = entry?;
-    let address = address(&entry, faults)?;
+    let address = remote(&entry, faults)?;
     if listen.is_some_and(|own| [own.callers, own.link, own.control].contains(&address)) {
         entry.fault(
             faults,
@@ -169,7 +171,7 @@
             span: value.span(),
             place: format!("seeds[{at}]"),
         };
-        match address(&seed, faults) {
+        match remote(&seed, faults) {
             Some(own) if listen.is_some_and(|listen| listen.control == own) => {
                 seed.fault(
                     faults,
@@ -299,8 +301,7 @@
 fn address(entry: &Entry<'_>, faults: &mut Faults) -> Option<SocketAddr> {
     let text = entry.text(faults)?;
     let message = match text.parse::<SocketAddr>() {
-        Ok(address) if address.port() != 0 => return Some(address),
-        Ok(_) => "port 0 can't be told to others; write the port".to_owned(),
+        Ok(address) => return Some(address),
         Err(_) if text.parse::<IpAddr>().is_ok() => {
             format!("`{text}` has no port; write it as \"{text}:7001\"")
         }
@@ -312,6 +313,16 @@
     None
 }
 
+/// An address of something else, which must be there already.
+fn remote(entry: &Entry<'_>, faults: &mut Faults) -> Option<SocketAddr> {
+    let address = address(entry, faults)?;
+    if address.port() == 0 {
+        entry.fault(faults, "nothing listens on port 0; write its port");
+        return None;
+    }
+    Some(address)
+}
+
 fn wait(entry: Option<Entry<'_>>, fallback: Duration, faults: &mut Faults) -> Option<Duration> {
     let Some(entry) = entry else {
         return Some(fallback);
