--- a/src/cli.rs
+++ b/src/cli.rs
@@ -20,6 +20,7 @@
 mod serve;
 mod service;
 mod status;
+mod try_out;
 
 pub use exit::Exit;
 pub use job::{item, items};
@@ -41,6 +42,7 @@
 const ENTRIES: &[Entry] = &[
     Entry::new(NODE, serve::command, serve::run),
     Entry::new(NODE, check::command, check::run),
+    Entry::new(NODE, try_out::command, try_out::run),
     Entry::new(CALLER, locate::command, locate::run),
     Entry::new(CALLER, ask::command, ask::run),
     Entry::new(CALLER, job::command, job::run),
--- a/src/cli/job.rs
+++ b/src/cli/job.rs
@@ -12,6 +12,7 @@
 mod wait;
 
 pub use item::read as items;
+pub(super) use wait::until_ended;
 
 pub(super) fn command() -> Command {
     let job = || Arg::new("job").required(true).help("The job's name");
--- a/src/cli/job/wait.rs
+++ b/src/cli/job/wait.rs
@@ -23,7 +23,10 @@
 }
 
 /// Looks again and again until the job has ended or was cancelled.
-pub(super) async fn until_ended(client: &Client, job: &str) -> Result<v1::JobStatusResponse> {
+pub(in crate::cli) async fn until_ended(
+    client: &Client,
+    job: &str,
+) -> Result<v1::JobStatusResponse> {
     // Draws nothing when the standard error stream is no terminal.
     let bar = ProgressBar::new(0).with_style(style());
     let mut failures = 0;
