--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -103,9 +103,9 @@
             );
             return None;
         }
-        // Port 0 lets the system choose, so two of them differ.
-        let same = |(used, _): &&(SocketAddr, _)| *used == address && address.port() != 0;
-        if let Some((_, other)) = taken.iter().find(same) {
+        // Port 0 lets the system choose, another one each time.
+        let same = |used: &SocketAddr| *used == address && address.port() != 0;
+        if let Some((_, other)) = taken.iter().find(|(used, _)| same(used)) {
             entry.fault(
                 faults,
                 format!("is the same as listen.{other}; give each its own port"),
