--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -56,7 +56,7 @@
     };
     let seeds = seeds(root.entry("seeds"), listen.as_ref(), faults);
     let timeouts = timeouts(root.section("timeouts", faults), faults);
-    let leave = leave(root.section("leave", faults), faults);
+    let leave = leave(root.section("leave", faults), timeouts.as_ref(), faults);
     let limits = limits(root.section("limits", faults), faults);
     let log = log(root.section("log", faults), faults);
     Some(Settings {
@@ -209,10 +209,29 @@
     Some(Timeouts { request, connect })
 }
 
-fn leave(mut section: Section<'_>, faults: &mut Faults) -> Option<Leave> {
-    let limit = wait(section.entry("limit"), Leave::default().limit, faults);
+fn leave(
+    mut section: Section<'_>,
+    timeouts: Option<&Timeouts>,
+    faults: &mut Faults,
+) -> Option<Leave> {
+    let entry = section.entry("limit");
+    let at = entry.as_ref().map(|entry| entry.span.start);
+    let limit = wait(entry, Leave::default().limit, faults);
     section.finish(faults);
-    Some(Leave { limit: limit? })
+    let limit = limit?;
+    if let Some(timeouts) = timeouts.filter(|timeouts| timeouts.request > limit) {
+        faults.add(
+            at.unwrap_or_default(),
+            "leave.limit",
+            format!(
+                "is {} ms, below timeouts.request with {} ms: a planned stop would cut a question short; write a longer one",
+                limit.as_millis(),
+                timeouts.request.as_millis()
+            ),
+        );
+        return None;
+    }
+    Some(Leave { limit })
 }
 
 fn limits(mut section: Section<'_>, faults: &mut Faults) -> Option<Limits> {
--- /dev/null
+++ b/tests/event_catalogue.rs
@@ -0,0 +1,60 @@
+//! The catalogue of events in docs/EVENTS.md agrees with the code.
+
+use std::collections::BTreeSet;
+use std::path::Path;
+
+use auburnspoke::event;
+use googletest::prelude::*;
+
+/// The number and name of each row of the catalogue.
+fn rows() -> Vec<(String, String)> {
+    let text = std::fs::read_to_string("docs/EVENTS.md").unwrap();
+    text.lines()
+        .filter(|line| line.starts_with("| E"))
+        .map(|line| {
+            let cells: Vec<_> = line.split('|').map(str::trim).collect();
+            (cells[1].to_owned(), cells[2].to_owned())
+        })
+        .collect()
+}
+
+#[gtest]
+fn catalogue_matches_code() {
+    let code: Vec<_> = event::ALL
+        .iter()
+        .map(|event| (format!("E{:03}", event.number), event.name.to_owned()))
+        .collect();
+    expect_that!(rows(), eq(&code));
+}
+
+#[gtest]
+fn catalogue_unique() {
+    let numbers: BTreeSet<_> = event::ALL.iter().map(|event| event.number).collect();
+    let names: BTreeSet<_> = event::ALL.iter().map(|event| event.name).collect();
+    expect_that!(numbers.len(), eq(event::ALL.len()));
+    expect_that!(names.len(), eq(event::ALL.len()));
+}
+
+#[gtest]
+fn catalogue_each_logged() {
+    // An event that no code logs would promise operators a line that never
+    // comes.
+    let mut source = String::new();
+    read(Path::new("src"), &mut source);
+    for event in event::ALL {
+        let constant = format!("event::{}", event.name.to_uppercase());
+        expect_that!(source, contains_substring(constant));
+    }
+}
+
+/// Appends every source file under `folder`.
+fn read(folder: &Path, text: &mut String) {
+    for entry in std::fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            read(&path, text);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            text.push_str(&std::fs::read_to_string(&path).unwrap());
+        }
+    }
+}
