--- a/src/rpc.rs
+++ b/src/rpc.rs
@@ -5,16 +5,14 @@
 //! docs/design/rpc.md says why.
 
 pub mod caller;
+pub mod client;
 pub mod codec;
 pub mod error;
 pub mod job;
+pub mod method;
 pub mod operator;
 pub mod server;
 
-pub mod client;
-pub mod envelope;
-pub mod method;
-
 /// Types generated from proto/auburnspoke/v1 by `cargo run -p schema`.
 #[allow(missing_docs, clippy::all, clippy::pedantic)]
 #[rustfmt::skip]
--- a/src/rpc/client.rs
+++ b/src/rpc/client.rs
@@ -12,22 +12,18 @@
 
 use actix_http::StatusCode;
 use awc::error::SendRequestError;
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD_NO_PAD;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt as _};
 use prost::Message;
 use serde::Deserialize;
 
-use super::envelope::{Decoder, END, Envelope};
+use super::codec::{self, END_OF_STREAM};
+use super::error::{self, Body};
 use super::method::{ASK_STREAM, Call};
 use super::v1;
 
 /// Largest answer that is read, in bytes; a page of results is far below it.
 const MAX_ANSWER: usize = 64 * 1024 * 1024;
-/// The detail of an error that carries a [`v1::Refusal`].
-const REFUSAL: &str = "auburnspoke.v1.Refusal";
-
 /// Why a call has no answer.
 #[derive(Debug)]
 pub enum Error {
@@ -137,12 +133,9 @@
         &self,
         request: &v1::AskRequest,
     ) -> Result<Answer<impl Stream<Item = Result<Bytes, String>> + use<>>, Error> {
-        let envelope = Envelope {
-            flags: 0,
-            message: request.encode_to_vec().into(),
-        };
+        let envelope = codec::envelope(0, &request.encode_to_vec());
         let mut answer = self
-            .post(ASK_STREAM, "application/connect+proto", envelope.encode())
+            .post(ASK_STREAM, "application/connect+proto", envelope)
             .await?;
         let status = answer.status();
         if status != StatusCode::OK {
@@ -191,7 +184,7 @@
 /// A streamed answer.
 pub struct Answer<S> {
     parts: S,
-    decoder: Decoder,
+    buffer: BytesMut,
     ready: VecDeque<Result<v1::AskPiece, Error>>,
     whole: bool,
     closed: bool,
@@ -205,7 +198,7 @@
     pub fn new(parts: S) -> Self {
         Self {
             parts,
-            decoder: Decoder::new(MAX_ANSWER),
+            buffer: BytesMut::new(),
             ready: VecDeque::new(),
             whole: false,
             closed: false,
@@ -226,7 +219,7 @@
                 return Ok(None);
             }
             match self.parts.next().await {
-                Some(Ok(part)) => self.decoder.push(&part),
+                Some(Ok(part)) => self.buffer.extend_from_slice(&part),
                 Some(Err(e)) => self.fail(Error::Lost(e)),
                 None => self.fail(Error::Lost("the answer broke off before its end".into())),
             }
@@ -242,23 +235,26 @@
 
     fn unpack(&mut self) {
         while !self.closed {
-            match self.decoder.pop() {
-                Ok(Some(envelope)) => self.take(envelope),
-                Ok(None) => return,
-                Err(e) => self.fail(Error::Lost(e.to_string())),
+            match codec::open(&mut self.buffer) {
+                Some((flags, message)) => self.take(flags, message),
+                None if self.buffer.len() > MAX_ANSWER => {
+                    // A broken sender can't make the caller keep gigabytes.
+                    self.fail(Error::Lost("a piece is above the bound".into()));
+                }
+                None => return,
             }
         }
     }
 
-    fn take(&mut self, envelope: Envelope) {
-        if envelope.flags & END != 0 {
-            return match end_of_stream(&envelope.message) {
+    fn take(&mut self, flags: u8, message: Bytes) {
+        if flags & END_OF_STREAM != 0 {
+            return match end_of_stream(&message) {
                 Err(e) => self.fail(e),
                 Ok(()) if self.whole => self.closed = true,
                 Ok(()) => self.fail(Error::Lost("the answer ended without its end".into())),
             };
         }
-        match v1::AskPiece::decode(envelope.message) {
+        match v1::AskPiece::decode(message) {
             Ok(v1::AskPiece {
                 refusal: Some(refusal),
                 ..
@@ -272,53 +268,24 @@
     }
 }
 
-/// An error in the JSON of the Connect convention.
-#[derive(Deserialize)]
-struct Failure {
-    #[serde(default)]
-    code: String,
-    #[serde(default)]
-    message: String,
-    #[serde(default)]
-    details: Vec<Detail>,
-}
-
-#[derive(Deserialize)]
-struct Detail {
-    #[serde(rename = "type")]
-    kind: String,
-    #[serde(default)]
-    value: String,
-}
-
+/// The last message of a stream.
 #[derive(Deserialize)]
 struct End {
-    error: Option<Failure>,
+    error: Option<Body>,
 }
 
-impl Failure {
-    fn refusal(&self) -> Option<v1::Refusal> {
-        let detail = self.details.iter().find(|detail| detail.kind == REFUSAL)?;
-        // Connect asks for unpadded base64 and allows padding.
-        let value = STANDARD_NO_PAD
-            .decode(detail.value.trim_end_matches('='))
-            .ok()?;
-        v1::Refusal::decode(&value[..]).ok()
-    }
-
-    fn into_error(self) -> Error {
-        match self.refusal() {
-            Some(refusal) => Error::Refused(refusal),
-            None => Error::Lost(format!("{}: {}", self.code, self.message)),
-        }
+/// What an error body tells. One without a typed refusal comes from something
+/// else than a node, which can't vouch that nothing ran.
+fn failure(body: &Body) -> Error {
+    match error::typed(body) {
+        Some(refusal) => Error::Refused(refusal),
+        None => Error::Lost(format!("{}: {}", body.code, body.message)),
     }
 }
 
-/// Reads the error answer of a unary call. One without a typed refusal comes
-/// from something else than a node, which can't vouch that nothing ran.
 fn refusal(status: StatusCode, body: &[u8]) -> Error {
-    match serde_json::from_slice::<Failure>(body) {
-        Ok(failure) => failure.into_error(),
+    match serde_json::from_slice(body) {
+        Ok(body) => failure(&body),
         Err(_) => Error::Lost(format!("HTTP status {status} without a typed refusal")),
     }
 }
@@ -327,7 +294,7 @@
     let end: End = serde_json::from_slice(message)
         .map_err(|e| Error::Lost(format!("the end of the answer can't be read: {e}")))?;
     match end.error {
-        Some(failure) => Err(failure.into_error()),
+        Some(body) => Err(failure(&body)),
         None => Ok(()),
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -54,7 +54,8 @@
     pub region: Name,
 }
 
-/// Where a node listens. The addresses are also what others are told.
+/// Where a node listens. The addresses are also what others are told; port 0
+/// lets the system choose one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listen {
     /// For callers and operators.
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -56,7 +56,7 @@
     };
     let seeds = seeds(root.entry("seeds"), listen.as_ref(), faults);
     let timeouts = timeouts(root.section("timeouts", faults), faults);
-    let leave = leave(root.section("leave", faults), faults);
+    let leave = leave(root.section("leave", faults), timeouts.as_ref(), faults);
     let limits = limits(root.section("limits", faults), faults);
     let log = log(root.section("log", faults), faults);
     Some(Settings {
@@ -134,7 +134,7 @@
     let entry = section.require("address", "\"10.0.0.5:7100\"", faults);
     section.finish(faults);
     let entry = entry?;
-    let address = address(&entry, faults)?;
+    let address = remote(&entry, faults)?;
     if listen.is_some_and(|own| [own.callers, own.link, own.control].contains(&address)) {
         entry.fault(
             faults,
@@ -171,7 +171,7 @@
             span: value.span(),
             place: format!("seeds[{at}]"),
         };
-        match address(&seed, faults) {
+        match remote(&seed, faults) {
             Some(own) if listen.is_some_and(|listen| listen.control == own) => {
                 seed.fault(
                     faults,
@@ -209,10 +209,29 @@
     Some(Timeouts { request, connect })
 }
 
-fn leave(mut section: Section<'_>, faults: &mut Faults) -> Option<Leave> {
-    let limit = wait(section.entry("limit"), Leave::default().limit, faults);
+fn leave(
+    mut section: Section<'_>,
+    timeouts: Option<&Timeouts>,
+    faults: &mut Faults,
+) -> Option<Leave> {
+    let entry = section.entry("limit");
+    let at = entry.as_ref().map(|entry| entry.span.start);
+    let limit = wait(entry, Leave::default().limit, faults);
     section.finish(faults);
-    Some(Leave { limit: limit? })
+    let limit = limit?;
+    if let Some(timeouts) = timeouts.filter(|timeouts| timeouts.request > limit) {
+        faults.add(
+            at.unwrap_or_default(),
+            "leave.limit",
+            format!(
+                "is {} ms, below timeouts.request with {} ms: a planned stop would cut a question short; write a longer one",
+                limit.as_millis(),
+                timeouts.request.as_millis()
+            ),
+        );
+        return None;
+    }
+    Some(Leave { limit })
 }
 
 fn limits(mut section: Section<'_>, faults: &mut Faults) -> Option<Limits> {
@@ -325,6 +344,16 @@
     None
 }
 
+/// An address of something else, which must be there already.
+fn remote(entry: &Entry<'_>, faults: &mut Faults) -> Option<SocketAddr> {
+    let address = address(entry, faults)?;
+    if address.port() == 0 {
+        entry.fault(faults, "nothing listens on port 0; write its port");
+        return None;
+    }
+    Some(address)
+}
+
 fn wait(entry: Option<Entry<'_>>, fallback: Duration, faults: &mut Faults) -> Option<Duration> {
     let Some(entry) = entry else {
         return Some(fallback);
--- a/tests/cli/env.rs
+++ b/tests/cli/env.rs
@@ -4,12 +4,14 @@
 use std::net::SocketAddr;
 use std::process::{Command, Output, Stdio};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use actix_http::body::BoxBody;
 use actix_http::{Response, StatusCode};
 use auburnspoke::http;
-use auburnspoke::rpc::envelope::{END, Envelope};
-use auburnspoke::rpc::v1;
+use auburnspoke::outcome::{Reason, Refusal};
+use auburnspoke::rpc::codec::{END_OF_STREAM, envelope};
+use auburnspoke::rpc::{error, v1};
 use bytes::Bytes;
 use prost::Message;
 use tokio::sync::watch;
@@ -113,9 +115,9 @@
     /// A unary answer.
     Message(Vec<u8>),
     /// Envelopes of a stream, as they stand.
-    Stream(Vec<Envelope>),
-    /// A refusal in the Connect convention.
-    Refusal(u16, v1::Refusal),
+    Stream(Vec<Bytes>),
+    /// A refusal: whether it is certain that nothing ran, and why.
+    Refusal(bool, Refusal),
     /// Something that is not Connect at all.
     Raw(u16, &'static str),
 }
@@ -131,14 +133,15 @@
     fn into_response(self) -> Response<BoxBody> {
         match self {
             Self::Message(body) => http::reply(StatusCode::OK, "application/proto", body),
-            Self::Stream(envelopes) => {
-                let parts: Vec<u8> = envelopes.iter().flat_map(|e| e.encode().to_vec()).collect();
-                http::reply(StatusCode::OK, "application/connect+proto", parts)
-            }
-            Self::Refusal(status, refusal) => http::reply(
-                StatusCode::from_u16(status).unwrap(),
+            Self::Stream(envelopes) => http::reply(
+                StatusCode::OK,
+                "application/connect+proto",
+                envelopes.concat(),
+            ),
+            Self::Refusal(not_run, refusal) => http::reply(
+                error::code(refusal.reason).1,
                 "application/json",
-                failure(&refusal).to_string(),
+                serde_json::to_string(&error::body(not_run, &refusal)).unwrap(),
             ),
             Self::Raw(status, body) => {
                 http::reply(StatusCode::from_u16(status).unwrap(), "text/html", body)
@@ -147,29 +150,19 @@
     }
 }
 
-/// The JSON error of the Connect convention that carries a refusal.
-pub fn failure(refusal: &v1::Refusal) -> serde_json::Value {
-    use base64::Engine as _;
-    let value = base64::engine::general_purpose::STANDARD_NO_PAD.encode(refusal.encode_to_vec());
-    serde_json::json!({
-        "code": "resource_exhausted",
-        "message": refusal.message,
-        "details": [{"type": "auburnspoke.v1.Refusal", "value": value, "debug": refusal}],
-    })
+/// A refusal that names when to come back.
+pub fn overloaded() -> Refusal {
+    Refusal::new(Reason::Overloaded)
+        .because("every endpoint is full")
+        .after(Duration::from_millis(250))
 }
 
 /// A piece of a streamed answer.
-pub fn piece(piece: &v1::AskPiece) -> Envelope {
-    Envelope {
-        flags: 0,
-        message: piece.encode_to_vec().into(),
-    }
+pub fn piece(piece: &v1::AskPiece) -> Bytes {
+    envelope(0, &piece.encode_to_vec())
 }
 
 /// The end of a stream.
-pub fn end(json: &str) -> Envelope {
-    Envelope {
-        flags: END,
-        message: Bytes::copy_from_slice(json.as_bytes()),
-    }
+pub fn end(json: &str) -> Bytes {
+    envelope(END_OF_STREAM, json.as_bytes())
 }
--- a/tests/cli_remote.rs
+++ b/tests/cli_remote.rs
@@ -1,7 +1,8 @@
 //! Commands against a fake node: what they send, print and exit with.
 
-use auburnspoke::rpc::envelope::Envelope;
-use auburnspoke::rpc::v1;
+use auburnspoke::outcome::{Reason, Refusal};
+use auburnspoke::rpc::{error, v1};
+use bytes::Bytes;
 use googletest::prelude::*;
 use prost::Message as _;
 
@@ -9,18 +10,9 @@
 #[allow(dead_code)]
 mod env;
 
-use env::{Node, Reply, end, failure, piece};
+use env::{Node, Reply, end, overloaded, piece};
 
-fn refusal(not_run: bool) -> v1::Refusal {
-    v1::Refusal {
-        not_run,
-        reason: v1::Reason::Overloaded.into(),
-        message: "every endpoint is full".into(),
-        retry_after_ms: Some(250),
-    }
-}
-
-fn text(offset: u32, text: &str) -> Envelope {
+fn text(offset: u32, text: &str) -> Bytes {
     piece(&v1::AskPiece {
         offset,
         text: text.into(),
@@ -28,7 +20,7 @@
     })
 }
 
-fn last() -> Envelope {
+fn last() -> Bytes {
     piece(&v1::AskPiece {
         offset: 2,
         end: Some(v1::AskResponse {
@@ -95,7 +87,7 @@
 
 #[gtest]
 fn ask_refused() {
-    let node = Node::start(|_, _| Reply::Refusal(429, refusal(true)));
+    let node = Node::start(|_, _| Reply::Refusal(true, overloaded()));
     let asked = node.run(&ASK, "");
     expect_that!(asked.code, eq(4));
     expect_that!(
@@ -108,7 +100,7 @@
 
 #[gtest]
 fn ask_refused_json() {
-    let node = Node::start(|_, _| Reply::Refusal(429, refusal(true)));
+    let node = Node::start(|_, _| Reply::Refusal(true, overloaded()));
     let asked = node.run(&[&ASK[..], &["--json"]].concat(), "");
     let error: serde_json::Value = serde_json::from_str(&asked.stderr).unwrap();
     expect_that!(error["refusal"]["notRun"].as_bool(), some(eq(true)));
@@ -120,7 +112,8 @@
     // An endpoint fails in the middle of an answer. A clerk who was told "not
     // run" would screen the invoice a second time.
     let node = Node::start(|_, _| {
-        let end = end(&serde_json::json!({"error": failure(&refusal(false))}).to_string());
+        let error = error::body(false, &overloaded());
+        let end = end(&serde_json::json!({ "error": error }).to_string());
         Reply::Stream(vec![text(0, "Yes, "), end])
     });
     let asked = node.run(&ASK, "");
@@ -133,7 +126,7 @@
 fn ask_refusal_piece() {
     let node = Node::start(|_, _| {
         let refused = piece(&v1::AskPiece {
-            refusal: Some(refusal(false)),
+            refusal: Some(error::refusal(false, &overloaded())),
             ..v1::AskPiece::default()
         });
         Reply::Stream(vec![text(0, "Yes, "), refused, end("{}")])
@@ -206,7 +199,7 @@
 
 #[gtest]
 fn submit_refused_once() {
-    let node = Node::start(|_, _| Reply::Refusal(503, refusal(true)));
+    let node = Node::start(|_, _| Reply::Refusal(true, overloaded()));
     let args = ["job", "submit", "--service", "s", "-"];
     let sent = node.run(&args, "{\"prompt\": \"x\"}\n");
     expect_that!(sent.code, eq(4));
@@ -245,7 +238,7 @@
     // A node restarts while somebody waits for a job. Without looking again the
     // command would end in an error although nothing is lost.
     let node = Node::start(|_, before| match before {
-        0 => Reply::Refusal(503, refusal(true)),
+        0 => Reply::Refusal(true, overloaded()),
         _ => Reply::message(&v1::JobStatusResponse {
             job: "j1".into(),
             state: v1::JobState::Ended.into(),
@@ -334,15 +327,8 @@
 #[gtest]
 fn config_conflict() {
     let node = Node::start(|_, _| {
-        Reply::Refusal(
-            409,
-            v1::Refusal {
-                not_run: true,
-                reason: v1::Reason::Conflict.into(),
-                message: "version 9 is current".into(),
-                retry_after_ms: None,
-            },
-        )
+        let refusal = Refusal::new(Reason::Conflict).because("version 9 is current");
+        Reply::Refusal(true, refusal)
     });
     let applied = node.run(&["config", "apply", "--expect-version", "7", "-"], "");
     expect_that!(applied.code, eq(4));
