Configuration: checks, diff, commit, merging edits, and which version may be acted by

Cause: operators race, answers are lost after a commit, nodes are paused or cut off while the configuration changes.

Change: config::{check,diff,convert,row,commit,operator,follow}.

--- a/src/config.rs
+++ b/src/config.rs
@@ -9,6 +9,14 @@
 
 use crate::name::Name;
 
+pub mod check;
+pub mod commit;
+pub mod convert;
+pub mod diff;
+pub mod follow;
+pub mod operator;
+pub mod row;
+
 /// What answers a service's requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
--- /dev/null
+++ b/src/config/operator.rs
@@ -0,0 +1,229 @@
+//! What operators may do to the configuration, as the schema has it.
+
+use super::check::{self, Problem};
+use super::commit::{self, Accepted, Announce, Error, Request};
+use super::row::{self, Change, HISTORY_PREFIX};
+use super::{Document, convert};
+use crate::platform::Table;
+use crate::rpc::v1;
+
+/// Times that an edit is made again from a newer document when others change
+/// it meanwhile. Each loss of a race means that somebody else's change was
+/// accepted, so that the fleet makes progress; the bound is for one operator's
+/// patience.
+const MERGES: u32 = 8;
+/// Changes of history that are listed when the operator names no limit.
+const HISTORY_LIMIT: u32 = 20;
+/// Most changes of history that one answer lists.
+const MAX_HISTORY: u32 = 1_000;
+
+/// What marks one change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stamp {
+    /// Its identity: random, and used for this change alone.
+    pub id: u64,
+    /// Wall-clock time in milliseconds since 1970, for people.
+    pub at_ms: u64,
+}
+
+/// A change of one thing, which can be made to any document.
+#[derive(Clone, Debug, PartialEq)]
+enum Edit {
+    Service(v1::Service),
+    Endpoint(v1::Endpoint),
+    RemoveEndpoint(String),
+}
+
+/// Who makes a change, why, and whether it is only tried.
+#[derive(Clone, Debug)]
+struct Author {
+    name: String,
+    note: String,
+    dry_run: bool,
+}
+
+/// Changes and reads the configuration in the table.
+#[derive(Clone, Debug)]
+pub struct Operator<T, A> {
+    table: T,
+    announce: A,
+}
+
+impl<T, A> Operator<T, A>
+where
+    T: Table,
+    A: Announce,
+{
+    /// Works on `table` and tells other nodes through `announce`.
+    pub const fn new(table: T, announce: A) -> Self {
+        Self { table, announce }
+    }
+
+    /// The document in the table; version 0 when there is none yet.
+    ///
+    /// # Errors
+    /// [`Error::Refused`] when the table can't be read.
+    pub async fn get(&self) -> Result<Document, Error> {
+        commit::read(&self.table).await
+    }
+
+    /// Replaces the whole document, if its version is still the expected one.
+    ///
+    /// # Errors
+    /// [`Error`]; only [`Error::Unknown`] leaves open whether it was accepted.
+    pub async fn apply(
+        &self,
+        stamp: Stamp,
+        request: v1::ApplyConfigRequest,
+    ) -> Result<Accepted, Error> {
+        let config = request.config.unwrap_or_default();
+        let author = Author {
+            name: request.author,
+            note: request.note,
+            dry_run: request.dry_run,
+        };
+        self.commit(stamp, request.expect_version, &config, &author)
+            .await
+    }
+
+    /// Adds or replaces one service.
+    ///
+    /// # Errors
+    /// As for [`Operator::apply`].
+    pub async fn apply_service(
+        &self,
+        stamp: Stamp,
+        request: v1::ApplyServiceRequest,
+    ) -> Result<Accepted, Error> {
+        let edit = Edit::Service(request.service.unwrap_or_default());
+        let author = Author {
+            name: request.author,
+            note: request.note,
+            dry_run: request.dry_run,
+        };
+        self.merge(stamp, &edit, &author).await
+    }
+
+    /// Adds or replaces one endpoint.
+    ///
+    /// # Errors
+    /// As for [`Operator::apply`].
+    pub async fn add_endpoint(
+        &self,
+        stamp: Stamp,
+        request: v1::AddEndpointRequest,
+    ) -> Result<Accepted, Error> {
+        let edit = Edit::Endpoint(request.endpoint.unwrap_or_default());
+        let author = Author {
+            name: request.author,
+            note: request.note,
+            dry_run: request.dry_run,
+        };
+        self.merge(stamp, &edit, &author).await
+    }
+
+    /// Takes out one endpoint.
+    ///
+    /// # Errors
+    /// As for [`Operator::apply`]; [`Error::Invalid`] when there is none of
+    /// that name.
+    pub async fn remove_endpoint(
+        &self,
+        stamp: Stamp,
+        request: v1::RemoveEndpointRequest,
+    ) -> Result<Accepted, Error> {
+        let edit = Edit::RemoveEndpoint(request.name);
+        let author = Author {
+            name: request.author,
+            note: request.note,
+            dry_run: false,
+        };
+        self.merge(stamp, &edit, &author).await
+    }
+
+    /// Past changes, the newest first; a limit of 0 means twenty.
+    ///
+    /// # Errors
+    /// [`Error::Refused`] when the table can't be read.
+    pub async fn history(&self, limit: u32) -> Result<v1::ConfigHistoryResponse, Error> {
+        let limit = if limit == 0 { HISTORY_LIMIT } else { limit };
+        let limit = limit.min(MAX_HISTORY) as usize;
+        let page = self.table.scan(HISTORY_PREFIX, "", limit).await?;
+        let changes = page
+            .rows
+            .iter()
+            .filter_map(|found| row::decode::<Change>(&found.value));
+        Ok(v1::ConfigHistoryResponse {
+            changes: changes.map(convert::change).collect(),
+        })
+    }
+
+    /// Makes `edit` from the newest document, again if others change it
+    /// meanwhile.
+    async fn merge(&self, stamp: Stamp, edit: &Edit, author: &Author) -> Result<Accepted, Error> {
+        let mut last = 0;
+        for _ in 0..MERGES {
+            let document = commit::read(&self.table).await?;
+            let mut config = convert::to_schema(&document);
+            make(edit, &mut config).map_err(|problem| Error::Invalid(vec![problem]))?;
+            match self.commit(stamp, document.version, &config, author).await {
+                Err(Error::Conflict { current }) => last = current,
+                verdict => return verdict,
+            }
+        }
+        Err(Error::Conflict { current: last })
+    }
+
+    async fn commit(
+        &self,
+        stamp: Stamp,
+        expect: u64,
+        config: &v1::Config,
+        author: &Author,
+    ) -> Result<Accepted, Error> {
+        let document = check::document(config).map_err(Error::Invalid)?;
+        let request = Request {
+            expect,
+            document,
+            author: author.name.clone(),
+            note: author.note.clone(),
+            id: stamp.id,
+            at_ms: stamp.at_ms,
+            dry_run: author.dry_run,
+        };
+        commit::apply(&self.table, &self.announce, request).await
+    }
+}
+
+fn make(edit: &Edit, config: &mut v1::Config) -> Result<(), Problem> {
+    match edit {
+        Edit::Service(service) => {
+            replace(&mut config.services, service, |one| &one.name);
+        }
+        Edit::Endpoint(endpoint) => {
+            replace(&mut config.endpoints, endpoint, |one| &one.name);
+        }
+        Edit::RemoveEndpoint(name) => {
+            let before = config.endpoints.len();
+            config.endpoints.retain(|endpoint| endpoint.name != *name);
+            if config.endpoints.len() == before {
+                return Err(Problem {
+                    place: "name".into(),
+                    message: format!("there is no endpoint {name:?}; list them to see the names"),
+                });
+            }
+        }
+    }
+    Ok(())
+}
+
+fn replace<E, N>(entries: &mut Vec<E>, entry: &E, name: N)
+where
+    E: Clone,
+    N: Fn(&E) -> &str,
+{
+    match entries.iter_mut().find(|one| name(one) == name(entry)) {
+        Some(one) => one.clone_from(entry),
+        None => entries.push(entry.clone()),
+    }
+}
