--- a/src/config.rs
+++ b/src/config.rs
@@ -16,6 +16,7 @@
 pub mod follow;
 pub mod operator;
 pub mod row;
+pub mod watch;
 
 /// What answers a service's requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/config/follow.rs
+++ b/src/config/follow.rs
@@ -55,6 +55,7 @@
 /// Decides what this node may act by.
 #[derive(Debug)]
 pub struct Follower {
+    started: Time,
     spread: Duration,
     force: Force,
     newest: u64,
@@ -81,6 +82,7 @@
         let hash = xxhash_rust::xxh3::xxh3_64(node.as_bytes());
         let part = (hash % 1_000) as f64 / 1_000.0;
         Self {
+            started: now,
             spread: SPREAD.mul_f64(part),
             force: Force {
                 document: Arc::default(),
@@ -276,7 +278,14 @@
     }
 
     /// Notes that `version` was current at `at`.
+    ///
+    /// Evidence from before this process started does not count: the process
+    /// that was here before may have acted by a version that was accepted
+    /// since, and callers would see the node go back.
     fn confirm(&mut self, version: u64, at: Time) {
+        if at < self.started {
+            return;
+        }
         if version > self.version() {
             self.newer = self.newer.max(Some((version, at)));
             return;
