--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -133,15 +133,9 @@
         let rows: Vec<_> = answer
             .nodes
             .iter()
-            .map(|node| {
-                [
-                    node.node.clone(),
-                    node.version.to_string(),
-                    format!("{} ms ago", node.heard_ms),
-                ]
-            })
+            .map(|node| [node.node.clone(), node.version.to_string()])
             .collect();
-        let table = output::table(["NODE", "VERSION", "HEARD"], &rows);
+        let table = output::table(["NODE", "VERSION"], &rows);
         format!("{table}{}", summary(answer))
     })?;
     Ok(Exit::Done)
--- a/src/cli/endpoint.rs
+++ b/src/cli/endpoint.rs
@@ -153,11 +153,7 @@
 
 fn row(status: &v1::EndpointStatus) -> [String; 9] {
     let endpoint = status.endpoint.clone().unwrap_or_default();
-    let state = match (status.ejected, endpoint.leaving) {
-        (_, true) => "leaving",
-        (true, false) => "ejected",
-        (false, false) => "open",
-    };
+    let state = if endpoint.leaving { "leaving" } else { "open" };
     [
         endpoint.name,
         state.to_owned(),
--- a/src/cli/member.rs
+++ b/src/cli/member.rs
@@ -28,14 +28,10 @@
                 member.zone.clone(),
                 member.address.clone(),
                 member.config_version.to_string(),
-                format!("{} ms ago", member.heard_ms),
             ]
         })
         .collect();
-    output::table(
-        ["NODE", "STATE", "ZONE", "ADDRESS", "CONFIG", "HEARD"],
-        &rows,
-    )
+    output::table(["NODE", "STATE", "ZONE", "ADDRESS", "CONFIG"], &rows)
 }
 
 pub(super) const fn label(state: v1::MemberState) -> &'static str {
--- a/src/dispatch/shell.rs
+++ b/src/dispatch/shell.rs
@@ -19,7 +19,9 @@
 use super::{Action, End, Id, Input, Load, Offer, Queue, Setting};
 use crate::clock::{Clock, Time};
 use crate::config::Document;
+use crate::config::follow::Force;
 use crate::name::Name;
+use crate::node::work::{Guard, Work};
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::request::{Answer, Body, Request};
 use crate::snapshot;
@@ -34,7 +36,8 @@
 /// The dispatchers of one thread.
 pub struct Shell {
     clock: Clock,
-    config: Arc<snapshot::Cell<Document>>,
+    force: Arc<snapshot::Cell<Force>>,
+    work: Work,
     client: awc::Client,
     state: RefCell<State>,
     /// Wakes the timer when an earlier time became due.
@@ -66,6 +69,8 @@
     runs: u32,
     /// Ends the request when its requester goes away.
     watch: JoinHandle<()>,
+    /// Keeps the node from stopping before the request has ended.
+    _work: Guard,
 }
 
 impl Drop for Entry {
@@ -82,12 +87,14 @@
     /// their endpoint.
     pub fn new(
         clock: Clock,
-        config: Arc<snapshot::Cell<Document>>,
+        force: Arc<snapshot::Cell<Force>>,
+        work: Work,
         post: Arc<snapshot::Cell<Loads>>,
     ) -> Rc<Self> {
         Rc::new(Self {
             clock,
-            config,
+            force,
+            work,
             client: crate::http::client(crate::endpoint::CONNECT_TIMEOUT),
             state: RefCell::default(),
             changed: Notify::new(),
@@ -142,7 +149,7 @@
 
     /// Tells a queue when the configuration of its endpoint has changed.
     fn follow_config(self: &Rc<Self>, name: &Name) {
-        let setting = setting_of(&self.config.read(), name);
+        let setting = setting_of(&self.force.read().document, name);
         let changed = {
             let mut state = self.state.borrow_mut();
             let Some(stand) = state.stands.get_mut(name) else {
@@ -164,9 +171,18 @@
             request,
             reply,
         } = submit;
-        if !self.config.read().endpoints.contains_key(&endpoint) {
+        let force = self.force.read();
+        let refused = if !force.holds(now) {
+            // What this node knows may be superseded: it starts nothing by it.
+            Some(Reason::NotReady)
+        } else if !force.document.endpoints.contains_key(&endpoint) {
             // The gateway knows a newer or older configuration than this node.
-            let refusal = Refusal::new(Reason::NoEndpoint).after(IDLE_TICK);
+            Some(Reason::NoEndpoint)
+        } else {
+            None
+        };
+        if let Some(reason) = refused {
+            let refusal = Refusal::new(reason).after(IDLE_TICK);
             let _ = reply.try_send(Event::End(Outcome::NotRun(refusal), Load::default()));
             return;
         }
@@ -182,7 +198,7 @@
         request: Request,
         reply: mpsc::Sender<Event>,
     ) -> Offer {
-        let setting = setting_of(&self.config.read(), endpoint);
+        let setting = setting_of(&self.force.read().document, endpoint);
         let mut state = self.state.borrow_mut();
         state.last_id += 1;
         let id = state.last_id;
@@ -205,6 +221,7 @@
             reply,
             run: None,
             runs: 0,
+            _work: self.work.begin(),
         };
         stand.entries.insert(id, entry);
         offer
@@ -263,7 +280,7 @@
         let progress = Rc::clone(&entry.progress);
         let reply = entry.reply.clone();
         let deadline = entry.deadline;
-        let Some(target) = run::target(&self.config.read(), endpoint, &request) else {
+        let Some(target) = run::target(&self.force.read().document, endpoint, &request) else {
             drop(state);
             // The service left the configuration while the request waited.
             actix_rt::spawn(async move { shell.abandon(&name, id) });
--- a/src/event.rs
+++ b/src/event.rs
@@ -45,6 +45,7 @@
     302 REQUEST_RETRIED "request_retried";
     303 LINK_CLOSED "link_closed";
     304 FRAME_REFUSED "frame_refused";
+    305 ENDPOINT_EJECTED "endpoint_ejected";
     401 CHUNK_CLAIMED "chunk_claimed";
     402 CHUNK_TAKEN_OVER "chunk_taken_over";
     403 CHUNK_COMMITTED "chunk_committed";
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -1,12 +1,11 @@
 //! The way of a question from its caller to the dispatcher of an endpoint,
 //! and of the answer back.
 //!
-//! One gateway lives on each traffic thread. It tries again only where that is
-//! legal: after `NotRun` always, after `MayHaveRun` only for a request that may
-//! be repeated, and then from where the answer broke off.
+//! One gateway lives on each traffic thread. It decides nothing itself:
+//! [`limit`] admits, [`route`] chooses, [`retry`] tells whether to try again
+//! and puts the pieces together. docs/ARCHITECTURE.md shows the whole way.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,65 +13,159 @@
 use tokio::sync::mpsc;
 
 use crate::clock::{Clock, Time};
+use crate::config::follow::Force;
 use crate::config::{Document, Kind};
-use crate::dispatch::handle::Event;
-use crate::dispatch::{Handle, Load};
+use crate::dispatch::Handle;
 use crate::event;
+use crate::limit::{Bound, Demand, Gate, Grant, Limiter};
 use crate::link::Pool;
 use crate::member::View;
 use crate::metric::Metrics;
 use crate::name::Name;
+use crate::node::work::Work;
 use crate::outcome::{Outcome, Reason, Refusal};
-use crate::request::{Answer, Body, Class, Piece, Request};
+use crate::request::{Answer, Body, Piece, Request};
+use crate::retry::{self, Budget};
+use crate::route::{Router, Target};
 use crate::snapshot;
 
-/// Most endpoints that one question is tried at.
-const ATTEMPTS: usize = 3;
+mod attempt;
+mod guard;
+
+/// Questions that one traffic thread carries at a time. Above it memory would
+/// grow with the load; the letter's peak is some 13 a second on a node.
+const CAPACITY: u32 = 4_096;
 /// When to come back to a node that is not ready.
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
+/// How often limits are reported and changes are looked for.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
 
 /// What a gateway shares with the rest of its node.
 #[derive(Clone)]
 pub struct Shared {
     /// This node's name.
     pub node: Name,
+    /// This node's availability zone.
+    pub zone: Name,
     /// The monotonic clock.
     pub clock: Clock,
-    /// The configuration in force.
-    pub config: Arc<snapshot::Cell<Document>>,
+    /// The configuration that may be acted by.
+    pub force: Arc<snapshot::Cell<Force>>,
     /// The members.
     pub view: Arc<snapshot::Cell<View>>,
     /// The dispatchers of this node.
     pub dispatch: Handle,
     /// Counters.
     pub metrics: Arc<Metrics>,
+    /// What is in flight on this node.
+    pub work: Work,
+}
+
+impl Shared {
+    /// The configuration, or a refusal while this node can't know whether it
+    /// is still in force.
+    ///
+    /// # Errors
+    /// [`Reason::NotReady`] with when to come back.
+    pub fn config(&self) -> Result<Arc<Document>, Refusal> {
+        let force = self.force.read();
+        if force.holds(self.clock.now()) {
+            return Ok(Arc::clone(&force.document));
+        }
+        Err(Refusal::new(Reason::NotReady).after(NOT_READY_RETRY))
+    }
+}
+
+/// What an organisation asks of one traffic thread.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Wish {
+    /// The traffic thread.
+    pub thread: usize,
+    /// The organisation.
+    pub organisation: Name,
+    /// What it asks.
+    pub demand: Demand,
 }
 
 /// The gateway of one traffic thread.
 pub struct Gateway {
     shared: Shared,
+    thread: usize,
     links: Rc<Pool>,
-    loads: RefCell<HashMap<Name, Load>>,
+    router: RefCell<Router>,
+    limiter: RefCell<Limiter>,
+    gate: RefCell<Gate>,
+    budget: RefCell<Budget>,
+    last_flight: Cell<u64>,
+    version: Cell<u64>,
 }
 
 impl Gateway {
     /// A gateway that has heard of no endpoint's load yet.
-    pub fn new(shared: Shared) -> Rc<Self> {
-        let links = Pool::new(shared.node.clone());
+    pub fn new(shared: Shared, thread: usize) -> Rc<Self> {
         Rc::new(Self {
+            thread,
+            links: Pool::new(shared.node.clone()),
+            router: RefCell::new(Router::new(shared.zone.clone(), rand::random())),
+            limiter: RefCell::new(Limiter::new(1)),
+            gate: RefCell::new(Gate::new(CAPACITY)),
+            budget: RefCell::default(),
+            last_flight: Cell::new(0),
+            version: Cell::new(0),
             shared,
-            links,
-            loads: RefCell::default(),
         })
     }
 
+    /// Follows members and configuration, and sends what organisations ask of
+    /// this thread to the control thread, for as long as the thread lives.
+    pub async fn follow(self: Rc<Self>, threads: usize, wishes: mpsc::Sender<Wish>) {
+        loop {
+            if let Ok(config) = self.shared.config() {
+                self.take_config(&config);
+            }
+            self.send_wishes(threads, &wishes);
+            for (endpoint, cause) in self.router.borrow_mut().ejections() {
+                log::warn!(
+                    "{} endpoint={endpoint} cause={cause:?}",
+                    event::ENDPOINT_EJECTED
+                );
+            }
+            actix_rt::time::sleep(LOOK_EVERY).await;
+        }
+    }
+
+    /// Tells the control thread what organisations ask of this thread.
+    fn send_wishes(&self, threads: usize, wishes: &mpsc::Sender<Wish>) {
+        let nodes = self.shared.view.read().usable().count() * threads;
+        let now = self.shared.clock.now();
+        let mut limiter = self.limiter.borrow_mut();
+        limiter.nodes(u32::try_from(nodes).unwrap_or(u32::MAX));
+        for (organisation, demand) in limiter.reports(now) {
+            let thread = self.thread;
+            // A lost report is made good by the next one.
+            let _ = wishes.try_send(Wish {
+                thread,
+                organisation,
+                demand,
+            });
+        }
+    }
+
+    /// Takes the shares that the owners of organisations grant.
+    pub async fn take_grants(self: Rc<Self>, mut grants: mpsc::Receiver<(Name, Grant)>) {
+        while let Some((organisation, grant)) = grants.recv().await {
+            let now = self.shared.clock.now();
+            self.limiter.borrow_mut().grant(now, &organisation, grant);
+        }
+    }
+
     /// Asks one question and hands the pieces of its answer to `pieces`.
     ///
     /// The whole answer is also in the outcome, so that a caller who wants no
     /// pieces can drop the other end.
     pub async fn ask(&self, request: Request, pieces: mpsc::Sender<Piece>) -> Outcome<Answer> {
         let class = request.class;
-        let outcome = self.try_endpoints(request, pieces).await;
+        let outcome = self.admit(request, pieces).await;
         if let Outcome::NotRun(refusal) | Outcome::MayHaveRun(refusal) = &outcome {
             self.shared.metrics.refuse(class, refusal.reason);
             log::debug!("{} {refusal}", event::REQUEST_REFUSED);
@@ -80,177 +173,144 @@
         outcome
     }
 
-    async fn try_endpoints(
+    async fn admit(&self, mut request: Request, pieces: mpsc::Sender<Piece>) -> Outcome<Answer> {
+        let config = match self.shared.config() {
+            Ok(config) => config,
+            Err(refusal) => return Outcome::NotRun(refusal),
+        };
+        self.take_config(&config);
+        if let Err(refusal) = complete(&config, &mut request) {
+            return Outcome::NotRun(refusal);
+        }
+        let _passage = match guard::Passage::enter(self, &request) {
+            Ok(passage) => passage,
+            Err(refusal) => return Outcome::NotRun(refusal),
+        };
+        self.run(config, request, pieces).await
+    }
+
+    /// Tries endpoints until one answers or trying again is of no use.
+    async fn run(
         &self,
+        config: Arc<Document>,
         mut request: Request,
         pieces: mpsc::Sender<Piece>,
     ) -> Outcome<Answer> {
-        if let Err(refusal) = self.complete(&mut request) {
-            return Outcome::NotRun(refusal);
-        }
-        let arrived = self.shared.clock.now();
-        let deadline = arrived + request.time_left;
-        let mut stream = Stream::new(arrived, pieces);
+        let now = self.shared.clock.now();
+        let deadline = now + request.time_left;
+        let mut stream = attempt::Stream::new(now, pieces);
         let mut tried: Vec<Name> = Vec::new();
         let mut ran = false;
         loop {
-            let now = self.shared.clock.now();
-            if now >= deadline {
-                let refusal = Refusal::new(Reason::Deadline);
-                return verdict(ran, refusal);
+            let left = deadline.since(self.shared.clock.now());
+            if left.is_zero() {
+                return verdict(ran, Refusal::new(Reason::Deadline));
             }
-            request.time_left = deadline.since(now);
-            request.resume_from = stream.tokens;
-            request.resume_text = stream.text.as_str().into();
-            let Some((endpoint, node)) = self.choose(&request, &tried) else {
+            request.time_left = left;
+            stream.resume(&mut request);
+            let Some(endpoint) = self.pick(&request, &tried) else {
                 let refusal = Refusal::new(Reason::NoEndpoint).after(NOT_READY_RETRY);
                 return verdict(ran, refusal);
             };
             let outcome = self
-                .attempt(&endpoint, &node, &request, &mut stream, deadline)
+                .attempt(&config, &endpoint, &request, &mut stream, deadline)
                 .await;
             tried.push(endpoint);
-            let (refusal, again) = match outcome {
-                Outcome::Done(answer) => return Outcome::Done(answer),
-                Outcome::NotRun(refusal) => (refusal, true),
+            let failure = match outcome {
+                Outcome::Done(answer) => {
+                    self.budget.borrow_mut().deposit();
+                    stream.finish(&answer).await;
+                    return Outcome::Done(answer);
+                }
+                Outcome::NotRun(refusal) => retry::Failure::NotRun(refusal),
                 Outcome::MayHaveRun(refusal) => {
                     ran = true;
-                    (refusal, !request.once)
+                    retry::Failure::MayHaveRun(refusal)
                 }
             };
-            if !again || !may_help(refusal.reason) || tried.len() >= ATTEMPTS {
-                return verdict(ran, refusal);
+            match self.again(&config, &request, &tried, deadline, failure) {
+                Ok(wait) => actix_rt::time::sleep(wait).await,
+                Err(refusal) => return verdict(ran, refusal),
             }
-            self.shared.metrics.retry(request.class, refusal.reason);
-            log::debug!("{} {refusal}", event::REQUEST_RETRIED);
         }
     }
 
-    /// Fills in the service's own bounds where the caller named none.
-    fn complete(&self, request: &mut Request) -> Result<(), Refusal> {
-        let config = self.shared.config.read();
-        if config.version == 0 {
-            return Err(Refusal::new(Reason::NotReady).after(NOT_READY_RETRY));
-        }
-        let Some(service) = config.services.get(&request.service) else {
-            return Err(Refusal::new(Reason::UnknownService).because(format!(
-                "there is no service `{}`; `auburnspoke service list` names them",
-                request.service
-            )));
-        };
-        if request.time_left.is_zero() {
-            request.time_left = Duration::from_millis(service.deadline_ms.into());
-        }
-        match (&mut request.body, service.kind) {
-            (Body::Prompt { max_tokens, .. }, Kind::Model) => {
-                if *max_tokens == 0 || *max_tokens > service.max_tokens {
-                    *max_tokens = service.max_tokens;
-                }
-                Ok(())
-            }
-            (Body::Call { .. }, Kind::Plain) => Ok(()),
-            (Body::Prompt { .. }, Kind::Plain) => Err(Refusal::new(Reason::Invalid)
-                .because("the service is a plain one; name a path and a body, not a prompt")),
-            (Body::Call { .. }, Kind::Model) => Err(Refusal::new(Reason::Invalid)
-                .because("the service is a model; name a prompt, not a path")),
-        }
-    }
-
-    /// The endpoint to try next and the node that dispatches it.
-    fn choose(&self, request: &Request, tried: &[Name]) -> Option<(Name, Name)> {
-        let config = self.shared.config.read();
-        let view = self.shared.view.read();
-        let loads = self.loads.borrow();
-        let endpoint = config
-            .endpoints_of(&request.service)
-            .filter(|endpoint| !tried.contains(&endpoint.name))
-            .min_by_key(|endpoint| loads.get(&endpoint.name).map_or(0, |l| l.online + l.queued))?;
-        let node = view
-            .usable()
-            .max_by_key(|member| {
-                let pair = format!("{}/{}", endpoint.name, member.name);
-                xxhash_rust::xxh3::xxh3_64(pair.as_bytes())
-            })?
-            .name
-            .clone();
-        Some((endpoint.name.clone(), node))
-    }
-
-    async fn attempt(
+    /// When to try again, or the refusal that is final.
+    fn again(
         &self,
-        endpoint: &Name,
-        node: &Name,
+        config: &Document,
         request: &Request,
-        stream: &mut Stream,
+        tried: &[Name],
         deadline: Time,
-    ) -> Outcome<Answer> {
-        let mut events = if *node == self.shared.node {
-            let dispatch = &self.shared.dispatch;
-            dispatch.submit(endpoint.clone(), request.clone())
-        } else {
-            let Some(link) = self.link_of(node) else {
-                return Outcome::NotRun(Refusal::new(Reason::LinkFailed));
-            };
-            self.links.submit(&link, endpoint.clone(), request.clone())
+        failure: retry::Failure,
+    ) -> Result<Duration, Refusal> {
+        let (retry::Failure::NotRun(refusal) | retry::Failure::MayHaveRun(refusal)) =
+            failure.clone();
+        let mut endpoints = config.endpoints_of(&request.service);
+        let attempt = retry::Attempt {
+            count: u32::try_from(tried.len()).unwrap_or(u32::MAX),
+            once: request.once,
+            time_left: deadline.since(self.shared.clock.now()),
+            elsewhere: endpoints.any(|endpoint| !tried.contains(&endpoint.name)),
         };
-        loop {
-            let left = deadline.since(self.shared.clock.now());
-            match tokio::time::timeout(left, events.recv()).await {
-                Err(_) => return Outcome::MayHaveRun(Refusal::new(Reason::Deadline)),
-                Ok(None) => return Outcome::MayHaveRun(Refusal::new(Reason::LinkFailed)),
-                Ok(Some(Event::Piece(piece))) => {
-                    stream.take(&self.shared, request.class, piece).await;
-                }
-                Ok(Some(Event::End(outcome, load))) => {
-                    self.loads.borrow_mut().insert(endpoint.clone(), load);
-                    return outcome;
-                }
+        match retry::decide(failure, &attempt, &mut self.budget.borrow_mut()) {
+            retry::Decision::Again { wait } => {
+                self.shared.metrics.retry(request.class, refusal.reason);
+                log::debug!("{} {refusal}", event::REQUEST_RETRIED);
+                Ok(wait)
             }
+            retry::Decision::Final(_) => Err(refusal),
         }
     }
 
-    fn link_of(&self, node: &str) -> Option<Name> {
-        let view = self.shared.view.read();
-        view.find(node).map(|member| member.link.clone())
+    /// Hands a newer configuration to the decisions.
+    fn take_config(&self, config: &Document) {
+        if config.version == self.version.get() {
+            return;
+        }
+        self.version.set(config.version);
+        let endpoints = config.endpoints.values().filter(|e| !e.leaving);
+        self.router
+            .borrow_mut()
+            .update(endpoints.map(|endpoint| Target {
+                name: endpoint.name.clone(),
+                zone: endpoint.zone.clone(),
+                services: endpoint.services.clone(),
+            }));
+        let bounds = config.organisations.values().map(|organisation| {
+            let bound = Bound {
+                rate: organisation.rate,
+                concurrency: organisation.concurrency,
+            };
+            (organisation.name.clone(), bound)
+        });
+        self.limiter.borrow_mut().update(bounds);
     }
 }
 
-/// What a caller has of an answer, over all attempts.
-struct Stream {
-    pieces: mpsc::Sender<Piece>,
-    tokens: u32,
-    text: String,
-    last: Time,
-}
-
-impl Stream {
-    fn new(now: Time, pieces: mpsc::Sender<Piece>) -> Self {
-        Self {
-            pieces,
-            tokens: 0,
-            text: String::new(),
-            last: now,
-        }
+/// Fills in the service's own bounds where the caller named none.
+fn complete(config: &Document, request: &mut Request) -> Result<(), Refusal> {
+    let Some(service) = config.services.get(&request.service) else {
+        return Err(Refusal::new(Reason::UnknownService).because(format!(
+            "there is no service `{}`; `auburnspoke service list` names them",
+            request.service
+        )));
+    };
+    if request.time_left.is_zero() {
+        request.time_left = Duration::from_millis(service.deadline_ms.into());
     }
-
-    /// Passes a piece on if it is the next one: pieces that come late, twice or
-    /// out of order never reach the caller.
-    async fn take(&mut self, shared: &Shared, class: Class, piece: Piece) {
-        if piece.offset != self.tokens {
-            return;
-        }
-        let now = shared.clock.now();
-        if class == Class::Online {
-            if self.tokens == 0 {
-                shared.metrics.first_token(now.since(self.last));
-            } else {
-                shared.metrics.between_tokens(now.since(self.last));
+    match (&mut request.body, service.kind) {
+        (Body::Prompt { max_tokens, .. }, Kind::Model) => {
+            if *max_tokens == 0 || *max_tokens > service.max_tokens {
+                *max_tokens = service.max_tokens;
             }
+            Ok(())
         }
-        self.last = now;
-        self.tokens += piece.tokens;
-        self.text.push_str(&piece.text);
-        let _ = self.pieces.send(piece).await;
+        (Body::Call { .. }, Kind::Plain) => Ok(()),
+        (Body::Prompt { .. }, Kind::Plain) => Err(Refusal::new(Reason::Invalid)
+            .because("the service is a plain one; name a path and a body, not a prompt")),
+        (Body::Call { .. }, Kind::Model) => Err(Refusal::new(Reason::Invalid)
+            .because("the service is a model; name a prompt, not a path")),
     }
 }
 
@@ -262,15 +322,3 @@
         Outcome::NotRun(refusal)
     }
 }
-
-/// True for causes that another endpoint may not share.
-fn may_help(reason: Reason) -> bool {
-    matches!(
-        reason,
-        Reason::Overloaded
-            | Reason::NoEndpoint
-            | Reason::NotReady
-            | Reason::EndpointFailed
-            | Reason::LinkFailed
-    )
-}
--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,186 @@
+//! One attempt of a request at one endpoint, and the answer over all attempts.
+
+use tokio::sync::mpsc;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::{Gateway, Shared, guard};
+use crate::clock::Time;
+use crate::config::Document;
+use crate::dispatch::Load;
+use crate::dispatch::handle::Event;
+use crate::name::Name;
+use crate::outcome::{Outcome, Reason, Refusal};
+use crate::request::{Answer, Body, Class, Piece, Request};
+use crate::retry::{Assembly, Push};
+use crate::route::{self, Query, Verdict};
+
+/// Bytes of a prompt that make up one block of an engine's prefix cache: its
+/// 16 tokens of roughly four bytes.
+const BLOCK: usize = 64;
+/// Leading blocks that routing looks at; more say nothing new.
+const BLOCKS: usize = 32;
+
+impl Gateway {
+    /// The endpoint to try next.
+    pub(super) fn pick(&self, request: &Request, tried: &[Name]) -> Option<Name> {
+        let now = self.shared.clock.now();
+        let query = Query {
+            service: &request.service,
+            blocks: &blocks(&request.body),
+            tried,
+            repeatable: !request.once,
+        };
+        let choice = self.router.borrow_mut().pick(now, &query)?;
+        Some(choice.endpoint)
+    }
+
+    /// Tries one endpoint through its dispatcher.
+    pub(super) async fn attempt(
+        &self,
+        config: &Document,
+        endpoint: &Name,
+        request: &Request,
+        stream: &mut Stream,
+        deadline: Time,
+    ) -> Outcome<Answer> {
+        let Some(mut events) = self.submit(config, endpoint, request) else {
+            return Outcome::NotRun(Refusal::new(Reason::NoEndpoint));
+        };
+        let flight = guard::Flight::start(self, endpoint, &blocks(&request.body));
+        let (outcome, load) = loop {
+            let left = deadline.since(self.shared.clock.now());
+            match tokio::time::timeout(left, events.recv()).await {
+                Err(_) => {
+                    let refusal = Refusal::new(Reason::Deadline);
+                    break (Outcome::MayHaveRun(refusal), None);
+                }
+                Ok(None) => {
+                    let refusal = Refusal::new(Reason::LinkFailed);
+                    break (Outcome::MayHaveRun(refusal), None);
+                }
+                Ok(Some(Event::Piece(piece))) => {
+                    flight.first_token();
+                    if !stream.take(&self.shared, request.class, piece).await {
+                        let refusal = Refusal::new(Reason::EndpointFailed)
+                            .because("the answer's pieces do not fit together");
+                        break (Outcome::MayHaveRun(refusal), None);
+                    }
+                }
+                Ok(Some(Event::End(outcome, load))) => break (outcome, Some(load)),
+            }
+        };
+        // A link that broke brings no load with it.
+        let load = load.filter(|load| *load != Load::default());
+        flight.end(judge(&outcome), load);
+        outcome
+    }
+
+    /// Hands the request to the endpoint's dispatcher, here or on a peer.
+    fn submit(
+        &self,
+        config: &Document,
+        endpoint: &Name,
+        request: &Request,
+    ) -> Option<mpsc::Receiver<Event>> {
+        let view = self.shared.view.read();
+        let zone = &config.endpoints.get(endpoint)?.zone;
+        let member = route::dispatcher(&view, endpoint, zone)?;
+        let request = request.clone();
+        let endpoint = endpoint.clone();
+        if member.name == self.shared.node {
+            return Some(self.shared.dispatch.submit(endpoint, request));
+        }
+        Some(self.links.submit(&member.link, endpoint, request))
+    }
+}
+
+/// What an attempt says of its endpoint's health.
+fn judge(outcome: &Outcome<Answer>) -> Verdict {
+    let (Outcome::NotRun(refusal) | Outcome::MayHaveRun(refusal)) = outcome else {
+        return Verdict::Good;
+    };
+    match refusal.reason {
+        Reason::Overloaded | Reason::Limited | Reason::Deadline => Verdict::Full,
+        Reason::NoEndpoint | Reason::EndpointFailed => Verdict::Failed,
+        // The dispatcher or the way to it is at fault, not the endpoint.
+        _ => Verdict::Withdrawn,
+    }
+}
+
+/// Names of a prompt's leading blocks; each covers all text before it too.
+fn blocks(body: &Body) -> Vec<u64> {
+    let Body::Prompt { prompt, .. } = body else {
+        return Vec::new();
+    };
+    let mut seed = 0;
+    let chunks = prompt.as_bytes().chunks_exact(BLOCK).take(BLOCKS);
+    chunks
+        .map(|chunk| {
+            seed = xxh3_64_with_seed(chunk, seed);
+            seed
+        })
+        .collect()
+}
+
+/// What a caller has of an answer, over all attempts.
+pub(super) struct Stream {
+    pieces: mpsc::Sender<Piece>,
+    assembly: Assembly,
+    last: Time,
+}
+
+impl Stream {
+    pub(super) fn new(now: Time, pieces: mpsc::Sender<Piece>) -> Self {
+        Self {
+            pieces,
+            assembly: Assembly::default(),
+            last: now,
+        }
+    }
+
+    /// Prepares a request to go on from what the caller has.
+    pub(super) fn resume(&mut self, request: &mut Request) {
+        self.assembly.restart();
+        request.resume_from = self.assembly.tokens();
+        request.resume_text = self.assembly.text().into();
+    }
+
+    /// Takes a piece; false when it contradicts what the caller has.
+    pub(super) async fn take(&mut self, shared: &Shared, class: Class, piece: Piece) -> bool {
+        let first = self.assembly.tokens() == 0;
+        let next = match self.assembly.push(piece) {
+            Push::Next(next) => next,
+            Push::Nothing => return true,
+            Push::Broken => return false,
+        };
+        let now = shared.clock.now();
+        let took = now.since(self.last);
+        self.last = now;
+        if class == Class::Online && first {
+            shared.metrics.first_token(took);
+        } else if class == Class::Online {
+            shared.metrics.between_tokens(took);
+        }
+        for piece in next {
+            // An error means that the caller wants no pieces.
+            let _ = self.pieces.send(piece).await;
+        }
+        true
+    }
+
+    /// Sends what the caller still lacks when the last word has come before
+    /// some piece.
+    pub(super) async fn finish(&mut self, answer: &Answer) {
+        let have = self.assembly.tokens();
+        let rest = answer.text.strip_prefix(self.assembly.text());
+        let Some(rest) = rest.filter(|_| answer.tokens > have) else {
+            return;
+        };
+        let piece = Piece {
+            offset: have,
+            tokens: answer.tokens - have,
+            text: rest.to_owned(),
+        };
+        let _ = self.pieces.send(piece).await;
+    }
+}
--- a/src/link.rs
+++ b/src/link.rs
@@ -11,15 +11,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
 use crate::dispatch::Load;
 use crate::dispatch::handle::Event;
 use crate::name::Name;
 use crate::outcome::{Outcome, Reason, Refusal};
-use crate::request::Request;
+use crate::request::{Piece, Request};
 use crate::wire;
+use crate::wire::query::{Query, Reply};
 use crate::wire::traffic::Frame;
 
 mod client;
@@ -33,11 +34,16 @@
 const ANSWER_PIECES: usize = 16 * 1_024;
 /// Most time to connect and greet.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// How often an idle connection asks its peer for a sign of life.
+/// How often a connection on which something is open asks its peer for a sign
+/// of life. An idle one is not asked: with hundreds of peers that alone would
+/// be more than the control budget.
 const PING_EVERY: Duration = Duration::from_millis(500);
-/// A peer that was silent for this long is taken for gone: it is paused, cut
-/// off or dead, and requests on it must be tried elsewhere.
+/// A peer that was silent for this long while something is open is taken for
+/// gone: it is paused, cut off or dead, and requests on it must be tried
+/// elsewhere.
 const SILENCE: Duration = Duration::from_secs(2);
+/// A connection on which nothing was open for this long is closed.
+const IDLE: Duration = Duration::from_secs(60);
 /// When to come back after a link failed.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -56,11 +62,17 @@
 }
 
 struct Pending {
-    reply: mpsc::Sender<Event>,
+    reply: ReplyTo,
     /// True once its frame was handed to the socket.
     written: bool,
 }
 
+/// Who waits for what comes back.
+enum ReplyTo {
+    Request(mpsc::Sender<Event>),
+    Query(oneshot::Sender<Reply>),
+}
+
 impl Pool {
     /// A pool without connections, for the node of that name.
     pub fn new(node: Name) -> Rc<Self> {
@@ -84,19 +96,13 @@
             let _ = reply.try_send(lost(false, "its address can't be read"));
             return events;
         };
-        let id = peer.last_id.get() + 1;
-        peer.last_id.set(id);
+        let id = peer.next_id();
         let frame = Frame::Submit {
             id,
             endpoint,
             request: Box::new(request),
         };
-        let pending = Pending {
-            reply: reply.clone(),
-            written: false,
-        };
-        peer.pending.borrow_mut().insert(id, pending);
-        if peer.frames.try_send(frame).is_err() {
+        if !peer.send(id, frame, ReplyTo::Request(reply.clone())) {
             peer.end(id, lost(false, "the link to the dispatcher is full"));
             return events;
         }
@@ -110,6 +116,23 @@
         events
     }
 
+    /// Asks the control thread of the peer whose link listens at `address`;
+    /// none when it does not answer within `wait`.
+    pub async fn ask(
+        self: &Rc<Self>,
+        address: &Name,
+        query: Query,
+        wait: Duration,
+    ) -> Option<Reply> {
+        let peer = self.peer(address)?;
+        let id = peer.next_id();
+        let (reply, answer) = oneshot::channel();
+        peer.send(id, Frame::Query { id, query }, ReplyTo::Query(reply));
+        let answer = tokio::time::timeout(wait, answer).await;
+        peer.pending.borrow_mut().remove(&id);
+        answer.ok()?.ok()
+    }
+
     fn peer(self: &Rc<Self>, address: &Name) -> Option<Rc<Peer>> {
         if let Some(peer) = self.peers.borrow().get(address)
             && peer.open.get()
@@ -134,18 +157,53 @@
 }
 
 impl Peer {
+    fn next_id(&self) -> u64 {
+        let id = self.last_id.get() + 1;
+        self.last_id.set(id);
+        id
+    }
+
+    /// Hands a frame to the writer; false when its queue is full.
+    fn send(&self, id: u64, frame: Frame, reply: ReplyTo) -> bool {
+        let written = false;
+        let pending = Pending { reply, written };
+        self.pending.borrow_mut().insert(id, pending);
+        self.frames.try_send(frame).is_ok()
+    }
+
     /// Gives a request its last word and forgets it.
     fn end(&self, id: u64, event: Event) {
-        if let Some(pending) = self.pending.borrow_mut().remove(&id) {
-            let _ = pending.reply.try_send(event);
+        let pending = self.pending.borrow_mut().remove(&id);
+        if let Some(ReplyTo::Request(reply)) = pending.map(|pending| pending.reply) {
+            let _ = reply.try_send(event);
+        }
+    }
+
+    /// Gives a question its answer.
+    fn answer(&self, id: u64, answer: Reply) {
+        let pending = self.pending.borrow_mut().remove(&id);
+        if let Some(ReplyTo::Query(reply)) = pending.map(|pending| pending.reply) {
+            let _ = reply.send(answer);
         }
     }
 
-    /// Ends every request with what can be proved of it.
+    /// Passes on a piece; false when its reader is a whole answer behind.
+    fn piece(&self, id: u64, piece: Piece) -> bool {
+        match self.pending.borrow().get(&id).map(|pending| &pending.reply) {
+            Some(ReplyTo::Request(reply)) => reply.try_send(Event::Piece(piece)).is_ok(),
+            // Late pieces of a cancelled request.
+            Some(ReplyTo::Query(_)) | None => true,
+        }
+    }
+
+    /// Ends every request with what can be proved of it. Questions end when
+    /// their senders are dropped.
     fn close(&self, why: &str) {
         self.open.set(false);
         for (_, pending) in self.pending.borrow_mut().drain() {
-            let _ = pending.reply.try_send(lost(pending.written, why));
+            if let ReplyTo::Request(reply) = pending.reply {
+                let _ = reply.try_send(lost(pending.written, why));
+            }
         }
     }
 }
--- a/src/link/client.rs
+++ b/src/link/client.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Instant;
 
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt as _, StreamExt as _};
@@ -11,7 +12,7 @@
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
-use super::{CONNECT_TIMEOUT, PING_EVERY, Peer, SILENCE, socket_config};
+use super::{CONNECT_TIMEOUT, IDLE, PING_EVERY, Peer, SILENCE, socket_config};
 use crate::dispatch::handle::Event;
 use crate::event;
 use crate::name::Name;
@@ -70,12 +71,22 @@
 }
 
 async fn write(peer: &Peer, sink: &mut Sink, outgoing: &mut mpsc::Receiver<Frame>) -> String {
-    // The ping does not wait for an idle moment: a peer that answers nothing
+    // The ping does not wait for a quiet moment: a peer that answers nothing
     // for a while, because every prompt is long, must still show that it lives.
     let mut ping = tokio::time::interval(PING_EVERY);
+    let mut idle_since = Instant::now();
     loop {
         let sent = tokio::select! {
-            _ = ping.tick() => sink.send(Message::Ping(bytes::Bytes::new())).await,
+            _ = ping.tick() => {
+                if !peer.pending.borrow().is_empty() {
+                    idle_since = Instant::now();
+                    sink.send(Message::Ping(bytes::Bytes::new())).await
+                } else if idle_since.elapsed() >= IDLE {
+                    return "idle".into();
+                } else {
+                    Ok(())
+                }
+            }
             frame = outgoing.recv() => match frame {
                 None => return "no longer needed".into(),
                 Some(frame) => match send(peer, sink, frame, outgoing).await {
@@ -99,7 +110,7 @@
 ) -> Result<Result<(), tokio_tungstenite::tungstenite::Error>, String> {
     let mut next = Some(first);
     while let Some(frame) = next {
-        if let Frame::Submit { id, .. } = &frame {
+        if let Frame::Submit { id, .. } | Frame::Query { id, .. } = &frame {
             // From here on the peer may see it, whatever the socket says.
             let mut all = peer.pending.borrow_mut();
             let Some(pending) = all.get_mut(id) else {
@@ -118,10 +129,20 @@
 }
 
 async fn read(peer: &Peer, source: &mut Source) -> String {
+    let mut heard = Instant::now();
     loop {
-        // Pings are answered, so a peer that lives is never silent this long.
-        match timeout(SILENCE, next(source)).await {
-            Err(_) => return "the peer is silent".into(),
+        match timeout(PING_EVERY, next(source)).await {
+            Err(_) => {
+                if peer.pending.borrow().is_empty() {
+                    heard = Instant::now();
+                }
+                // Pings are answered, so a peer that lives is never silent
+                // this long.
+                if heard.elapsed() >= SILENCE {
+                    return "the peer is silent".into();
+                }
+                continue;
+            }
             Ok(Err(why)) => return why,
             Ok(Ok(None)) => {}
             Ok(Ok(Some(frame))) => {
@@ -130,21 +151,14 @@
                 }
             }
         }
+        heard = Instant::now();
     }
 }
 
 fn take(peer: &Peer, frame: Frame) -> Result<(), String> {
     match frame {
         Frame::Piece { id, piece } => {
-            let full = {
-                let pending = peer.pending.borrow();
-                let Some(pending) = pending.get(&id) else {
-                    // Late pieces of a cancelled request.
-                    return Ok(());
-                };
-                pending.reply.try_send(Event::Piece(piece)).is_err()
-            };
-            if full {
+            if !peer.piece(id, piece) {
                 // The reader is a whole answer behind: its stream alone ends.
                 peer.pending.borrow_mut().remove(&id);
                 let _ = peer.frames.try_send(Frame::Cancel { id });
@@ -155,7 +169,11 @@
             peer.end(id, Event::End(outcome, load));
             Ok(())
         }
-        Frame::Hello { .. } | Frame::Submit { .. } | Frame::Cancel { .. } => {
+        Frame::Reply { id, reply } => {
+            peer.answer(id, reply);
+            Ok(())
+        }
+        Frame::Hello { .. } | Frame::Submit { .. } | Frame::Cancel { .. } | Frame::Query { .. } => {
             Err("the peer sent a frame that only a gateway sends".into())
         }
     }
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -10,7 +10,7 @@
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt as _, StreamExt as _};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config};
@@ -21,28 +21,53 @@
 use crate::event;
 use crate::name::Name;
 use crate::wire;
+use crate::wire::query::{Query, Reply};
 use crate::wire::traffic::Frame;
 
-/// A gateway pings far more often than this; a silent one is gone, and its
-/// requests must not use slots any longer.
+/// A gateway with open requests pings far more often than this; a silent one is
+/// gone, and its requests must not use slots any longer.
 const SILENCE: Duration = Duration::from_secs(5);
+/// A connection without open requests is closed by the gateway before this.
+const IDLE: Duration = Duration::from_secs(180);
+/// Longest time that the control thread may take for an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long to pause when a connection can't be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 type Socket = WebSocketStream<TcpStream>;
 type Running = Rc<RefCell<HashMap<u64, JoinHandle<()>>>>;
 
+/// A question for the control thread.
+#[derive(Debug)]
+pub struct Asked {
+    /// The question.
+    pub query: Query,
+    /// Where the answer goes.
+    pub reply: oneshot::Sender<Reply>,
+}
+
+/// What connections are served with.
+#[derive(Clone)]
+pub struct Desk {
+    /// This node's name.
+    pub node: Name,
+    /// The dispatchers of this node.
+    pub handle: Handle,
+    /// The control thread.
+    pub queries: mpsc::Sender<Asked>,
+}
+
 /// Accepts connections of other nodes for as long as the thread lives.
 ///
 /// # Errors
 /// When the socket can't be registered with this thread's runtime.
-pub async fn serve(listener: TcpListener, node: Name, handle: Handle) -> std::io::Result<()> {
+pub async fn serve(listener: TcpListener, desk: Desk) -> std::io::Result<()> {
     let listener = tokio::net::TcpListener::from_std(listener)?;
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
                 let _ = stream.set_nodelay(true);
-                let connection = connection(stream, node.clone(), handle.clone());
+                let connection = connection(stream, desk.clone());
                 actix_rt::spawn(async move {
                     if let Err(why) = connection.await {
                         log::info!("{} peer={peer} why=\"{why}\"", event::LINK_CLOSED);
@@ -54,15 +79,15 @@
     }
 }
 
-async fn connection(stream: TcpStream, node: Name, handle: Handle) -> Result<(), String> {
-    let socket = timeout(CONNECT_TIMEOUT, greet(stream, node))
+async fn connection(stream: TcpStream, desk: Desk) -> Result<(), String> {
+    let socket = timeout(CONNECT_TIMEOUT, greet(stream, desk.node.clone()))
         .await
         .map_err(|_| "the greeting took too long")??;
     let (sink, source) = socket.split();
     let (frames, outgoing) = mpsc::channel(FRAMES);
     let running = Running::default();
     let result = tokio::select! {
-        result = read(source, &frames, &handle, &running) => result,
+        result = read(source, &frames, &desk, &running) => result,
         result = write(sink, outgoing) => result,
     };
     // The gateway is gone: whatever ran for it is cancelled.
@@ -102,11 +127,16 @@
 async fn read(
     mut source: SplitStream<Socket>,
     frames: &mpsc::Sender<Frame>,
-    handle: &Handle,
+    desk: &Desk,
     running: &Running,
 ) -> Result<(), String> {
     loop {
-        let message = timeout(SILENCE, source.next())
+        let silence = if running.borrow().is_empty() {
+            IDLE
+        } else {
+            SILENCE
+        };
+        let message = timeout(silence, source.next())
             .await
             .map_err(|_| "the peer is silent")?;
         let bytes = match message {
@@ -122,7 +152,7 @@
                 endpoint,
                 request,
             }) => {
-                let events = handle.submit(endpoint, *request);
+                let events = desk.handle.submit(endpoint, *request);
                 let task = forward(id, events, frames.clone(), Rc::clone(running));
                 let task = actix_rt::spawn(task);
                 if let Some(old) = running.borrow_mut().insert(id, task) {
@@ -136,7 +166,12 @@
                     task.abort();
                 }
             }
-            Ok(Frame::Hello { .. } | Frame::Piece { .. } | Frame::End { .. }) => {
+            Ok(Frame::Query { id, query }) => {
+                actix_rt::spawn(ask(id, query, desk.queries.clone(), frames.clone()));
+            }
+            Ok(
+                Frame::Hello { .. } | Frame::Piece { .. } | Frame::End { .. } | Frame::Reply { .. },
+            ) => {
                 return Err(refuse("a frame that only a dispatcher sends"));
             }
             Err(error) => return Err(refuse(&error.to_string())),
@@ -144,6 +179,19 @@
     }
 }
 
+/// Lets the control thread answer a question.
+async fn ask(id: u64, query: Query, queries: mpsc::Sender<Asked>, frames: mpsc::Sender<Frame>) {
+    let (reply, answer) = oneshot::channel();
+    let reply = match queries.try_send(Asked { query, reply }) {
+        Err(_) => Reply::Busy,
+        Ok(()) => match timeout(ANSWER_TIMEOUT, answer).await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(_)) | Err(_) => Reply::Busy,
+        },
+    };
+    let _ = frames.send(Frame::Reply { id, reply }).await;
+}
+
 /// Passes on what the dispatcher says of one request.
 async fn forward(
     id: u64,
--- a/src/node/assign.rs
+++ b/src/node/assign.rs
@@ -33,7 +33,8 @@
     let mut known = None;
     loop {
         let view = shared.view.take();
-        let config = shared.config.take();
+        // Without a configuration that may be acted by nothing new is claimed.
+        let config = shared.config().unwrap_or_default();
         let usable: Vec<Name> = view.usable().map(|member| member.name.clone()).collect();
         let now = Some((config.version, usable));
         if known != now {
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -1,97 +1,286 @@
 //! The control thread: what the node learns from the platform and its peers,
-//! published for the traffic threads.
+//! published for the traffic threads, and what operators ask.
 
+use std::rc::Rc;
 use std::time::Duration;
 
-use eyre::{Result, WrapErr};
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use futures_util::StreamExt as _;
+use futures_util::stream::FuturesUnordered;
+use tokio::sync::{mpsc, watch};
 
-use crate::gateway::Shared;
+use super::peers::{Net, Remembered};
+use super::shares::{self, Shares};
+use crate::clock::{Time, unix_millis};
+use crate::config::operator::{Operator, Stamp};
+use crate::config::watch::Watch;
+use crate::dispatch::Load;
+use crate::dispatch::board::Loads;
+use crate::gateway::{Shared, Wish};
+use crate::job::runner;
+use crate::limit::Grant;
+use crate::link::Pool;
+use crate::link::server::Asked;
 use crate::member::shell::{self, Event, Handle, Setup};
-
+use crate::name::Name;
+use crate::platform::Vm;
 use crate::platform::http::Client;
-use crate::platform::{Table as _, Vm};
+use crate::wire::control::Note;
+use crate::wire::query::{Query, Reply};
 
-/// How often the platform is asked.
-const POLL: Duration = Duration::from_millis(500);
-/// The row that holds the configuration in force.
-pub const CONFIG_ROW: &str = "config/current";
+/// How often something that must be told to the platform is tried again.
+const TRY_AGAIN: Duration = Duration::from_millis(500);
+/// How often members are told which version is in force here.
+const TELL_EVERY: Duration = Duration::from_millis(250);
+/// Topic of the note that a job was cancelled.
+const CANCELLED: u8 = 3;
 
-/// What membership starts with.
-pub struct Membership {
-    /// Identity, seeds and counters.
+/// What the control thread starts with.
+pub struct Start {
+    /// What the node shares.
+    pub shared: Shared,
+    /// Identity, seeds and counters of membership.
     pub setup: Setup,
     /// The socket of the control address.
     pub socket: tokio::net::UdpSocket,
+    /// The platform.
+    pub client: Client,
+    /// Questions of other nodes' control threads.
+    pub queries: mpsc::Receiver<Asked>,
+    /// What gateways ask for organisations.
+    pub wishes: mpsc::Receiver<Wish>,
+    /// Where grants go, one for each traffic thread.
+    pub grants: Vec<mpsc::Sender<(Name, Grant)>>,
+    /// The batch thread.
+    pub runner: runner::Handle,
+    /// Turns true when an operator drains this node.
+    pub drain: watch::Sender<bool>,
+}
+
+/// The control thread's services.
+pub struct Control {
+    /// What operators do to the configuration.
+    pub operator: Operator<Client, Watch<Client, Net>>,
+    /// The members.
+    pub members: Handle,
+    shared: Shared,
+    watch: Watch<Client, Net>,
+    net: Net,
+    runner: runner::Handle,
+    drain: watch::Sender<bool>,
 }
 
 /// Starts the control services on this thread.
-pub fn start(shared: &Shared, membership: Membership, client: Client) -> Handle {
-    let me = &membership.setup.me;
-    let vm = Vm {
+pub fn start(start: Start) -> Rc<Control> {
+    let shared = start.shared;
+    actix_rt::spawn(register(start.client.clone(), vm(&start.setup)));
+    let roster = Remembered::new(start.client.clone());
+    let (members, events) = shell::start(start.setup, start.socket, roster.clone());
+    let net = Net {
+        node: shared.node.clone(),
+        view: shared.view.clone(),
+        pool: Pool::new(shared.node.clone()),
+        roster,
+    };
+    let force = shared.force.clone();
+    let client = start.client;
+    let watch = Watch::new(
+        &shared.node,
+        client.clone(),
+        net.clone(),
+        shared.clock,
+        force,
+    );
+    let limits = Rc::new(Shares::new(shared.clone(), members.clone(), start.grants));
+    let control = Rc::new(Control {
+        operator: Operator::new(client, watch.clone()),
+        members,
+        shared,
+        watch: watch.clone(),
+        net,
+        runner: start.runner,
+        drain: start.drain,
+    });
+    actix_rt::spawn(watch.run());
+    actix_rt::spawn(shares::serve(Rc::clone(&limits), start.wishes));
+    actix_rt::spawn(Rc::clone(&control).listen(events, limits));
+    actix_rt::spawn(Rc::clone(&control).answer(start.queries));
+    actix_rt::spawn(Rc::clone(&control).tell_version());
+    control
+}
+
+fn vm(setup: &Setup) -> Vm {
+    let me = &setup.me;
+    Vm {
         name: me.name.clone(),
         link: me.link.clone(),
         control: me.control.clone(),
         address: me.address.clone(),
         zone: me.zone.clone(),
         leaving: false,
-    };
-    actix_rt::spawn(register(client.clone(), vm));
-    let (handle, events) = shell::start(membership.setup, membership.socket, client.clone());
-    actix_rt::spawn(listen(events));
-    actix_rt::spawn(follow_config(shared.clone(), client, handle.clone()));
-    handle
+    }
 }
 
 /// Tells the stand-in platform that this VM runs; a real platform knows.
 async fn register(client: Client, vm: Vm) {
     while client.register(vm.clone()).await.is_err() {
-        actix_rt::time::sleep(POLL).await;
+        actix_rt::time::sleep(TRY_AGAIN).await;
     }
 }
 
-async fn listen(mut events: mpsc::Receiver<Event>) {
-    while events.recv().await.is_some() {}
-}
+impl Control {
+    /// Takes what the members tell.
+    async fn listen(self: Rc<Self>, mut events: mpsc::Receiver<Event>, shares: Rc<Shares>) {
+        while let Some(event) = events.recv().await {
+            match event {
+                Event::Committed(version) => self.watch.hear(version),
+                Event::Note(note) => self.take_note(&note),
+                Event::Direct { from, topic, value } => shares.receive(&from, topic, &value),
+                Event::Replaced => {
+                    let _ = self.drain.send(true);
+                }
+            }
+        }
+    }
 
-async fn follow_config(shared: Shared, client: Client, handle: Handle) {
-    loop {
-        if let Ok(Some(row)) = client.get(CONFIG_ROW).await
-            && row.version > shared.config.read().version
-            && let Ok(mut document) = serde_json::from_slice::<crate::config::Document>(&row.value)
+    fn take_note(&self, note: &Note) {
+        if note.topic == CANCELLED
+            && let Some(id) = crate::job::Id::parse(&note.key)
         {
-            document.version = row.version;
-            shared.config.publish(document);
-            handle.in_force(row.version);
+            self.runner.tell(runner::Input::Cancelled(id));
         }
-        actix_rt::time::sleep(POLL).await;
     }
-}
 
-/// A number that tells this process from others of the same name: the wall
-/// clock first, so that a later process usually has the higher one, then chance.
-pub fn boot() -> u64 {
-    (crate::clock::unix_millis() << 20) | (rand::random::<u64>() & 0xF_FFFF)
-}
+    /// Tells every runner that a job was cancelled, so that they stop before
+    /// they look at its row.
+    pub fn spread_cancel(&self, id: &crate::job::Id) {
+        self.runner.tell(runner::Input::Cancelled(id.clone()));
+        self.members.note(Note {
+            topic: CANCELLED,
+            key: id.to_string().into(),
+            version: 1,
+            value: bytes::Bytes::new(),
+        });
+    }
+
+    /// Answers other nodes' control threads.
+    async fn answer(self: Rc<Self>, mut queries: mpsc::Receiver<Asked>) {
+        while let Some(asked) = queries.recv().await {
+            let reply = match asked.query {
+                Query::Report => Reply::Report(self.watch.report()),
+                Query::Document => {
+                    let document = self.watch.force().document;
+                    Reply::Document((document.version > 0).then_some(document))
+                }
+                Query::Announce { version } => {
+                    self.watch.announced(version);
+                    Reply::Announced
+                }
+                Query::Loads => {
+                    Reply::Loads(self.shared.dispatch.board.all().into_iter().collect())
+                }
+                Query::Drain => Reply::Draining {
+                    in_flight: self.drain_here(),
+                },
+            };
+            // The asker may have given up.
+            let _ = asked.reply.send(reply);
+        }
+    }
+
+    /// Tells the members which version is in force here, and the runner the
+    /// weights that come with it.
+    async fn tell_version(self: Rc<Self>) {
+        let mut told = 0;
+        loop {
+            let force = self.shared.force.take();
+            let version = force.document.version;
+            if version > told {
+                told = version;
+                self.members.committed(version);
+                self.members.in_force(version);
+                let organisations = force.document.organisations.values();
+                let weights = organisations.map(|o| (o.name.clone(), o.weight)).collect();
+                self.runner.tell(runner::Input::Weights(weights));
+            }
+            actix_rt::time::sleep(TELL_EVERY).await;
+        }
+    }
+
+    /// Makes this node leave; returns what is in flight here.
+    pub fn drain_here(&self) -> u32 {
+        let _ = self.drain.send(true);
+        let loads = self.shared.dispatch.board.all();
+        let busy = loads
+            .values()
+            .map(|load| load.online + load.batch + load.queued);
+        busy.sum()
+    }
 
-/// Waits until the process is told to stop.
-///
-/// # Errors
-/// When signals can't be received.
-pub async fn terminated() -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).wrap_err("can't wait for SIGTERM")?;
-    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("can't wait for SIGINT")?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    /// Makes a node leave; none when it does not answer.
+    pub async fn drain(&self, node: &str) -> Option<u32> {
+        if node.is_empty() || *node == *self.shared.node {
+            return Some(self.drain_here());
+        }
+        match self.net.ask(node, Query::Drain).await? {
+            Reply::Draining { in_flight } => Some(in_flight),
+            _ => None,
+        }
+    }
+
+    /// The loads of every dispatcher that answers, with the node it is on.
+    pub async fn loads(&self) -> Vec<(Name, Loads)> {
+        let here = self.shared.dispatch.board.all();
+        let mut all = vec![(self.shared.node.clone(), here)];
+        let view = self.shared.view.take();
+        let peers = view
+            .usable()
+            .filter(|member| member.name != self.shared.node);
+        let mut asking: FuturesUnordered<_> = peers
+            .map(|member| async {
+                let reply = self.net.ask(&member.name, Query::Loads).await;
+                (member.name.clone(), reply)
+            })
+            .collect();
+        while let Some((node, reply)) = asking.next().await {
+            if let Some(Reply::Loads(loads)) = reply {
+                all.push((node, loads.into_iter().collect()));
+            }
+        }
+        all
+    }
+
+    /// What marks a change of the configuration.
+    pub fn stamp() -> Stamp {
+        Stamp {
+            id: rand::random(),
+            at_ms: unix_millis(),
+        }
+    }
+
+    /// The present time.
+    pub fn now(&self) -> Time {
+        self.shared.clock.now()
+    }
+
+    /// Takes a document that was just committed here, so that this node acts
+    /// by it at once.
+    pub fn committed(&self, asked: Time, document: crate::config::Document) {
+        self.watch.committed(asked, document.into());
     }
-    Ok(())
 }
 
-/// Registers membership's counters.
-pub fn counts(metrics: &mut crate::metric::Metrics) -> shell::Counts {
-    let counts = shell::Counts::default();
-    metrics.extend(|registry| counts.register(registry));
-    counts
+/// The busiest of several views of one endpoint: after a dispatcher moved, the
+/// old one still shows its emptied queue for a while.
+pub fn busiest(loads: &[(Name, Loads)], endpoint: &str) -> Option<(Name, Load)> {
+    let found = loads.iter().filter_map(|(node, loads)| {
+        let load = loads.get(endpoint)?;
+        Some((node.clone(), *load))
+    });
+    found.max_by_key(|(_, load)| load.online + load.batch + load.queued)
+}
+
+/// A number that tells this process from others of the same name: the wall
+/// clock first, so that a later process usually has the higher one, then chance.
+pub fn boot() -> u64 {
+    (unix_millis() << 20) | (rand::random::<u64>() & 0xF_FFFF)
 }
--- a/src/node/traffic.rs
+++ b/src/node/traffic.rs
@@ -2,15 +2,22 @@
 //! endpoints that hash to it.
 
 use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
+
+use super::control::Control;
+use super::remote::Remote;
 
 use crate::dispatch::handle::Desk;
 use crate::dispatch::shell::Shell;
 use crate::event;
-use crate::gateway::{Gateway, Shared};
+use crate::gateway::{Gateway, Shared, Wish};
+use crate::limit::Grant;
+use crate::link::server::Asked;
+use crate::name::Name;
 use crate::node::PLATFORM_TIMEOUT;
 use crate::platform::http::Client;
 use crate::rpc::server::Server;
@@ -20,6 +27,18 @@
 pub struct Thread {
     /// What it shares with the rest of the node.
     pub shared: Shared,
+    /// Which traffic thread this is, from 0.
+    pub number: usize,
+    /// How many there are.
+    pub threads: usize,
+    /// Questions of other nodes go there.
+    pub queries: mpsc::Sender<Asked>,
+    /// What this thread's organisations ask goes there.
+    pub wishes: mpsc::Sender<Wish>,
+    /// What they are granted comes from there.
+    pub grants: mpsc::Receiver<(Name, Grant)>,
+    /// The way to the control thread, for operators.
+    pub control: Remote<Control>,
     /// This thread's end of the dispatchers' handle.
     pub desk: Desk,
     /// The callers' socket, which all threads accept from.
@@ -37,24 +56,32 @@
 impl Thread {
     /// Starts the thread's services on the runtime of the calling thread.
     pub fn start(self) {
-        let config = Arc::clone(&self.shared.config);
-        let shell = Shell::new(self.shared.clock, config, self.desk.post);
-        actix_rt::spawn(shell.run(self.desk.submits));
-        let links = link::server::serve(
-            self.links,
-            self.shared.node.clone(),
-            self.shared.dispatch.clone(),
+        let force = Arc::clone(&self.shared.force);
+        let shell = Shell::new(
+            self.shared.clock,
+            force,
+            self.shared.work.clone(),
+            self.desk.post,
         );
+        actix_rt::spawn(shell.run(self.desk.submits));
+        let desk = link::server::Desk {
+            node: self.shared.node.clone(),
+            handle: self.shared.dispatch.clone(),
+            queries: self.queries,
+        };
+        let links = link::server::serve(self.links, desk);
         actix_rt::spawn(async move {
             if let Err(error) = links.await {
                 log::error!("{} what=link why=\"{error}\"", event::LISTEN_FAILED);
             }
         });
         let platform = Client::new(self.platform, PLATFORM_TIMEOUT);
-        let gateway = Gateway::new(self.shared.clone());
-        let server = Server::new(self.shared, gateway, platform, self.leaving);
+        let gateway = Gateway::new(self.shared.clone(), self.number);
+        actix_rt::spawn(Rc::clone(&gateway).follow(self.threads, self.wishes));
+        actix_rt::spawn(Rc::clone(&gateway).take_grants(self.grants));
+        let server = Server::new(self.shared, gateway, platform, self.control, self.leaving);
         let serving = http::serve(self.callers, self.stopped, move |request| {
-            std::rc::Rc::clone(&server).handle(request)
+            Rc::clone(&server).handle(request)
         });
         actix_rt::spawn(async move {
             if let Err(error) = serving.await {
--- a/src/rpc/operator.rs
+++ b/src/rpc/operator.rs
@@ -1,9 +1,164 @@
 //! What operators may ask: the methods of `auburnspoke.v1.Operator`.
 
+use std::rc::Rc;
+
 use super::v1;
-use crate::clock::Time;
-use crate::config::{Document, Endpoint, Kind, Organisation, Service};
+use crate::config::commit::{Accepted, Error};
+use crate::config::convert;
+use crate::gateway::Shared;
 use crate::member::{Member, State, View};
+use crate::node::control::{self, Control};
+use crate::node::remote::Remote;
+use crate::outcome::{Outcome, Reason, Refusal};
+use crate::route;
+
+/// The way to the control thread.
+type Call = Remote<Control>;
+
+/// A change of the configuration.
+pub enum Change {
+    /// Replace the whole document.
+    Config(v1::ApplyConfigRequest),
+    /// Add or replace a service.
+    Service(v1::ApplyServiceRequest),
+    /// Add or replace an endpoint.
+    Endpoint(v1::AddEndpointRequest),
+    /// Take out an endpoint.
+    Remove(v1::RemoveEndpointRequest),
+}
+
+impl Change {
+    const fn dry_run(&self) -> bool {
+        match self {
+            Self::Config(request) => request.dry_run,
+            Self::Service(request) => request.dry_run,
+            Self::Endpoint(request) => request.dry_run,
+            Self::Remove(_) => false,
+        }
+    }
+}
+
+/// Makes a change, and acts by it here at once.
+pub async fn change(call: &Call, change: Change) -> Outcome<v1::ApplyConfigResponse> {
+    let changed = call
+        .call(|control| async move {
+            let asked = control.now();
+            let dry_run = change.dry_run();
+            let result = make(&control, change).await;
+            if let Ok(accepted) = &result
+                && !dry_run
+            {
+                control.committed(asked, accepted.document.clone());
+            }
+            result.map(|accepted| v1::ApplyConfigResponse {
+                version: accepted.document.version,
+                diff: accepted.diff,
+                dry_run,
+            })
+        })
+        .await;
+    match changed {
+        None => busy(),
+        Some(Ok(response)) => Outcome::Done(response),
+        Some(Err(error)) => error.into_outcome(),
+    }
+}
+
+async fn make(control: &Rc<Control>, change: Change) -> Result<Accepted, Error> {
+    let stamp = Control::stamp();
+    let operator = &control.operator;
+    match change {
+        Change::Config(request) => operator.apply(stamp, request).await,
+        Change::Service(request) => operator.apply_service(stamp, request).await,
+        Change::Endpoint(request) => operator.add_endpoint(stamp, request).await,
+        Change::Remove(request) => operator.remove_endpoint(stamp, request).await,
+    }
+}
+
+/// The configuration in the table.
+pub async fn config(call: &Call) -> Outcome<v1::GetConfigResponse> {
+    let got = call.call(|control| async move { control.operator.get().await });
+    match got.await {
+        None => busy(),
+        Some(Ok(document)) => Outcome::Done(v1::GetConfigResponse {
+            version: document.version,
+            config: Some(convert::to_schema(&document)),
+        }),
+        Some(Err(error)) => error.into_outcome(),
+    }
+}
+
+/// Past changes, newest first.
+pub async fn history(
+    call: &Call,
+    request: v1::ConfigHistoryRequest,
+) -> Outcome<v1::ConfigHistoryResponse> {
+    let got =
+        call.call(move |control| async move { control.operator.history(request.limit).await });
+    match got.await {
+        None => busy(),
+        Some(Ok(history)) => Outcome::Done(history),
+        Some(Err(error)) => error.into_outcome(),
+    }
+}
+
+/// Which version each member has in force, as this node has heard.
+pub fn status(shared: &Shared) -> v1::ConfigStatusResponse {
+    let view = shared.view.read();
+    let version = shared.force.read().document.version;
+    let nodes = view.members.iter().filter(|m| m.state != State::Dead);
+    let nodes: Vec<v1::NodeVersion> = nodes
+        .map(|member| v1::NodeVersion {
+            node: member.name.to_string(),
+            version: member.config_version,
+        })
+        .collect();
+    let newest = nodes.iter().map(|node| node.version).max().unwrap_or(0);
+    let version = version.max(newest);
+    v1::ConfigStatusResponse {
+        version,
+        in_force: version > 0 && nodes.iter().all(|node| node.version == version),
+        nodes,
+    }
+}
+
+/// How the dispatchers see each endpoint.
+pub async fn endpoints(call: &Call, shared: &Shared) -> Outcome<v1::ListEndpointsResponse> {
+    let loads = call.call(|control| async move { control.loads().await });
+    let Some(loads) = loads.await else {
+        return busy();
+    };
+    let config = shared.force.take();
+    let view = shared.view.read();
+    let statuses = config.document.endpoints.values().map(|endpoint| {
+        let dispatcher = route::dispatcher(&view, &endpoint.name, &endpoint.zone);
+        let seen = control::busiest(&loads, &endpoint.name);
+        let load = seen.map(|(_, load)| load).unwrap_or_default();
+        v1::EndpointStatus {
+            endpoint: Some(convert::endpoint(endpoint)),
+            dispatcher: dispatcher.map_or_else(String::new, |m| m.name.to_string()),
+            online_running: load.online,
+            batch_running: load.batch,
+            queued: load.queued,
+        }
+    });
+    Outcome::Done(v1::ListEndpointsResponse {
+        endpoints: statuses.collect(),
+    })
+}
+
+/// Makes a node leave.
+pub async fn drain(call: &Call, request: v1::DrainRequest) -> Outcome<v1::DrainResponse> {
+    let drained = call.call(move |control| async move { control.drain(&request.node).await });
+    match drained.await {
+        None => busy(),
+        Some(Some(in_flight)) => Outcome::Done(v1::DrainResponse { in_flight }),
+        Some(None) => Outcome::MayHaveRun(
+            Refusal::new(Reason::LinkFailed)
+                .because("the node does not answer; look at `auburnspoke members`"),
+        ),
+    }
+}
 
 /// The schema's form of the members.
 pub fn members(view: &View) -> v1::ListMembersResponse {
@@ -22,7 +177,6 @@
         state: state(member.state).into(),
         incarnation: member.incarnation,
         config_version: member.config_version,
-        heard_ms: Time::ZERO.as_millis(),
     }
 }
 
@@ -35,66 +189,9 @@
     }
 }
 
-/// The document that a message describes, without a version.
-pub fn document(config: &v1::Config) -> Document {
-    Document {
-        version: 0,
-        services: config
-            .services
-            .iter()
-            .map(|s| (s.name.as_str().into(), service(s)))
-            .collect(),
-        endpoints: config
-            .endpoints
-            .iter()
-            .map(|e| (e.name.as_str().into(), endpoint(e)))
-            .collect(),
-        organisations: config
-            .organisations
-            .iter()
-            .map(|o| (o.name.as_str().into(), organisation(o)))
-            .collect(),
-    }
-}
-
-fn service(service: &v1::Service) -> Service {
-    Service {
-        name: service.name.as_str().into(),
-        kind: match service.kind() {
-            v1::ServiceKind::Plain => Kind::Plain,
-            v1::ServiceKind::Model | v1::ServiceKind::Unspecified => Kind::Model,
-        },
-        model: service.model.as_str().into(),
-        model_version: service.model_version.as_str().into(),
-        adapters: service.adapters.iter().map(|a| a.as_str().into()).collect(),
-        deadline_ms: service.deadline_ms,
-        max_tokens: service.max_tokens,
-        replicas: service.replicas,
-        latency_weight: service.latency_weight,
-    }
-}
-
-fn endpoint(endpoint: &v1::Endpoint) -> Endpoint {
-    Endpoint {
-        name: endpoint.name.as_str().into(),
-        address: endpoint.address.as_str().into(),
-        zone: endpoint.zone.as_str().into(),
-        services: endpoint
-            .services
-            .iter()
-            .map(|s| s.as_str().into())
-            .collect(),
-        checks_fencing: endpoint.checks_fencing,
-        slots: endpoint.slots,
-        leaving: endpoint.leaving,
-    }
-}
-
-fn organisation(organisation: &v1::Organisation) -> Organisation {
-    Organisation {
-        name: organisation.name.as_str().into(),
-        rate: organisation.rate,
-        concurrency: organisation.concurrency,
-        weight: organisation.weight.max(1),
-    }
+fn busy<T>() -> Outcome<T> {
+    Outcome::NotRun(
+        Refusal::new(Reason::Overloaded)
+            .because("the node's control thread is busy; ask another node"),
+    )
 }
--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -14,15 +14,17 @@
 use tokio::sync::mpsc;
 
 use super::codec::{self, Format, Media};
+use super::operator::Change;
 use super::{caller, error, job, operator, v1};
 use crate::clock::unix_millis;
 use crate::gateway::{Gateway, Shared};
 use crate::http::{self, BodyError};
 use crate::job::Jobs;
-use crate::node::CONFIG_ROW;
+use crate::node::control::Control;
+use crate::node::remote::Remote;
+use crate::node::work::Guard;
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::platform::http::Client;
-use crate::platform::{Expect, Fault, Table as _, Transaction};
 use crate::request::Class;
 
 const CALLER: &str = "/auburnspoke.v1.Caller/";
@@ -40,7 +42,7 @@
 pub struct Server {
     shared: Shared,
     gateway: Rc<Gateway>,
-    platform: Client,
+    control: Remote<Control>,
     jobs: Jobs<Client, Client>,
     /// True once the node leaves: connections are closed after their answer,
     /// so that callers go to another address.
@@ -53,13 +55,14 @@
         shared: Shared,
         gateway: Rc<Gateway>,
         platform: Client,
+        control: Remote<Control>,
         leaving: Arc<AtomicBool>,
     ) -> Rc<Self> {
         Rc::new(Self {
             shared,
             gateway,
-            jobs: Jobs::new(platform.clone(), platform.clone()),
-            platform,
+            jobs: Jobs::new(platform.clone(), platform),
+            control,
             leaving,
         })
     }
@@ -102,7 +105,7 @@
     }
 
     fn ready(&self) -> bool {
-        !self.leaving.load(Ordering::Relaxed) && self.shared.config.read().version > 0
+        !self.leaving.load(Ordering::Relaxed) && self.shared.config().is_ok()
     }
 
     async fn call(self: Rc<Self>, path: &str, mut request: Request) -> Response<BoxBody> {
@@ -125,9 +128,10 @@
             Ok(body) => body,
             Err(error) => return refused(media, true, &too_long(error)),
         };
+        let work = self.shared.work.begin();
         if let Some(method) = path.strip_prefix(CALLER) {
             if method == "AskStream" {
-                return self.ask_stream(media, body);
+                return self.ask_stream(media, body, work);
             }
             return answer(media, self.caller(method, media.format, body).await);
         }
@@ -150,14 +154,46 @@
     }
 
     async fn operator(&self, method: &str, format: Format, body: Bytes) -> Outcome<Bytes> {
+        let call = &self.control;
         match method {
-            "ApplyConfig" => unary(format, &body, |apply| self.apply(apply)).await,
+            "GetConfig" => {
+                let get = |_: v1::GetConfigRequest| operator::config(call);
+                unary(format, &body, get).await
+            }
+            "ApplyConfig" => {
+                let apply = |ask| operator::change(call, Change::Config(ask));
+                unary(format, &body, apply).await
+            }
+            "ApplyService" => {
+                let apply = |ask| operator::change(call, Change::Service(ask));
+                unary(format, &body, apply).await
+            }
+            "AddEndpoint" => {
+                let add = |ask| operator::change(call, Change::Endpoint(ask));
+                unary(format, &body, add).await
+            }
+            "RemoveEndpoint" => {
+                let remove = |ask| operator::change(call, Change::Remove(ask));
+                unary(format, &body, remove).await
+            }
+            "ConfigHistory" => unary(format, &body, |ask| operator::history(call, ask)).await,
+            "ConfigStatus" => {
+                let status = |_: v1::ConfigStatusRequest| async {
+                    Outcome::Done(operator::status(&self.shared))
+                };
+                unary(format, &body, status).await
+            }
+            "ListEndpoints" => {
+                let list = |_: v1::ListEndpointsRequest| operator::endpoints(call, &self.shared);
+                unary(format, &body, list).await
+            }
             "ListMembers" => {
                 let list = |_: v1::ListMembersRequest| async {
                     Outcome::Done(operator::members(&self.shared.view.read()))
                 };
                 unary(format, &body, list).await
             }
+            "Drain" => unary(format, &body, |ask| operator::drain(call, ask)).await,
             _ => unknown_method(method),
         }
     }
@@ -173,7 +209,10 @@
     }
 
     async fn submit_job(&self, ask: v1::SubmitJobRequest) -> Outcome<v1::SubmitJobResponse> {
-        let config = self.shared.config.take();
+        let config = match self.shared.config() {
+            Ok(config) => config,
+            Err(refusal) => return Outcome::NotRun(refusal),
+        };
         let submission = match job::submission(ask, MAX_ITEMS) {
             Ok(submission) => submission,
             Err(refusal) => return Outcome::NotRun(refusal),
@@ -242,30 +281,7 @@
         listing.map(|listing| job::listing(&listing))
     }
 
-    async fn apply(&self, apply: v1::ApplyConfigRequest) -> Outcome<v1::ApplyConfigResponse> {
-        let document = operator::document(&apply.config.unwrap_or_default());
-        let value = serde_json::to_vec(&document).unwrap_or_default();
-        let expect = match apply.expect_version {
-            0 => Expect::Absent,
-            version => Expect::Version(version),
-        };
-        let change = Transaction::default()
-            .check(CONFIG_ROW, expect)
-            .put(CONFIG_ROW, value);
-        match self.platform.transact(change).await {
-            Ok(version) => Outcome::Done(v1::ApplyConfigResponse {
-                version,
-                ..v1::ApplyConfigResponse::default()
-            }),
-            Err(Fault::Conflict { .. }) => Outcome::NotRun(Refusal::new(Reason::Conflict)),
-            Err(Fault::Refused { retry_after }) => {
-                Outcome::NotRun(Refusal::new(Reason::Platform).after(retry_after))
-            }
-            Err(Fault::Unknown) => Outcome::MayHaveRun(Refusal::new(Reason::Platform)),
-        }
-    }
-
-    fn ask_stream(self: Rc<Self>, media: Media, body: Bytes) -> Response<BoxBody> {
+    fn ask_stream(self: Rc<Self>, media: Media, body: Bytes, work: Guard) -> Response<BoxBody> {
         if !media.stream {
             let refusal = Refusal::new(Reason::Invalid)
                 .because("AskStream needs application/connect+json or application/connect+proto");
@@ -280,7 +296,10 @@
         };
         let (sender, receiver) = mpsc::channel(PIECES);
         let gateway = Rc::clone(&self.gateway);
-        let asking = async move { gateway.ask(request, sender).await };
+        let asking = async move {
+            let _work = work;
+            gateway.ask(request, sender).await
+        };
         let format = media.format;
         let messages = caller::pieces(asking, receiver)
             .map(move |piece| codec::envelope(0, &codec::encode(format, &piece)));
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -10,6 +10,7 @@
 use serde::de::DeserializeOwned;
 
 pub mod control;
+pub mod query;
 pub mod traffic;
 
 /// Version of the protocol; nodes of different versions refuse each other.
--- a/src/wire/traffic.rs
+++ b/src/wire/traffic.rs
@@ -6,6 +6,7 @@
 use crate::name::Name;
 use crate::outcome::Outcome;
 use crate::request::{Answer, Piece, Request};
+use crate::wire::query::{Query, Reply};
 
 /// A frame on a traffic connection.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,6 +39,20 @@
         /// The part, with its offset.
         piece: Piece,
     },
+    /// A question to the receiver's control thread.
+    Query {
+        /// The sender's identity of the question on this connection.
+        id: u64,
+        /// The question.
+        query: Query,
+    },
+    /// The answer to a question.
+    Reply {
+        /// Which question.
+        id: u64,
+        /// The answer.
+        reply: Reply,
+    },
     /// The last word about a request.
     End {
         /// Which request.
--- a/tests/support/env.rs
+++ b/tests/support/env.rs
@@ -188,7 +188,7 @@
     /// The same, with fields of the model service that differ.
     pub fn configure_with(&self, service: &Value) {
         let mut model = json!({
-            "name": "recipes", "kind": "SERVICE_KIND_MODEL", "model": "recipe-model",
+            "name": "recipes", "kind": "SERVICE_KIND_MODEL", "model": "recipe-model", "modelVersion": "1",
             "deadlineMs": 30000, "maxTokens": 512, "latencyWeight": 50,
         });
         let fields = model.as_object_mut().expect("an object");
@@ -215,9 +215,15 @@
         }
         let config = json!({ "services": services, "endpoints": endpoints });
         let apply = json!({ "expectVersion": 0, "config": config, "author": "test" });
-        until("the configuration is accepted", || {
-            self.operator(0, "ApplyConfig", &apply).is_ok()
-        });
+        let start = Instant::now();
+        while let Err(error) = self.operator(0, "ApplyConfig", &apply) {
+            let wrong = refusal(&error)["reason"] == "REASON_INVALID";
+            assert!(
+                !wrong && start.elapsed() < PATIENCE,
+                "not accepted: {error}"
+            );
+            std::thread::sleep(Duration::from_millis(50));
+        }
         for node in 0..self.nodes.len() {
             until("every node is ready", || {
                 get(&self.nodes[node].address("callers"), "/readyz").0 == 200
