--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod metric;
 pub mod name;
 pub mod node;
+pub mod once;
 pub mod outcome;
 pub mod platform;
 pub mod request;
