--- a/src/dispatch/queue.rs
+++ b/src/dispatch/queue.rs
@@ -122,6 +122,11 @@
         self.admit(now, actions);
     }
 
+    /// The setting in force.
+    pub fn setting(&self) -> Setting {
+        self.setting
+    }
+
     /// When the next [`Input::Tick`] is due, if nothing else happens before.
     pub fn wake(&self) -> Option<Time> {
         let stuck = (self.count.streams > 0).then(|| self.stuck_at());
--- a/src/embedded/engine/model.rs
+++ b/src/embedded/engine/model.rs
@@ -22,6 +22,8 @@
     pub resume_from: u32,
     /// Length of the whole answer in tokens.
     pub length: u32,
+    /// True for a question; engines ignore it, but for the oracle.
+    pub urgent: bool,
 }
 
 /// A token that was generated.
@@ -43,6 +45,8 @@
     done: u32,
     prefill: u32,
     chunk: u32,
+    /// Set aside by the oracle with its memory.
+    aside: bool,
 }
 
 impl Sequence {
@@ -92,6 +96,7 @@
             done,
             prefill: 0,
             chunk: 0,
+            aside: false,
         });
         if self.step_end.is_none() {
             self.start(now);
@@ -189,6 +194,9 @@
             let Some(next) = self.waiting.front() else {
                 return;
             };
+            if self.is_bounded(next) {
+                return;
+            }
             let need = next.context() + 1;
             // A sequence that alone is too large still has to end somehow.
             let fits = used + need <= u64::from(self.parameters.kv_tokens);
@@ -199,6 +207,10 @@
                 return;
             };
             used += need;
+            if std::mem::take(&mut sequence.aside) {
+                self.running.push(sequence);
+                continue;
+            }
             let cached = self.cache.hit(&sequence.job.blocks) * self.parameters.block_tokens;
             let whole = u32::try_from(sequence.context()).unwrap_or(u32::MAX);
             sequence.prefill = whole.saturating_sub(cached).max(1);
@@ -206,6 +218,30 @@
         }
     }
 
+    /// Sets everything aside that is not urgent, so that it is admitted again
+    /// after what is: at no cost, as no engine can.
+    fn set_aside(&mut self) {
+        let (urgent, others): (Vec<_>, Vec<_>) = self.running.drain(..).partition(is_urgent);
+        let (mut order, rest): (Vec<_>, Vec<_>) = self.waiting.drain(..).partition(is_urgent);
+        self.running = urgent;
+        order.extend(others.into_iter().map(|mut sequence| {
+            sequence.aside = true;
+            sequence
+        }));
+        order.extend(rest);
+        self.waiting = order.into();
+    }
+
+    /// True when the oracle's bound lets no further sequence in.
+    fn is_bounded(&self, next: &Sequence) -> bool {
+        let most = self.parameters.beside_urgent as usize;
+        if next.job.urgent || most > self.running.len() {
+            return false;
+        }
+        let urgent = self.running.iter().filter(|s| is_urgent(s)).count();
+        urgent > 0 && self.running.len() - urgent >= most
+    }
+
     /// The youngest sequences give their memory back until a step fits.
     fn preempt(&mut self) {
         let limit = u64::from(self.parameters.kv_tokens);
@@ -219,6 +255,9 @@
 
     fn start(&mut self, now: Time) {
         self.note(now);
+        if self.parameters.knows_urgent {
+            self.set_aside();
+        }
         self.preempt();
         self.admit();
         if self.running.is_empty() {
@@ -282,3 +321,7 @@
         }
     }
 }
+
+fn is_urgent(sequence: &Sequence) -> bool {
+    sequence.job.urgent
+}
--- a/src/embedded/engine/state.rs
+++ b/src/embedded/engine/state.rs
@@ -164,6 +164,7 @@
             blocks: blocks(&completion.prompt, self.setting.parameters.block_tokens),
             resume_from: completion.resume_from,
             length: completion.max_tokens,
+            urgent: false,
         };
         let (events, receiver) = mpsc::unbounded_channel();
         let run = Run {
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,3 @@
+//! The policy benchmark, which tests and the `standin` program share.
+
+pub mod policy;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -15,10 +15,12 @@
         .arg_required_else_help(true)
         .subcommand(engine::command())
         .subcommand(plain::command())
+        .subcommand(standin::policy::cli::command())
         .get_matches();
     let result = match matches.subcommand() {
         Some(("engine", arguments)) => engine::run(arguments),
         Some(("plain", arguments)) => plain::run(arguments),
+        Some(("policy", arguments)) => standin::policy::cli::run(arguments),
         _ => Ok(()),
     };
     match result {
--- /dev/null
+++ b/standin/src/policy/plot.rs
@@ -0,0 +1,1 @@
+//! The frontier between questions' tail and batch throughput, as a plot.
--- a/tests/engine_model.rs
+++ b/tests/engine_model.rs
@@ -14,6 +14,7 @@
         blocks: Vec::new(),
         resume_from: 0,
         length,
+        urgent: false,
     }
 }
 
