--- a/tests/member/net.rs
+++ b/tests/member/net.rs
@@ -9,9 +9,10 @@
 
 use auburnspoke::clock::Time;
 use auburnspoke::member::gossip::{Action, Gossip, Input};
+use auburnspoke::member::record::Record;
 use auburnspoke::member::tuning::Tuning;
 use auburnspoke::member::{Member, State};
-use auburnspoke::wire::control::{Frame, decode, encode};
+use auburnspoke::wire::control::{Body, Frame, Head, Update, decode, encode};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -165,6 +166,28 @@
         }
     }
 
+    /// Lets node `at` hear of `about`, as from an old process of `from`.
+    pub fn hear(&mut self, at: usize, from: Member, body: Body, about: Member) {
+        let source = from.control.parse().unwrap();
+        let head = Head {
+            from: from.name,
+            boot: 0,
+            incarnation: 0,
+            in_force: 0,
+            heard: 0,
+        };
+        let record = Record {
+            member: about,
+            boot: 0,
+        };
+        let frame = Frame {
+            head,
+            body,
+            updates: vec![Update::Record(record)],
+        };
+        self.input(at, Input::Frame { source, frame });
+    }
+
     /// Puts bytes on the way, as the network would.
     pub fn carry(&mut self, from: SocketAddr, to: SocketAddr, bytes: &[u8]) {
         let group = |place| self.groups.get(&place).copied().unwrap_or_default();
@@ -286,7 +309,3 @@
         found
     }
 }
-
-pub fn frame_of(bytes: &[u8]) -> Frame {
-    decode(bytes).unwrap()
-}
--- a/tests/member_fault.rs
+++ b/tests/member_fault.rs
@@ -5,8 +5,7 @@
 
 use auburnspoke::member::State;
 use auburnspoke::member::gossip::{Action, Input};
-use auburnspoke::member::record::Record;
-use auburnspoke::wire::control::{Body, Frame, Head, Update};
+use auburnspoke::wire::control::Body;
 use googletest::prelude::*;
 use net::{Net, address, member, secs};
 
@@ -366,6 +365,10 @@
     for at in [0, 1, 2, 3, 4, 6] {
         expect_that!(net.sees(at, 5), none());
     }
+    let mut gone = member(5);
+    gone.state = State::Dead;
+    net.hear(0, member(1), Body::Table, gone);
+    expect_that!(net.sees(0, 5), none());
 }
 
 /// A record with an incarnation that nobody can have counted up to arrives, from
@@ -376,25 +379,8 @@
     let mut bad = member(5);
     bad.incarnation = u64::MAX;
     bad.state = State::Dead;
-    let record = Record {
-        member: bad,
-        boot: 0,
-    };
-    let head = Head {
-        from: member(4).name,
-        boot: 0,
-        incarnation: 0,
-        in_force: 0,
-        heard: 0,
-    };
-    let frame = Frame {
-        head,
-        body: Body::Gossip,
-        updates: vec![Update::Record(record)],
-    };
     for at in 0..6 {
-        let (source, frame) = (address(4), frame.clone());
-        net.input(at, Input::Frame { source, frame });
+        net.hear(at, member(4), Body::Gossip, bad.clone());
     }
     net.run(secs(30));
     expect_that!(net.agreed(6), eq(true));
