--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,19 +6,29 @@
 //! socket, clock, random source or log; the modules that act on their answers
 //! hold nothing that has to be decided.
 
+pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod dispatch;
 pub mod embedded;
+pub mod endpoint;
 pub mod event;
+pub mod gateway;
 pub mod http;
+pub mod job;
 pub mod kernel;
+pub mod limit;
+pub mod link;
+pub mod logger;
 pub mod member;
 pub mod metric;
 pub mod name;
+pub mod node;
 pub mod outcome;
 pub mod platform;
 pub mod request;
+pub mod retry;
+pub mod route;
 pub mod rpc;
 pub mod settings;
 pub mod snapshot;
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,71 @@
+//! The whole path over real processes.
+
+use googletest::prelude::*;
+use serde_json::json;
+
+#[path = "support/env.rs"]
+mod env;
+
+#[gtest]
+fn ask_through_every_node() {
+    // Each node must answer a question, whichever node admits to the engine.
+    let mut fleet = env::Fleet::new();
+    fleet.engine(&["--faster", "20"]);
+    fleet.node("zone-0").node("zone-1").node("zone-2");
+    fleet.settle(3);
+    fleet.configure();
+    let ask = json!({"service": "recipes", "prompt": "swap nuts for seeds", "maxTokens": 8});
+    let mut texts = Vec::new();
+    for node in 0..3 {
+        let answer = fleet.caller(node, "Ask", &ask).unwrap();
+        expect_that!(answer["tokens"], eq(&json!(8)));
+        texts.push(answer["text"].clone());
+    }
+    expect_that!(texts[1], eq(&texts[0]));
+    expect_that!(texts[2], eq(&texts[0]));
+}
+
+#[gtest]
+fn ask_plain_service() {
+    let mut fleet = env::Fleet::new();
+    fleet.plain();
+    fleet.node("zone-0").node("zone-1");
+    fleet.settle(2);
+    fleet.configure();
+    // "bm90ZQ" is "note" in the base64 of protobuf's JSON.
+    let ask = json!({"service": "screening", "path": "/v1/check", "body": "bm90ZQ=="});
+    for node in 0..2 {
+        let answer = fleet.caller(node, "Ask", &ask).unwrap();
+        expect_that!(answer["httpStatus"], eq(&json!(200)));
+    }
+    expect_that!(fleet.plain_counts(0)["arrived"], eq(&json!(2)));
+}
+
+#[gtest]
+fn job_results_whole() {
+    // Twenty items go in at one node and their results are read at another.
+    let mut fleet = env::Fleet::new();
+    fleet
+        .engine(&["--faster", "20"])
+        .engine(&["--faster", "20"]);
+    fleet.node("zone-0").node("zone-1").node("zone-2");
+    fleet.settle(3);
+    fleet.configure();
+    let items: Vec<_> = (0..20)
+        .map(|item| json!({"key": format!("i{item}"), "prompt": format!("scale {item}"), "maxTokens": 4}))
+        .collect();
+    let job =
+        json!({"service": "recipes", "organisation": "trust", "key": "night-1", "items": items});
+    let accepted = fleet.caller(0, "SubmitJob", &job).unwrap();
+    let name = json!({"job": accepted["job"]});
+    env::until("the job ends", || {
+        fleet.caller(1, "JobStatus", &name).unwrap()["state"] == "JOB_STATE_ENDED"
+    });
+    let results = fleet.caller(2, "JobResults", &name).unwrap();
+    let results = results["results"].as_array().unwrap();
+    expect_that!(results.len(), eq(20));
+    for result in results {
+        expect_that!(result["state"], eq(&json!("ITEM_STATE_DONE")));
+        expect_that!(result["tokens"], eq(&json!(4)));
+    }
+}
