--- a/src/cli/job/wait.rs
+++ b/src/cli/job/wait.rs
@@ -9,11 +9,13 @@
 use crate::rpc::client::{Client, Error};
 use crate::rpc::v1;
 
-/// Pause between two looks.
-const PAUSE: Duration = Duration::from_millis(500);
+/// First pause between two looks; each is half as long again as the one before.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause between two looks, so that a long job costs few reads.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 /// Looks in a row that may fail, as during an outage or a restart, before the
-/// wait is given up: five minutes.
-const MAX_FAILURES: u32 = 600;
+/// wait is given up: some five minutes.
+const MAX_FAILURES: u32 = 150;
 
 pub(super) fn option() -> Arg {
     Arg::new("wait")
@@ -30,6 +32,7 @@
     // Draws nothing when the standard error stream is no terminal.
     let bar = ProgressBar::new(0).with_style(style());
     let mut failures = 0;
+    let mut pause = FIRST_PAUSE;
     loop {
         match client.call(&v1::JobStatusRequest { job: job.into() }).await {
             Ok(status) => {
@@ -44,7 +47,8 @@
             Err(e) if failures < MAX_FAILURES && is_passing(&e) => failures += 1,
             Err(e) => return Err(e.into()),
         }
-        actix_rt::time::sleep(PAUSE).await;
+        actix_rt::time::sleep(pause).await;
+        pause = (pause * 3 / 2).min(LONGEST_PAUSE);
     }
 }
 
--- a/src/rpc.rs
+++ b/src/rpc.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod codec;
 pub mod error;
+pub mod job;
 pub mod method;
 pub mod operator;
 pub mod server;
