Take Ctrl-C from the start of try

Ruled out: a longer wait in the test (it would hide the race). Change: the signal is taken before anything is printed; the tour and the signal are awaited together.

--- a/src/cli/try_out.rs
+++ b/src/cli/try_out.rs
@@ -10,6 +10,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use eyre::{Result, WrapErr, bail};
 use serde_json::json;
+use tokio::signal::unix::{SignalKind, signal};
 
 use super::{Exit, Output, job, output};
 use crate::node;
@@ -67,31 +68,46 @@
 }
 
 async fn show(listen: SocketAddr, once: bool, out: Output) -> Result<Exit> {
+    // Taken before anything is printed: a Ctrl-C that came between would end
+    // the process with its node in the middle of its work.
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("can't wait for Ctrl-C")?;
     let standins = standin::start()?;
     let running = node::start(&settings(listen, standins.platform))?;
-    let client = Client::new(
-        vec![running.callers],
-        Timeouts {
-            connect: PATIENCE,
-            answer: PATIENCE,
-        },
-    );
-    out.print(&json!({"serving": running.callers}), |_| {
-        format!("serving on {}", running.callers)
+    let callers = running.callers;
+    let tour = tour(callers, &standins, once, out);
+    let shown = tokio::select! {
+        shown = tour => shown,
+        _ = interrupt.recv() => Ok(()),
+    };
+    running.stop(LEAVE).await;
+    shown.map(|()| Exit::Done)
+}
+
+/// Asks and submits, then serves on unless it is asked to end.
+async fn tour(
+    node: SocketAddr,
+    standins: &standin::Standins,
+    once: bool,
+    out: Output,
+) -> Result<()> {
+    let timeouts = Timeouts {
+        connect: PATIENCE,
+        answer: PATIENCE,
+    };
+    let client = Client::new(vec![node], timeouts);
+    out.print(&json!({ "serving": node }), |_| {
+        format!("serving on {node}")
     })?;
-    configure(&client, running.callers, &standins).await?;
+    configure(&client, node, standins).await?;
     question(&client, out).await?;
     batch(&client, out).await?;
-    if !once {
-        if !out.is_json() {
-            output::write_line(&goodbye(running.callers))?;
-        }
-        tokio::signal::ctrl_c()
-            .await
-            .wrap_err("can't wait for Ctrl-C")?;
+    if once {
+        return Ok(());
     }
-    running.stop(LEAVE).await;
-    Ok(Exit::Done)
+    if !out.is_json() {
+        output::write_line(&goodbye(node))?;
+    }
+    std::future::pending().await
 }
 
 fn settings(listen: SocketAddr, platform: SocketAddr) -> Settings {
