--- a/src/dispatch/shell.rs
+++ b/src/dispatch/shell.rs
@@ -239,6 +239,10 @@
                 Action::Refuse { id, refusal } => {
                     self.end(endpoint, id, 0, Outcome::NotRun(refusal));
                 }
+                // Dropping the entry cancels its run.
+                Action::Abandon { id, refusal } => {
+                    self.end(endpoint, id, 0, Outcome::MayHaveRun(refusal));
+                }
             }
         }
         self.changed.notify_one();
