--- a/src/event.rs
+++ b/src/event.rs
@@ -54,10 +54,4 @@
     406 CHUNK_CANCELLED "chunk_cancelled";
     450 CONFIG_IN_FORCE "config_in_force";
     451 CONFIG_UNREAD "config_unread";
-    460 LEASE_GAINED "lease_gained";
-    461 LEASE_LOST "lease_lost";
-    470 ORDER_SENT "order_sent";
-    471 ORDER_REFUSED "order_refused";
-    472 ORDER_FAILED "order_failed";
-    473 PLACEMENT_SHORT "placement_short";
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -343,7 +343,9 @@
         self.leaving.store(true, Ordering::Relaxed);
         self.services.members.leave();
         let _ = self.stop.batch.send(true);
-        actix_rt::time::sleep(LINGER).await;
+        if self.services.has_peers() {
+            actix_rt::time::sleep(LINGER).await;
+        }
         // Ends with the last sender, when the runner has given back its chunks.
         let _ = self.stop.batch_ended.recv().await;
         let _ = self.stop.callers.send(true);
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -249,6 +249,12 @@
         all
     }
 
+    /// True when callers can go to another node.
+    pub fn has_peers(&self) -> bool {
+        let view = self.shared.view.read();
+        view.usable().any(|member| member.name != self.shared.node)
+    }
+
     /// What marks a change of the configuration.
     pub fn stamp() -> Stamp {
         Stamp {
--- a/tests/event_catalogue.rs
+++ b/tests/event_catalogue.rs
@@ -41,10 +41,12 @@
     // comes.
     let mut source = String::new();
     read(Path::new("src"), &mut source);
-    for event in event::ALL {
-        let constant = format!("event::{}", event.name.to_uppercase());
-        expect_that!(source, contains_substring(constant));
-    }
+    let silent: Vec<_> = event::ALL
+        .iter()
+        .map(|event| event.name.to_uppercase())
+        .filter(|constant| !source.contains(&format!("event::{constant}")))
+        .collect();
+    expect_that!(silent, is_empty());
 }
 
 /// Appends every source file under `folder`.
