Lease: one holder by a table row, with epochs and monotonic clocks

Cause: a holder is paused or cut off, loses its lease without noticing and acts on; an answer is lost, or comes while a later write is under way.

Change: lease::Claim (pure), lease::keep::Keeper (shell).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod event;
 pub mod http;
 pub mod kernel;
+pub mod lease;
 pub mod member;
 pub mod metric;
 pub mod name;
