--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod limit;
 pub mod link;
 pub mod logger;
+pub mod lease;
 pub mod member;
 pub mod metric;
 pub mod name;
