Pack questions onto some endpoints and pace batch prompts beside them

Change: route::pack; Router::weigh(service, latency_weight) packs questions, the load comes back with the first token as well (Router::loaded), old loads fade to the median; a block that more than 24 endpoints hold counts as everywhere; prompt_gap in place of a count.

--- a/src/dispatch/policy.rs
+++ b/src/dispatch/policy.rs
@@ -1,5 +1,7 @@
 //! The ways of admitting batch work beside questions.
 
+use std::time::Duration;
+
 /// How much batch work runs beside questions. Operators don't choose it: they
 /// set `latency_weight`. The other ways are kept to be measured against.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -22,8 +24,8 @@
     /// How much longer the slow steps may get by batch work, as a part of what
     /// they are without it.
     pub step: f64,
-    /// Batch prompts that may be computed at the same time while questions run.
-    pub prompts: u32,
+    /// Time between the starts of two batch items while questions run.
+    pub prompt_gap: Duration,
     /// True when a batch prompt that is being computed makes way for a question.
     pub yields: bool,
 }
@@ -33,9 +35,14 @@
     /// latency). docs/POLICY.md shows what each costs.
     pub fn new(latency_weight: u32) -> Self {
         let ease = f64::from(100 - latency_weight.min(100)) / 100.0;
+        let gap = match latency_weight {
+            0..10 => Duration::ZERO,
+            10..30 => Duration::from_millis(100),
+            _ => Duration::from_secs(2),
+        };
         Self {
             step: 0.02 + ease * ease,
-            prompts: if latency_weight >= 40 { 1 } else { 2 },
+            prompt_gap: gap,
             yields: latency_weight >= 20,
         }
     }
--- a/src/dispatch/queue.rs
+++ b/src/dispatch/queue.rs
@@ -75,6 +75,8 @@
     pace: Pace,
     health: Health,
     last_question: Time,
+    /// When a batch item was last started.
+    last_item: Time,
 }
 
 impl Queue {
@@ -96,6 +98,7 @@
             pace: Pace::default(),
             health: Health::new(now),
             last_question: Time::ZERO,
+            last_item: Time::ZERO,
         }
     }
 
--- a/src/dispatch/queue/admit.rs
+++ b/src/dispatch/queue/admit.rs
@@ -23,6 +23,8 @@
 const UNKNOWN: u32 = 4;
 /// Without a question for this long the endpoint is all for batch work.
 const IDLE: Duration = Duration::from_millis(1_500);
+/// Batch prompts computed at the same time while questions run.
+const PROMPTS: u32 = 2;
 /// Batch prompts computed at the same time while there are no questions.
 const IDLE_PROMPTS: u32 = 4;
 
@@ -115,12 +117,11 @@
         if self.count.online_computing > 0 {
             return false;
         }
-        let most = if self.is_idle(now) {
-            IDLE_PROMPTS
-        } else {
-            self.tolerance.prompts
-        };
-        self.count.batch_computing < most
+        if self.is_idle(now) {
+            return self.count.batch_computing < IDLE_PROMPTS;
+        }
+        let due = self.last_item + self.tolerance.prompt_gap;
+        self.count.batch_computing < PROMPTS && now >= due
     }
 
     /// True when the next batch item fits into KV memory with its answer.
@@ -224,6 +225,9 @@
             stopping: false,
             offer: entry.offer,
         };
+        if run.offer.class == Class::Batch {
+            self.last_item = now;
+        }
         let id = run.offer.id;
         Count::add(&mut self.count, &run);
         self.runs.insert(id, run);
--- a/src/route.rs
+++ b/src/route.rs
@@ -9,6 +9,7 @@
 use crate::member::{Member, View};
 
 mod outlier;
+mod pack;
 mod prefix;
 mod router;
 
--- a/src/route/prefix.rs
+++ b/src/route/prefix.rs
@@ -7,8 +7,9 @@
 
 /// Blocks that are remembered over all endpoints.
 const CAPACITY: usize = 200_000;
-/// Endpoints that are remembered for one block.
-const HOLDERS: usize = 4;
+/// Endpoints that are remembered for one block. A block that more hold is taken
+/// to be everywhere, as the beginning of every prompt of a service is.
+const HOLDERS: usize = 24;
 
 /// Blocks and their last known holders.
 #[derive(Debug, Default)]
@@ -27,10 +28,9 @@
         if holders.contains(&endpoint) {
             return;
         }
-        if holders.len() == HOLDERS {
-            holders.remove(0);
+        if holders.len() <= HOLDERS {
+            holders.push(endpoint);
         }
-        holders.push(endpoint);
         if self.order.len() > CAPACITY
             && let Some(oldest) = self.order.pop_front()
         {
@@ -40,7 +40,9 @@
 
     /// `endpoint` no longer holds `block`.
     pub fn evict(&mut self, block: u64, endpoint: u32) {
-        if let Some(holders) = self.holders.get_mut(&block) {
+        if let Some(holders) = self.holders.get_mut(&block)
+            && holders.len() <= HOLDERS
+        {
             holders.retain(|holder| *holder != endpoint);
         }
     }
@@ -50,8 +52,9 @@
         // An event lost in the middle must not hide the blocks after it, so
         // the search begins at the end.
         blocks.iter().enumerate().rev().find_map(|(at, block)| {
-            let endpoint = *self.holders.get(block)?.last()?;
-            Some((endpoint, at + 1))
+            let holders = self.holders.get(block)?;
+            let endpoint = *holders.last()?;
+            (holders.len() <= HOLDERS).then_some((endpoint, at + 1))
         })
     }
 
@@ -62,7 +65,7 @@
             .rposition(|block| {
                 self.holders
                     .get(block)
-                    .is_some_and(|holders| holders.contains(&endpoint))
+                    .is_some_and(|holders| holders.len() > HOLDERS || holders.contains(&endpoint))
             })
             .map_or(0, |at| at + 1)
     }
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -7,6 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::outlier::{Cause, Record, Verdict};
+use super::pack::{self, Packing};
 use super::prefix::Index;
 use crate::clock::Time;
 use crate::dispatch::Load;
@@ -24,6 +25,15 @@
 const MAX_EJECTED: f64 = 0.34;
 /// After this time without news a load is taken to have gone back to normal.
 const LOAD_FADES: Duration = Duration::from_secs(5);
+/// What each batch sequence adds until the first token, in microseconds.
+const BATCH_US: f64 = 300.0;
+/// How much later a first token must seem on packed endpoints than on another
+/// one before a question spills, in microseconds.
+const SPILL_US: f64 = 60_000.0;
+/// How often the number of packed endpoints may shrink.
+const SHRINK_EVERY: Duration = Duration::from_secs(2);
+/// Part of the target below which the number of packed endpoints shrinks.
+const SHRINK_BELOW: f64 = 0.7;
 /// Draws before the endpoints are gone through one by one.
 const DRAWS: u32 = 3;
 /// How often peers are compared.
@@ -69,6 +79,24 @@
     all: Vec<u32>,
     /// Those in this gateway's zone.
     local: Vec<u32>,
+    /// All, in the order in which every gateway packs questions.
+    order: Vec<u32>,
+    /// How closely questions are packed; none to spread them over all.
+    packing: Option<Packing>,
+    /// How many of `order` are packed now.
+    packed: usize,
+    /// When that was last changed.
+    resized: Time,
+}
+
+impl Pool {
+    /// Those that questions go to unless they are crowded.
+    fn packed(&self) -> &[u32] {
+        match self.packing {
+            Some(_) => &self.order[..self.packed],
+            None => &self.all,
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -129,7 +157,7 @@
     where
         T: IntoIterator<Item = Target>,
     {
-        self.services.clear();
+        let before = std::mem::take(&mut self.services);
         for target in targets {
             let next = u32::try_from(self.endpoints.len()).unwrap_or(u32::MAX);
             let at = *self.index.entry(Name::clone(&target.name)).or_insert(next);
@@ -145,6 +173,30 @@
                 None => self.endpoints.push(Endpoint::new(target)),
             }
         }
+        for (service, pool) in &mut self.services {
+            pool.order = pack::order(service, &pool.all, |at| {
+                let target = &self.endpoints[at as usize].target;
+                (&target.name, &target.zone)
+            });
+            if let Some(old) = before.get(service) {
+                (pool.packing, pool.packed, pool.resized) = (old.packing, old.packed, old.resized);
+            }
+            pool.packed = pool.packed.clamp(1, pool.order.len().max(1));
+        }
+    }
+
+    /// Packs the questions of a service onto as few endpoints as its
+    /// `latency_weight` bears, so that the others are all for batch work.
+    pub fn weigh(&mut self, service: &str, latency_weight: u32) {
+        if let Some(pool) = self.services.get_mut(service) {
+            pool.packing = Packing::new(latency_weight);
+        }
+    }
+
+    /// How many endpoints the questions of a service are packed onto.
+    pub fn packed(&self, service: &str) -> usize {
+        let pool = self.services.get(service);
+        pool.map_or(0, |pool| pool.packed().len())
     }
 
     /// Chooses an endpoint, or none when the service has none left to try.
@@ -159,13 +211,21 @@
             return Some(self.choice(at, true));
         }
         let guess = self.prefixes.longest(query.blocks).map(|(at, _)| at);
-        let guess = guess.filter(|at| pool.all.contains(at) && self.may_take(*at, query));
-        let first = self.sample(&pool.local, near, query, None);
-        let second = self.sample(&pool.all, far, query, first);
-        let best = [guess, first, second].into_iter().flatten().min_by(|a, b| {
-            let (a, b) = (self.cost(now, *a, query), self.cost(now, *b, query));
-            a.total_cmp(&b)
-        });
+        let guess = guess.filter(|at| pool.packed().contains(at) && self.may_take(*at, query));
+        let first = match pool.packing {
+            Some(_) => self.sample(pool.packed(), near, query, None),
+            None => self.sample(&pool.local, near, query, None),
+        };
+        let second = self.sample(pool.packed(), far, query, first);
+        let spill = match pool.packing {
+            Some(_) => self.sample(&pool.all, near ^ far, query, first),
+            None => None,
+        };
+        let best = [(guess, 0.0), (first, 0.0), (second, 0.0), (spill, SPILL_US)]
+            .into_iter()
+            .filter_map(|(at, extra)| at.map(|at| (self.cost(now, at, query) + extra, at)))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, at)| at);
         // Every endpoint ejected and tried is still better than no answer.
         let rest = || pool.all.iter().copied().find(|at| !self.tried(*at, query));
         let best = best.or_else(rest)?;
@@ -224,9 +284,14 @@
             _ => {}
         }
         if let Some(load) = load {
-            endpoint.load = load;
-            endpoint.load_at = now;
-            endpoint.since_load = 0;
+            endpoint.take(now, load);
+        }
+    }
+
+    /// A load came back with a first token or on its own.
+    pub fn loaded(&mut self, now: Time, endpoint: &str, load: Load) {
+        if let Some(&at) = self.index.get(endpoint) {
+            self.endpoints[at as usize].take(now, load);
         }
     }
 
@@ -294,18 +359,21 @@
         })
     }
 
+    /// The median first-token time of a service, in microseconds.
+    fn usual_us(&self, query: &Query<'_>) -> f64 {
+        let median = self.medians.get(query.service).copied();
+        median.unwrap_or(DEFAULT_FIRST_TOKEN_US)
+    }
+
     /// Expected time to the first token, in microseconds.
     fn cost(&self, now: Time, at: u32, query: &Query<'_>) -> f64 {
         let endpoint = &self.endpoints[at as usize];
-        let fresh = if now.since(endpoint.load_at) < LOAD_FADES {
-            f64::from(endpoint.load.online + 2 * endpoint.load.queued)
-        } else {
-            0.0
-        };
-        let ahead = fresh + f64::from(endpoint.since_load);
+        let ahead = endpoint.ahead(now);
+        // An old figure would keep an endpoint from ever getting a newer one.
+        let fresh = now.since(endpoint.load_at) < LOAD_FADES;
         let base = match endpoint.load.first_token_us {
-            0 => DEFAULT_FIRST_TOKEN_US,
-            micros => f64::from(micros),
+            micros if fresh && micros > 0 => f64::from(micros),
+            _ => self.usual_us(query),
         };
         let slots = f64::from(endpoint.load.slots.max(1));
         let zone = if endpoint.target.zone == self.zone {
@@ -314,7 +382,34 @@
             ZONE_US
         };
         let held = self.prefixes.held(query.blocks, at) as f64;
-        base * (1.0 + 4.0 * ahead / slots.max(8.0)) + zone - held * BLOCK_TOKENS * CACHED_TOKEN_US
+        let batch = f64::from(endpoint.load.batch) * BATCH_US;
+        let cached = held * BLOCK_TOKENS * CACHED_TOKEN_US;
+        base * (1.0 + 4.0 * ahead / slots.max(8.0)) + zone + batch - cached
+    }
+
+    /// Packs onto more endpoints at once when they get crowded, and onto fewer
+    /// slowly, so that a burst finds the room that the last one made.
+    fn resize(&mut self, now: Time) {
+        for pool in self.services.values_mut() {
+            let Some(packing) = pool.packing else {
+                continue;
+            };
+            let ahead: f64 = pool
+                .all
+                .iter()
+                .map(|at| self.endpoints[*at as usize].ahead(now))
+                .sum();
+            let wanted = packing.wanted(ahead, pool.order.len());
+            if wanted > pool.packed {
+                pool.packed = wanted;
+                pool.resized = now;
+            } else if now.since(pool.resized) >= SHRINK_EVERY
+                && ahead < packing.target * SHRINK_BELOW * (pool.packed - 1) as f64
+            {
+                pool.packed -= 1;
+                pool.resized = now;
+            }
+        }
     }
 
     /// Compares the endpoints of each service and ejects the worst, up to the
@@ -325,6 +420,7 @@
             return;
         }
         self.reviewed = now;
+        self.resize(now);
         for (service, Pool { all, .. }) in &self.services {
             let mut means: Vec<f64> = all
                 .iter()
@@ -366,6 +462,23 @@
             waiting: BTreeSet::new(),
         }
     }
+
+    fn take(&mut self, now: Time, load: Load) {
+        self.load = load;
+        self.load_at = now;
+        self.since_load = 0;
+    }
+
+    /// Questions there, as far as is known.
+    fn ahead(&self, now: Time) -> f64 {
+        let fresh = now.since(self.load_at) < LOAD_FADES;
+        let told = if fresh {
+            self.load.online + 2 * self.load.queued
+        } else {
+            0
+        };
+        f64::from(told + self.since_load)
+    }
 }
 
 /// How many of `count` endpoints may be ejected at the same time.
--- a/standin/src/policy/event.rs
+++ b/standin/src/policy/event.rs
@@ -61,6 +61,8 @@
         id: u64,
         /// Its place in the answer.
         offset: u32,
+        /// The endpoint's load, with the first one.
+        load: Option<Load>,
     },
     /// The end of an attempt reaches the gateway.
     Tell {
--- a/standin/src/policy/gateway.rs
+++ b/standin/src/policy/gateway.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use auburnspoke::clock::Time;
+use auburnspoke::dispatch::Policy;
 use auburnspoke::name::Name;
 use auburnspoke::retry::{Assembly, Budget, Hedge};
 use auburnspoke::route::{Router, Target};
 
-use super::case::Case;
+use super::case::{Case, Way};
 
 /// The service that all ask.
 pub const SERVICE: &str = "notes";
@@ -61,6 +62,12 @@
             zone: zone(at),
             services: vec![SERVICE.into()],
         }));
+        if matches!(
+            case.way,
+            Way::Queue(Policy::Adaptive | Policy::AdaptiveCancel)
+        ) {
+            router.weigh(SERVICE, case.latency_weight);
+        }
         Self {
             router,
             budget: Budget::default(),
--- a/standin/src/policy/world.rs
+++ b/standin/src/policy/world.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use auburnspoke::clock::Time;
-use auburnspoke::dispatch::{Action, End, Input, Offer};
+use auburnspoke::dispatch::{Action, End, Input, Load, Offer};
 use auburnspoke::embedded::engine::Model;
 use auburnspoke::embedded::engine::model::{Job, Token};
 use auburnspoke::outcome::{Reason, Refusal};
@@ -139,7 +139,7 @@
             Event::Step(site) => self.step(site),
             Event::Tokens { queue, tokens } => self.tokens(queue, &tokens),
             Event::Ended { queue, id, end } => self.queue(queue, Input::Ended { id, end }),
-            Event::Piece { id, offset } => self.piece(id, offset),
+            Event::Piece { id, offset, load } => self.piece(id, offset, load),
             Event::Tell { id, failure, load } => {
                 let verdict = match &failure {
                     None => Verdict::Good,
@@ -345,7 +345,10 @@
                 if let Some(attempt) = self.attempts.get(&id) {
                     let hop = self.to_queue(attempt.question, queue);
                     let offset = token.offset;
-                    self.agenda.add(self.now + hop, Event::Piece { id, offset });
+                    let first = offset == attempt.resume_from;
+                    let load = first.then(|| self.fronts[queue].load());
+                    let event = Event::Piece { id, offset, load };
+                    self.agenda.add(self.now + hop, event);
                 }
             } else if let Some(work) = self.fronts[queue].work.get_mut(&id) {
                 work.done = token.offset + 1;
@@ -374,13 +377,17 @@
     }
 
     /// A token reaches a gateway.
-    fn piece(&mut self, id: u64, offset: u32) {
+    fn piece(&mut self, id: u64, offset: u32, load: Option<Load>) {
         let Some(attempt) = self.attempts.get(&id).copied() else {
             return;
         };
         let at = attempt.question;
         let gateway = &mut self.gateways[self.questions[at].gateway];
         gateway.router.first_token(self.now, id);
+        if let Some(load) = load {
+            let endpoint = gateway::endpoint(attempt.queue % self.sites.len());
+            gateway.router.loaded(self.now, &endpoint, load);
+        }
         let ask = &mut self.asks[at];
         if ask.closed || !ask.active.contains(&id) {
             return;
