--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -5,6 +5,7 @@
 use clap::Command;
 
 mod engine;
+mod members;
 mod plain;
 mod platform;
 
@@ -17,11 +18,13 @@
         .subcommand(platform::command())
         .subcommand(engine::command())
         .subcommand(plain::command())
+        .subcommand(members::command())
         .get_matches();
     let result = match matches.subcommand() {
         Some(("platform", arguments)) => platform::run(arguments),
         Some(("engine", arguments)) => engine::run(arguments),
         Some(("plain", arguments)) => plain::run(arguments),
+        Some(("members", arguments)) => members::run(arguments),
         _ => Ok(()),
     };
     match result {
