--- /dev/null
+++ b/tests/leave_phase.rs
@@ -0,0 +1,226 @@
+//! How a node leaves, step by step.
+
+use std::time::Duration;
+
+use auburnspoke::clock::Time;
+use auburnspoke::leave::{Action, Ending, Input, Leave, Phase, Times, Work};
+use googletest::prelude::*;
+
+const CLEAN: Ending = Ending { cut: 0, chunks: 0 };
+
+/// A node in virtual time.
+struct Node {
+    leave: Leave,
+    now: Time,
+    start: Time,
+    work: Work,
+    done: Vec<(u64, Action)>,
+}
+
+impl Node {
+    fn serving() -> Self {
+        let now = Time::from_millis(3_600_000);
+        let mut node = Self {
+            leave: Leave::new(Times::default()),
+            now,
+            start: now,
+            work: Work::default(),
+            done: Vec::new(),
+        };
+        node.input(Input::Started);
+        node
+    }
+
+    fn input(&mut self, input: Input) {
+        let at = u64::try_from(self.now.since(self.start).as_millis()).unwrap();
+        let actions = self.leave.step(self.now, input);
+        self.done
+            .extend(actions.into_iter().map(|action| (at, action)));
+    }
+
+    fn run(&mut self, seconds: u64) {
+        for _ in 0..seconds * 10 {
+            self.now += Duration::from_millis(100);
+            self.input(Input::Tick(self.work));
+        }
+    }
+
+    fn when(&self, action: Action) -> Option<u64> {
+        let mut done = self.done.iter();
+        done.find(|(_, a)| *a == action).map(|(at, _)| *at)
+    }
+
+    fn ending(&self) -> Option<(u64, Ending)> {
+        self.done.iter().find_map(|(at, action)| match action {
+            Action::Exit(ending) => Some((*at, *ending)),
+            _ => None,
+        })
+    }
+}
+
+/// A VM is replaced as planned while callers hold its address. Ending before
+/// their answers have run out would refuse them a connection.
+#[gtest]
+fn stop_serves_until_addresses_run_out() {
+    let mut node = Node::serving();
+    node.input(Input::Stop);
+    let first: Vec<Action> = node.done.iter().map(|(_, action)| *action).collect();
+    expect_that!(
+        first,
+        elements_are![
+            eq(&Action::Announce),
+            eq(&Action::StopClaiming),
+            eq(&Action::HandOver)
+        ]
+    );
+    node.run(60);
+    expect_that!(node.when(Action::RefuseQuestions), some(eq(13_000)));
+    expect_that!(node.ending(), some(eq((13_000, CLEAN))));
+    expect_that!(node.leave.phase(), eq(Phase::Ended));
+}
+
+/// A long answer is still being generated when the addresses have run out. It
+/// must come to its end.
+#[gtest]
+fn stop_waits_for_what_is_in_flight() {
+    for work in [
+        Work {
+            questions: 1,
+            ..Work::default()
+        },
+        Work {
+            dispatched: 1,
+            ..Work::default()
+        },
+    ] {
+        let mut node = Node::serving();
+        node.work = work;
+        node.input(Input::Stop);
+        node.run(60);
+        expect_that!(node.ending(), none());
+        node.work = Work::default();
+        node.run(1);
+        expect_that!(node.ending(), some(eq((60_100, CLEAN))));
+    }
+}
+
+/// Chunks are held. Their running items get a moment to end, then they are
+/// written and given up, long before others could take them by expiry.
+#[gtest]
+fn stop_releases_chunks() {
+    let mut node = Node::serving();
+    node.work = Work {
+        chunks: 2,
+        items: 8,
+        ..Work::default()
+    };
+    node.input(Input::Stop);
+    node.run(3);
+    expect_that!(node.when(Action::ReleaseChunks), none());
+    node.work.items = 0;
+    node.run(1);
+    expect_that!(node.when(Action::ReleaseChunks), some(eq(3_100)));
+    node.work.chunks = 0;
+    node.run(30);
+    expect_that!(node.ending(), some(eq((13_000, CLEAN))));
+}
+
+/// Items do not end in their time, as those of a stuck endpoint.
+#[gtest]
+fn stop_does_not_wait_for_stuck_items() {
+    let mut node = Node::serving();
+    node.work = Work {
+        chunks: 1,
+        items: 1,
+        ..Work::default()
+    };
+    node.input(Input::Stop);
+    node.run(10);
+    expect_that!(node.when(Action::ReleaseChunks), some(eq(5_000)));
+}
+
+/// The platform is down while the node stops, so that its leases can't be given
+/// up. It tries again, and at last leaves them to run out.
+#[gtest]
+fn stop_during_an_outage_leaves_leases_to_run_out() {
+    let mut node = Node::serving();
+    node.work.chunks = 3;
+    node.input(Input::Stop);
+    node.run(60);
+    let tries = node
+        .done
+        .iter()
+        .filter(|(_, a)| *a == Action::ReleaseChunks);
+    expect_that!(tries.count(), all![gt(10), lt(25)]);
+    let ending = Ending { cut: 0, chunks: 3 };
+    expect_that!(node.ending(), some(eq((33_000, ending))));
+    expect_that!(ending.is_clean(), eq(true));
+}
+
+/// The platform sends SIGTERM again, as some do each few seconds. A second one
+/// must neither cut answers short nor start the stop anew.
+#[gtest]
+fn stop_twice_changes_nothing() {
+    let mut node = Node::serving();
+    node.work.questions = 1;
+    for _ in 0..10 {
+        node.input(Input::Stop);
+        node.run(2);
+    }
+    expect_that!(node.done.len(), eq(4));
+    node.work.questions = 0;
+    node.run(1);
+    expect_that!(node.ending(), some(eq((20_100, CLEAN))));
+}
+
+/// A person presses Ctrl-C twice and does not want to wait.
+#[gtest]
+fn hurry_cuts_off_at_once() {
+    let mut node = Node::serving();
+    node.work.questions = 2;
+    node.input(Input::Stop);
+    node.run(1);
+    node.input(Input::Hurry);
+    node.run(3);
+    expect_that!(node.when(Action::CutOff), some(eq(1_100)));
+    let (at, ending) = node.ending().unwrap();
+    expect_that!(at, eq(2_100));
+    expect_that!(ending.cut, eq(2));
+    expect_that!(ending.is_clean(), eq(false));
+}
+
+/// SIGTERM comes before the node serves. Nobody knows of it, so nothing has to
+/// be waited for.
+#[gtest]
+fn stop_during_start_ends_at_once() {
+    let mut leave = Leave::new(Times::default());
+    let actions = leave.step(Time::ZERO, Input::Stop);
+    expect_that!(actions, elements_are![eq(&Action::Exit(CLEAN))]);
+    expect_that!(leave.step(Time::ZERO, Input::Started), is_empty());
+    expect_that!(leave.phase(), eq(Phase::Ended));
+}
+
+/// An answer takes longer than the limit. Its caller gets a final answer and
+/// the process ends; it must not hang for ever.
+#[gtest]
+fn stop_beyond_its_limit_cuts_off() {
+    let mut node = Node::serving();
+    node.work.questions = 1;
+    node.input(Input::Stop);
+    node.run(130);
+    expect_that!(node.when(Action::CutOff), some(eq(120_000)));
+    let ending = Ending { cut: 1, chunks: 0 };
+    expect_that!(node.ending(), some(eq((121_000, ending))));
+}
+
+/// The process is paused during its stop and wakes after everything is due.
+/// Each thing still happens once, in order.
+#[gtest]
+fn pause_during_a_stop_keeps_the_order() {
+    let mut node = Node::serving();
+    node.input(Input::Stop);
+    node.now += Duration::from_secs(60);
+    node.run(1);
+    expect_that!(node.when(Action::RefuseQuestions), some(eq(60_100)));
+    expect_that!(node.ending(), some(eq((60_100, CLEAN))));
+}
