--- a/src/logger.rs
+++ b/src/logger.rs
@@ -4,7 +4,7 @@
 use std::io::Write as _;
 
 use env_logger::fmt::Formatter;
-use log::Record;
+use log::{LevelFilter, Record};
 use serde_json::{Map, Value, json};
 
 use crate::clock;
@@ -17,6 +17,9 @@
 pub fn init(settings: &Log) {
     let mut builder = env_logger::Builder::new();
     builder.filter_level(settings.level);
+    // What a caller sends wrong is answered and counted; logged as well, it
+    // would let any caller fill the log.
+    builder.filter_module("actix_http", LevelFilter::Off);
     builder.parse_default_env();
     match settings.format {
         Format::Text => builder.format(write_text),
--- a/src/rpc/job.rs
+++ b/src/rpc/job.rs
@@ -27,6 +27,10 @@
             job.items.len()
         )));
     }
+    if let Some(number) = job.items.iter().position(|item| item.prompt.is_empty()) {
+        let message = format!("items[{number}].prompt: send one, it is empty");
+        return Err(Refusal::new(Reason::Invalid).because(message));
+    }
     let items = job.items.into_iter().map(|item| job::Item {
         key: item.key.into(),
         prompt: item.prompt.into(),
