--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -17,11 +17,13 @@
         .subcommand(platform::command())
         .subcommand(engine::command())
         .subcommand(plain::command())
+        .subcommand(standin::policy::cli::command())
         .get_matches();
     let result = match matches.subcommand() {
         Some(("platform", arguments)) => platform::run(arguments),
         Some(("engine", arguments)) => engine::run(arguments),
         Some(("plain", arguments)) => plain::run(arguments),
+        Some(("policy", arguments)) => standin::policy::cli::run(arguments),
         _ => Ok(()),
     };
     match result {
