Leave in phases, locate callers' addresses, mark requests that must not be repeated

Cause: a stop only waited for work; Locate and once were missing; a mark could be taken away by a late removal. Ruled out: unmarking by key alone (a removal that arrives twice takes away the mark of the caller's next try). Change: leave::Leave drives the stop; the phase is published to every thread: dispatchers hand over what waits, gateways serve cached addresses until nobody may hold one and refuse after; a cut gives final answers. Marks::unmark removes only the row that was inserted. A resend of a used key is told MayHaveRun, never NotRun.

--- a/src/cli/try_out.rs
+++ b/src/cli/try_out.rs
@@ -79,7 +79,10 @@
         shown = tour => shown,
         _ = interrupt.recv() => Ok(()),
     };
-    running.stop(LEAVE).await;
+    let hurry = async move {
+        interrupt.recv().await;
+    };
+    running.stop(LEAVE, hurry).await;
     shown.map(|()| Exit::Done)
 }
 
--- a/src/dispatch/shell.rs
+++ b/src/dispatch/shell.rs
@@ -20,6 +20,8 @@
 use crate::clock::{Clock, Time};
 use crate::config::Document;
 use crate::config::follow::Force;
+use crate::gateway::Shared;
+use crate::leave::Phase;
 use crate::name::Name;
 use crate::node::work::{Guard, Work};
 use crate::outcome::{Outcome, Reason, Refusal};
@@ -38,6 +40,7 @@
     clock: Clock,
     force: Arc<snapshot::Cell<Force>>,
     work: Work,
+    phase: Arc<snapshot::Cell<Phase>>,
     client: awc::Client,
     state: RefCell<State>,
     /// Wakes the timer when an earlier time became due.
@@ -85,16 +88,12 @@
 impl Shell {
     /// A shell without dispatchers; they appear with the first request for
     /// their endpoint.
-    pub fn new(
-        clock: Clock,
-        force: Arc<snapshot::Cell<Force>>,
-        work: Work,
-        post: Arc<snapshot::Cell<Loads>>,
-    ) -> Rc<Self> {
+    pub fn new(shared: &Shared, post: Arc<snapshot::Cell<Loads>>) -> Rc<Self> {
         Rc::new(Self {
-            clock,
-            force,
-            work,
+            clock: shared.clock,
+            force: Arc::clone(&shared.force),
+            work: shared.dispatched.clone(),
+            phase: Arc::clone(&shared.phase),
             client: crate::http::client(crate::endpoint::CONNECT_TIMEOUT),
             state: RefCell::default(),
             changed: Notify::new(),
@@ -140,13 +139,34 @@
 
     fn tick(self: &Rc<Self>) {
         let now = self.clock.now();
+        let serving = **self.phase.read() == Phase::Serving;
         let names: Vec<Name> = self.state.borrow().stands.keys().cloned().collect();
         for name in names {
+            if !serving {
+                self.hand_over(&name);
+            }
             self.follow_config(&name);
             self.feed(&name, now, Input::Tick);
         }
     }
 
+    /// Gives back what waits, so that its gateways go to the endpoint's next
+    /// dispatcher; what runs at the endpoint goes on.
+    fn hand_over(self: &Rc<Self>, name: &Name) {
+        let waiting: Vec<Id> = {
+            let state = self.state.borrow();
+            let entries = state.stands.get(name).map(|stand| &stand.entries);
+            let entries = entries.into_iter().flatten();
+            let waiting = entries.filter(|(_, entry)| entry.run.is_none());
+            waiting.map(|(id, _)| *id).collect()
+        };
+        for id in waiting {
+            self.feed(name, self.clock.now(), Input::Withdraw { id });
+            let refusal = Refusal::new(Reason::NotReady).after(IDLE_TICK);
+            self.end(name, id, 0, Outcome::NotRun(refusal));
+        }
+    }
+
     /// Tells a queue when the configuration of its endpoint has changed.
     fn follow_config(self: &Rc<Self>, name: &Name) {
         let setting = setting_of(&self.force.read().document, name);
@@ -172,7 +192,11 @@
             reply,
         } = submit;
         let force = self.force.read();
-        let refused = if !force.holds(now) {
+        let refused = if **self.phase.read() != Phase::Serving {
+            // A gateway that has not heard yet that this node leaves: the
+            // endpoint has another dispatcher.
+            Some(Reason::NotReady)
+        } else if !force.holds(now) {
             // What this node knows may be superseded: it starts nothing by it.
             Some(Reason::NotReady)
         } else if !force.document.endpoints.contains_key(&endpoint) {
--- a/src/event.rs
+++ b/src/event.rs
@@ -46,6 +46,7 @@
     303 LINK_CLOSED "link_closed";
     304 FRAME_REFUSED "frame_refused";
     305 ENDPOINT_EJECTED "endpoint_ejected";
+    306 MARK_KEPT "mark_kept";
     401 CHUNK_CLAIMED "chunk_claimed";
     402 CHUNK_TAKEN_OVER "chunk_taken_over";
     403 CHUNK_COMMITTED "chunk_committed";
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -10,20 +10,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
-use crate::clock::{Clock, Time};
+use crate::clock::{Clock, Time, unix_millis};
 use crate::config::follow::Force;
 use crate::config::{Document, Kind};
 use crate::dispatch::Handle;
 use crate::event;
+use crate::leave::Phase;
 use crate::limit::{Bound, Demand, Gate, Grant, Limiter};
 use crate::link::Pool;
 use crate::member::View;
 use crate::metric::Metrics;
 use crate::name::Name;
 use crate::node::work::Work;
+use crate::once::{self, Marks};
 use crate::outcome::{Outcome, Reason, Refusal};
+use crate::platform::http::Client;
 use crate::request::{Answer, Body, Piece, Request};
 use crate::retry::{self, Budget};
 use crate::route::{Router, Target};
@@ -57,8 +60,12 @@
     pub dispatch: Handle,
     /// Counters.
     pub metrics: Arc<Metrics>,
-    /// What is in flight on this node.
-    pub work: Work,
+    /// Callers' questions in flight on this node.
+    pub questions: Work,
+    /// Requests that this node's dispatchers hold.
+    pub dispatched: Work,
+    /// Where this node is in its life.
+    pub phase: Arc<snapshot::Cell<Phase>>,
 }
 
 impl Shared {
@@ -98,13 +105,25 @@
     budget: RefCell<Budget>,
     last_flight: Cell<u64>,
     version: Cell<u64>,
+    marks: Marks<Client>,
+    cut: watch::Receiver<bool>,
 }
 
 impl Gateway {
     /// A gateway that has heard of no endpoint's load yet.
-    pub fn new(shared: Shared, thread: usize) -> Rc<Self> {
+    ///
+    /// `cut` turns true when everything in flight must get its final answer.
+    pub fn new(
+        shared: Shared,
+        thread: usize,
+        platform: Client,
+        cut: watch::Receiver<bool>,
+    ) -> Rc<Self> {
+        let owner = once::owner(&shared.node, unix_millis(), thread);
         Rc::new(Self {
             thread,
+            marks: Marks::new(owner, platform),
+            cut,
             links: Pool::new(shared.node.clone()),
             router: RefCell::new(Router::new(shared.zone.clone(), rand::random())),
             limiter: RefCell::new(Limiter::new(1)),
@@ -165,7 +184,15 @@
     /// pieces can drop the other end.
     pub async fn ask(&self, request: Request, pieces: mpsc::Sender<Piece>) -> Outcome<Answer> {
         let class = request.class;
-        let outcome = self.admit(request, pieces).await;
+        let mut cut = self.cut.clone();
+        let outcome = tokio::select! {
+            biased;
+            outcome = self.admit(request, pieces) => outcome,
+            // Dropping the request cancels it at the endpoint.
+            _ = cut.wait_for(|cut| *cut) => Outcome::MayHaveRun(
+                Refusal::new(Reason::NotReady).because("the node stops; use another address"),
+            ),
+        };
         if let Outcome::NotRun(refusal) | Outcome::MayHaveRun(refusal) = &outcome {
             self.shared.metrics.refuse(class, refusal.reason);
             log::debug!("{} {refusal}", event::REQUEST_REFUSED);
@@ -186,9 +213,42 @@
             Ok(passage) => passage,
             Err(refusal) => return Outcome::NotRun(refusal),
         };
+        if request.once {
+            return self.run_once(config, request, pieces).await;
+        }
         self.run(config, request, pieces).await
     }
 
+    /// Runs a request that must not be repeated, after its mark is in the
+    /// table.
+    async fn run_once(
+        &self,
+        config: Arc<Document>,
+        request: Request,
+        pieces: mpsc::Sender<Piece>,
+    ) -> Outcome<Answer> {
+        let key = once::Key {
+            organisation: request.organisation.clone(),
+            key: request.key.clone(),
+        };
+        let mark = match self.marks.mark(&key).await {
+            Ok(mark) => mark,
+            // This request did not run, but the one that used its key may have:
+            // "not run" would invite the caller to choose a new key.
+            Err(refusal) if refusal.reason == Reason::AlreadyRun => {
+                return Outcome::MayHaveRun(refusal);
+            }
+            Err(refusal) => return Outcome::NotRun(refusal),
+        };
+        let outcome = self.run(config, request, pieces).await;
+        if outcome.is_not_run() && self.marks.unmark(&mark).await.is_err() {
+            // The caller is told that it did not run, which is true; with the
+            // same key it will be told that the key is used up.
+            log::debug!("{} key={}", event::MARK_KEPT, key.key);
+        }
+        outcome
+    }
+
     /// Tries endpoints until one answers or trying again is of no use.
     async fn run(
         &self,
--- a/src/node.rs
+++ b/src/node.rs
@@ -5,9 +5,9 @@
 //! thread has a runtime of its own and shares nothing mutable with the others.
 
 use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use actix_rt::Arbiter;
@@ -23,6 +23,7 @@
 use crate::http;
 use crate::job::runner;
 use crate::kernel::Kernel;
+use crate::leave::{self, Action, Ending, Input, Leave, Phase, Times};
 use crate::member::shell::{Counts, Setup};
 use crate::member::tuning::Tuning;
 use crate::member::{Member, State, View};
@@ -47,9 +48,8 @@
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(3);
 /// Messages that may wait between the control thread and the others.
 const WAITING: usize = 1_024;
-/// How long a leaving node goes on accepting connections: a caller may keep an
-/// address for this long after it asked for one.
-const LINGER: Duration = Duration::from_secs(5);
+/// How long the last answers may take out of the process.
+const FLUSH: Duration = Duration::from_millis(200);
 /// How often a stop looks whether work has ended.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
@@ -75,8 +75,7 @@
     pub control: SocketAddr,
     /// The services by name.
     pub kernel: Kernel,
-    leaving: Arc<AtomicBool>,
-    work: Work,
+    shared: Shared,
     services: Rc<Control>,
     /// Ends the batch thread's claims, then the callers' connections.
     stop: Stop,
@@ -89,6 +88,7 @@
     batch: watch::Sender<bool>,
     batch_ended: mpsc::Receiver<()>,
     callers: watch::Sender<bool>,
+    cut: watch::Sender<bool>,
 }
 
 /// The listening sockets, all bound before anything is told to anyone.
@@ -150,7 +150,11 @@
             _ = interrupt.recv() => {}
             () = running.drained() => {}
         }
-        running.stop(settings.leave.limit).await;
+        let hurry = async move {
+            // A person at a terminal who presses Ctrl-C again will not wait.
+            interrupt.recv().await;
+        };
+        running.stop(settings.leave.limit, hurry).await;
         Ok(())
     })
 }
@@ -174,7 +178,7 @@
     let (queries_in, queries) = mpsc::channel(WAITING);
     let (wishes_in, wishes) = mpsc::channel(WAITING);
     let (remote, inbox) = remote::channel();
-    let leaving = Arc::new(AtomicBool::new(false));
+    let (cut_off, cut) = watch::channel(false);
     let mut arbiters = Vec::new();
     let mut grants_in = Vec::new();
     for (number, desk) in desks.into_iter().enumerate() {
@@ -191,7 +195,7 @@
             control: remote.clone(),
             callers: sockets.callers.try_clone()?,
             links: sockets.link.try_clone()?,
-            leaving: Arc::clone(&leaving),
+            cut: cut.clone(),
             stopped: callers_stopped.clone(),
             platform: settings.platform.address,
         };
@@ -231,18 +235,20 @@
         settings.node.name,
         settings.node.zone,
     );
+    let kernel = register(&shared);
+    shared.phase.publish(Phase::Serving);
     Ok(Running {
         callers,
         link,
         control,
-        kernel: register(&shared),
-        leaving,
-        work: shared.work,
+        kernel,
+        shared,
         services,
         stop: Stop {
             batch: batch.stop,
             batch_ended: batch.ended,
             callers: callers_stop,
+            cut: cut_off,
         },
         arbiters,
         drained,
@@ -265,7 +271,9 @@
         view: Arc::new(Cell::new(view)),
         dispatch,
         metrics: Arc::new(metrics),
-        work: Work::default(),
+        questions: Work::default(),
+        dispatched: Work::default(),
+        phase: Arc::new(Cell::new(Phase::Starting)),
     }
 }
 
@@ -324,34 +332,99 @@
         let _ = self.drained.wait_for(|drained| *drained).await;
     }
 
-    /// Stops the node in good order, within `limit`.
+    /// Stops the node in good order; [`Leave`] decides what happens when.
     ///
-    /// It says that it leaves, gives back its chunks, serves callers who still
-    /// hold its address, and ends when nothing is in flight any more.
-    pub async fn stop(mut self, limit: Duration) {
-        log::info!("{} in_flight={}", event::NODE_LEAVING, self.work.count());
-        let ending = tokio::time::timeout(limit, self.wind_down()).await;
-        let cut = self.work.count();
-        for arbiter in self.arbiters {
-            arbiter.stop();
+    /// What is in flight after `limit`, or once `hurry` is ready, is cut off
+    /// with a final answer.
+    pub async fn stop<H>(mut self, limit: Duration, hurry: H)
+    where
+        H: Future<Output = ()>,
+    {
+        let in_flight = self.work().questions;
+        log::info!("{} in_flight={in_flight}", event::NODE_LEAVING);
+        let mut leave = Leave::new(self.times(limit));
+        let mut hurry = pin!(hurry);
+        let mut hurried = false;
+        let mut inputs = vec![Input::Started, Input::Stop];
+        loop {
+            let now = self.shared.clock.now();
+            inputs.push(Input::Tick(self.work()));
+            for input in inputs.drain(..) {
+                for action in leave.step(now, input) {
+                    if let Some(ending) = self.act(action) {
+                        return self.exit(ending).await;
+                    }
+                }
+                self.shared.phase.publish(leave.phase());
+            }
+            tokio::select! {
+                () = actix_rt::time::sleep(STOP_POLL) => {}
+                () = &mut hurry, if !hurried => {
+                    hurried = true;
+                    inputs.push(Input::Hurry);
+                }
+            }
         }
-        let in_time = ending.is_ok();
-        log::info!("{} in_time={in_time} cut={cut}", event::NODE_STOPPED);
     }
 
-    async fn wind_down(&mut self) {
-        self.leaving.store(true, Ordering::Relaxed);
-        self.services.members.leave();
-        let _ = self.stop.batch.send(true);
+    /// A node without peers has nobody to tell and no other address to send
+    /// callers to.
+    fn times(&self, limit: Duration) -> Times {
+        let times = Times {
+            limit,
+            ..Times::default()
+        };
         if self.services.has_peers() {
-            actix_rt::time::sleep(LINGER).await;
+            return times;
         }
-        // Ends with the last sender, when the runner has given back its chunks.
-        let _ = self.stop.batch_ended.recv().await;
-        let _ = self.stop.callers.send(true);
-        while self.work.count() > 0 {
-            actix_rt::time::sleep(STOP_POLL).await;
+        Times {
+            spread: Duration::ZERO,
+            keep: Duration::ZERO,
+            ..times
         }
+    }
+
+    fn work(&mut self) -> leave::Work {
+        // The batch thread gives back its chunks before it ends.
+        let ended = self.stop.batch_ended.try_recv();
+        let held = ended == Err(mpsc::error::TryRecvError::Empty);
+        leave::Work {
+            questions: self.shared.questions.count(),
+            dispatched: self.shared.dispatched.count(),
+            chunks: usize::from(held),
+            items: 0,
+        }
+    }
+
+    /// Does what leaving demands; an ending when the node is to exit.
+    fn act(&self, action: Action) -> Option<Ending> {
+        match action {
+            Action::Announce => self.services.members.leave(),
+            Action::StopClaiming => {
+                let _ = self.stop.batch.send(true);
+            }
+            // The dispatchers see the phase, and the batch thread gives back
+            // its chunks by itself once it is stopped.
+            Action::HandOver | Action::ReleaseChunks => {}
+            Action::RefuseQuestions => {
+                let _ = self.stop.callers.send(true);
+            }
+            Action::CutOff => {
+                let _ = self.stop.cut.send(true);
+            }
+            Action::Exit(ending) => return Some(ending),
+        }
+        None
+    }
+
+    async fn exit(self, ending: Ending) {
         self.services.members.exit().await;
+        // The last answers may still lie in the sockets' buffers.
+        actix_rt::time::sleep(FLUSH).await;
+        for arbiter in self.arbiters {
+            arbiter.stop();
+        }
+        let Ending { cut, chunks } = ending;
+        log::info!("{} cut={cut} chunks={chunks}", event::NODE_STOPPED);
     }
 }
--- a/src/node/traffic.rs
+++ b/src/node/traffic.rs
@@ -3,8 +3,6 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
-use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 
 use tokio::sync::{mpsc, watch};
 
@@ -45,8 +43,8 @@
     pub callers: TcpListener,
     /// The other nodes' socket, which all threads accept from.
     pub links: TcpListener,
-    /// True once the node leaves.
-    pub leaving: Arc<AtomicBool>,
+    /// Turns true when everything in flight must get its final answer.
+    pub cut: watch::Receiver<bool>,
     /// Where the platform is.
     pub platform: SocketAddr,
     /// Turns true when no new connection is accepted any more.
@@ -56,13 +54,7 @@
 impl Thread {
     /// Starts the thread's services on the runtime of the calling thread.
     pub fn start(self) {
-        let force = Arc::clone(&self.shared.force);
-        let shell = Shell::new(
-            self.shared.clock,
-            force,
-            self.shared.work.clone(),
-            self.desk.post,
-        );
+        let shell = Shell::new(&self.shared, self.desk.post);
         actix_rt::spawn(shell.run(self.desk.submits));
         let desk = link::server::Desk {
             node: self.shared.node.clone(),
@@ -76,10 +68,10 @@
             }
         });
         let platform = Client::new(self.platform, PLATFORM_TIMEOUT);
-        let gateway = Gateway::new(self.shared.clone(), self.number);
+        let gateway = Gateway::new(self.shared.clone(), self.number, platform.clone(), self.cut);
         actix_rt::spawn(Rc::clone(&gateway).follow(self.threads, self.wishes));
         actix_rt::spawn(Rc::clone(&gateway).take_grants(self.grants));
-        let server = Server::new(self.shared, gateway, platform, self.control, self.leaving);
+        let server = Server::new(self.shared, gateway, platform, self.control);
         let serving = http::serve(self.callers, self.stopped, move |request| {
             Rc::clone(&server).handle(request)
         });
--- a/src/once.rs
+++ b/src/once.rs
@@ -70,7 +70,14 @@
 #[derive(Debug)]
 struct Waiting {
     row: String,
-    told: oneshot::Sender<Fate>,
+    told: oneshot::Sender<(Fate, String)>,
+}
+
+/// A mark that is one's own.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Mark {
+    row: String,
+    token: String,
 }
 
 impl<T> Marks<T>
@@ -98,7 +105,7 @@
     /// the table can't be reached. After a lost answer that could not be resolved
     /// the mark may be there, so that coming back with the same key may be told
     /// that it was used: nobody runs it then, which is what was promised.
-    pub async fn mark(&self, key: &Key) -> Result<(), Refusal> {
+    pub async fn mark(&self, key: &Key) -> Result<Mark, Refusal> {
         for name in [&key.organisation, &key.key] {
             if !name::is_valid(name) {
                 let message = format!("{name:?} can't be part of a key");
@@ -111,8 +118,12 @@
             told,
         });
         self.work();
-        match fate.await.unwrap_or(Fate::Unsure) {
-            Fate::Marked => Ok(()),
+        let (fate, token) = fate.await.unwrap_or((Fate::Unsure, String::new()));
+        match fate {
+            Fate::Marked => Ok(Mark {
+                row: key.row(),
+                token,
+            }),
             Fate::Taken => Err(Refusal::new(Reason::AlreadyRun)),
             Fate::Refused(wait) => Err(Refusal::new(Reason::Platform).after(wait)),
             Fate::Unsure => Err(Refusal::new(Reason::Platform)
@@ -169,25 +180,33 @@
                 group.read(&row, &found.map(|row| row.map(|row| row.value)));
             }
         }
-        for ((waiting, _), fate) in waiting.into_iter().zip(group.fates()) {
-            let _ = waiting.told.send(fate);
+        for ((waiting, token), fate) in waiting.into_iter().zip(group.fates()) {
+            let _ = waiting.told.send((fate, token));
         }
     }
-}
 
-/// Removes a mark whose request surely did not run, so that its caller can come
-/// back with the same key.
-///
-/// # Errors
-/// [`Fault`]; the key then stays used up, which is safe.
-pub async fn unmark<T>(table: &T, key: &Key) -> Result<(), Fault>
-where
-    T: Table,
-{
-    table
-        .transact(Transaction::default().delete(key.row()))
-        .await?;
-    Ok(())
+    /// Removes a mark of one's own whose request surely did not run, so that its
+    /// caller can come back with the same key.
+    ///
+    /// Only the very row that was inserted goes: a removal that arrives late,
+    /// or twice, would otherwise take away the mark of the caller's next try
+    /// while that runs, and a third could run beside it.
+    ///
+    /// # Errors
+    /// [`Fault`]; the key then stays used up, which is safe.
+    pub async fn unmark(&self, mark: &Mark) -> Result<(), Fault> {
+        let Some(row) = self.table.get(&mark.row).await? else {
+            return Ok(());
+        };
+        if *row.value != *mark.token.as_bytes() {
+            return Ok(());
+        }
+        let removal = Transaction::default()
+            .check(mark.row.clone(), Expect::Version(row.version))
+            .delete(mark.row.clone());
+        self.table.transact(removal).await?;
+        Ok(())
+    }
 }
 
 /// A name for the owner of marks that no other start of a process has.
--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -1,8 +1,8 @@
 //! Answers callers and operators over HTTP.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 use actix_http::body::{BodyStream, BoxBody};
 use actix_http::{ConnectionType, HttpMessage as _, Method, Request, Response, StatusCode, header};
@@ -20,6 +20,8 @@
 use crate::gateway::{Gateway, Shared};
 use crate::http::{self, BodyError};
 use crate::job::Jobs;
+use crate::leave::Phase;
+use crate::locate;
 use crate::node::control::Control;
 use crate::node::remote::Remote;
 use crate::node::work::Guard;
@@ -44,9 +46,7 @@
     gateway: Rc<Gateway>,
     control: Remote<Control>,
     jobs: Jobs<Client, Client>,
-    /// True once the node leaves: connections are closed after their answer,
-    /// so that callers go to another address.
-    leaving: Arc<AtomicBool>,
+    tickets: Cell<u64>,
 }
 
 impl Server {
@@ -56,22 +56,22 @@
         gateway: Rc<Gateway>,
         platform: Client,
         control: Remote<Control>,
-        leaving: Arc<AtomicBool>,
     ) -> Rc<Self> {
         Rc::new(Self {
             shared,
             gateway,
             jobs: Jobs::new(platform.clone(), platform),
             control,
-            leaving,
+            tickets: Cell::new(rand::random()),
         })
     }
 
     /// Answers one HTTP request.
     pub async fn handle(self: Rc<Self>, request: Request) -> Response<BoxBody> {
-        let leaving = Arc::clone(&self.leaving);
+        let phase = Arc::clone(&self.shared.phase);
         let mut response = self.route(request).await;
-        if leaving.load(Ordering::Relaxed) {
+        if **phase.read() != Phase::Serving {
+            // Callers are sent to another address after this answer.
             response
                 .head_mut()
                 .set_connection_type(ConnectionType::Close);
@@ -105,7 +105,7 @@
     }
 
     fn ready(&self) -> bool {
-        !self.leaving.load(Ordering::Relaxed) && self.shared.config().is_ok()
+        **self.shared.phase.read() == Phase::Serving && self.shared.config().is_ok()
     }
 
     async fn call(self: Rc<Self>, path: &str, mut request: Request) -> Response<BoxBody> {
@@ -128,7 +128,11 @@
             Ok(body) => body,
             Err(error) => return refused(media, true, &too_long(error)),
         };
-        let work = self.shared.work.begin();
+        let work = self.shared.questions.begin();
+        if matches!(**self.shared.phase.read(), Phase::Closing | Phase::Cutting) {
+            let refusal = Refusal::new(Reason::NotReady).because("the node leaves; use another");
+            return refused(media, true, &refusal);
+        }
         if let Some(method) = path.strip_prefix(CALLER) {
             if method == "AskStream" {
                 return self.ask_stream(media, body, work);
@@ -143,6 +147,7 @@
 
     async fn caller(&self, method: &str, format: Format, body: Bytes) -> Outcome<Bytes> {
         match method {
+            "Locate" => unary(format, &body, |ask| async move { self.locate(&ask) }).await,
             "Ask" => unary(format, &body, |ask| self.ask(ask)).await,
             "SubmitJob" => unary(format, &body, |job| self.submit_job(job)).await,
             "JobStatus" => unary(format, &body, |ask| self.job_status(ask)).await,
@@ -208,6 +213,21 @@
         self.gateway.ask(request, pieces).await.map(caller::answer)
     }
 
+    fn locate(&self, ask: &v1::LocateRequest) -> Outcome<v1::LocateResponse> {
+        let ticket = self.tickets.get().wrapping_add(1);
+        self.tickets.set(ticket);
+        let view = self.shared.view.read();
+        let here = &self.shared.zone;
+        let count = usize::try_from(ask.count).unwrap_or(usize::MAX);
+        match locate::locate(&view, here, &ask.zone, count, ticket) {
+            Ok(answer) => Outcome::Done(v1::LocateResponse {
+                addresses: answer.addresses.iter().map(ToString::to_string).collect(),
+                keep_ms: u32::try_from(answer.keep.as_millis()).unwrap_or(u32::MAX),
+            }),
+            Err(refusal) => Outcome::NotRun(refusal),
+        }
+    }
+
     async fn submit_job(&self, ask: v1::SubmitJobRequest) -> Outcome<v1::SubmitJobResponse> {
         let config = match self.shared.config() {
             Ok(config) => config,
--- a/tests/once_marks.rs
+++ b/tests/once_marks.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use auburnspoke::name::Name;
-use auburnspoke::once::{Fate, Group, Key, Marks, Verdict, unmark};
+use auburnspoke::once::{Fate, Group, Key, Marks, Verdict};
 use auburnspoke::outcome::Reason;
 use auburnspoke::platform::fault::Command;
 use auburnspoke::platform::memory::Platform;
@@ -161,14 +161,31 @@
         let platform = platform();
         let marks = marks("node", &platform);
         let invoice = key("invoice");
-        marks.mark(&invoice).await.expect("nobody was before");
-        unmark(&platform, &invoice)
-            .await
-            .expect("the table answers");
+        let mark = marks.mark(&invoice).await.expect("nobody was before");
+        marks.unmark(&mark).await.expect("the table answers");
         expect_that!(marks.mark(&invoice).await.is_ok(), eq(true));
     });
 }
 
+/// A removal was sent, its answer lost, and it is sent again after the caller
+/// has come back with the same key. Taking away the new mark would let a third
+/// try pay the supplier twice.
+#[gtest]
+fn unmark_twice() {
+    local(async {
+        let platform = platform();
+        let first = marks("node-0", &platform);
+        let second = marks("node-1", &platform);
+        let invoice = key("invoice");
+        let mark = first.mark(&invoice).await.expect("nobody was before");
+        first.unmark(&mark).await.expect("the table answers");
+        second.mark(&invoice).await.expect("the mark is gone");
+        first.unmark(&mark).await.expect("the table answers");
+        let third = first.mark(&invoice).await;
+        expect_that!(third.expect_err("taken").reason, eq(Reason::AlreadyRun));
+    });
+}
+
 #[gtest]
 fn mark_invalid_key() {
     local(async {
