Placement and orders: wanted replicas reached and kept by one holder

Cause: endpoints lose their models, VMs go, and a holder that was paused sends an order of long ago; some endpoints check fencing numbers and some do not.

Ruled out: orders that load or drop one thing (lost, doubled or late ones add up to what nobody wanted); a lease for each service (services share endpoints, and epochs of two rows can't be compared).

Conclusion: a late order costs until the next read, and no longer.

--- /dev/null
+++ b/src/placement/run.rs
@@ -0,0 +1,242 @@
+//! The shell around a [`Planner`]: keeps the region's lease, reads and orders
+//! endpoints over HTTP and asks the weight store.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::StatusCode;
+
+use super::{Action, Failure, Input, ORDER_TIMEOUT, Planner};
+use crate::clock::{Clock, Time};
+use crate::config::follow::Force;
+use crate::event;
+use crate::http;
+use crate::lease::keep::Keeper;
+use crate::name::Name;
+use crate::order::{MAX_BODY, ORDER_PATH, Order, STATE_PATH, Stale, State};
+use crate::platform::{Fault, Table, Weight};
+use crate::snapshot::Cell;
+
+/// How often the decision is told that time has passed.
+const TICK: Duration = Duration::from_millis(500);
+/// When the weight store is asked again after its answer was lost.
+const ADMIT_RETRY: Duration = Duration::from_secs(2);
+
+/// Places the models of this node's region while it holds the lease.
+pub struct Placer<T, W> {
+    inner: Rc<Inner<T, W>>,
+}
+
+struct Inner<T, W> {
+    keeper: Keeper<T>,
+    weight: W,
+    clock: Clock,
+    force: Arc<Cell<Force>>,
+    http: awc::Client,
+    planner: RefCell<Planner>,
+}
+
+impl<T, W> Clone for Placer<T, W> {
+    fn clone(&self) -> Self {
+        Self {
+            inner: Rc::clone(&self.inner),
+        }
+    }
+}
+
+impl<T, W> Placer<T, W>
+where
+    T: Table + 'static,
+    W: Weight + 'static,
+{
+    /// A placer of `region` under `keeper`'s lease; it starts with
+    /// [`Placer::run`]. It acts only by a configuration that is in force.
+    pub fn new(
+        region: Name,
+        keeper: Keeper<T>,
+        weight: W,
+        clock: Clock,
+        force: Arc<Cell<Force>>,
+    ) -> Self {
+        Self {
+            inner: Rc::new(Inner {
+                keeper,
+                weight,
+                clock,
+                force,
+                http: http::client(ORDER_TIMEOUT),
+                planner: RefCell::new(Planner::new(region)),
+            }),
+        }
+    }
+
+    /// Runs until the thread's runtime ends.
+    pub async fn run(self) {
+        let mut version = 0;
+        loop {
+            let force = self.inner.force.take();
+            let now = self.inner.clock.now();
+            let holds = force.holds(now);
+            if holds && force.document.version != version {
+                version = force.document.version;
+                self.step(Input::Document(Arc::clone(&force.document)));
+            }
+            let held = self.inner.keeper.held().filter(|_| holds);
+            self.step(Input::Tick { held });
+            actix_rt::time::sleep(TICK).await;
+        }
+    }
+
+    /// Notes that an endpoint answers no more, so that it is looked at soon.
+    pub fn suspect(&self, endpoint: Name) {
+        self.step(Input::Suspect(endpoint));
+    }
+
+    fn step(&self, input: Input) {
+        let mut actions = Vec::new();
+        let now = self.inner.clock.now();
+        self.inner
+            .planner
+            .borrow_mut()
+            .step(now, input, &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&self, action: Action) {
+        let placer = self.clone();
+        match action {
+            Action::Read(endpoint) => {
+                actix_rt::spawn(async move {
+                    let result = placer.read(&endpoint).await;
+                    placer.step(Input::Read { endpoint, result });
+                });
+            }
+            Action::Admit(model) => {
+                actix_rt::spawn(async move {
+                    let result = match placer.inner.weight.admit(&model).await {
+                        Ok(()) => Ok(()),
+                        Err(Fault::Refused { retry_after }) => Err(retry_after),
+                        Err(_) => Err(ADMIT_RETRY),
+                    };
+                    placer.step(Input::Admitted { result });
+                });
+            }
+            Action::Order {
+                endpoint,
+                order,
+                until,
+            } => {
+                actix_rt::spawn(async move {
+                    let result = placer.order(&endpoint, &order, until).await;
+                    placer.step(Input::Ordered { endpoint, result });
+                });
+            }
+            Action::Counts(counts) => {
+                for count in counts.iter().filter(|count| count.placed < count.wanted) {
+                    log::warn!(
+                        "{} service={} wanted={} placed={}",
+                        event::PLACEMENT_SHORT,
+                        count.service,
+                        count.wanted,
+                        count.placed
+                    );
+                }
+            }
+        }
+    }
+
+    fn url(&self, endpoint: &str, path: &str) -> Option<String> {
+        let force = self.inner.force.read();
+        let address = &force.document.endpoints.get(endpoint)?.address;
+        Some(format!("http://{address}{path}"))
+    }
+
+    async fn read(&self, endpoint: &str) -> Result<State, Failure> {
+        let url = self.url(endpoint, STATE_PATH).ok_or(Failure::NotSent)?;
+        read(&self.inner.http, &url).await
+    }
+
+    async fn order(&self, endpoint: &str, order: &Order, until: Time) -> Result<(), Failure> {
+        let url = self.url(endpoint, ORDER_PATH).ok_or(Failure::NotSent)?;
+        // The decision may be old by now: this process may have been paused
+        // between it and this line.
+        let result = if self.inner.clock.now() < until {
+            send(&self.inner.http, &url, order).await
+        } else {
+            Err(Failure::NotSent)
+        };
+        let fence = order.fence;
+        match &result {
+            Ok(()) => {
+                let hold = order.hold.len();
+                log::info!(
+                    "{} endpoint={endpoint} fence={fence} hold={hold}",
+                    event::ORDER_SENT
+                );
+            }
+            Err(Failure::Stale { fence: newer }) => log::warn!(
+                "{} endpoint={endpoint} fence={fence} newer={newer}",
+                event::ORDER_REFUSED
+            ),
+            Err(failure) => log::warn!(
+                "{} endpoint={endpoint} fence={fence} failure={failure:?}",
+                event::ORDER_FAILED
+            ),
+        }
+        result
+    }
+}
+
+/// Reads an endpoint's state.
+///
+/// # Errors
+/// [`Failure::Unknown`] when it does not answer as it should.
+pub async fn read(client: &awc::Client, url: &str) -> Result<State, Failure> {
+    let exchange = async {
+        let mut answer = client.get(url).send().await.ok()?;
+        if answer.status() != StatusCode::OK {
+            return None;
+        }
+        let body = http::read_body(&mut answer, MAX_BODY).await.ok()?;
+        serde_json::from_slice(&body).ok()
+    };
+    let state = tokio::time::timeout(ORDER_TIMEOUT, exchange).await;
+    state.ok().flatten().ok_or(Failure::Unknown)
+}
+
+/// Sends an order.
+///
+/// # Errors
+/// [`Failure::Stale`] when the endpoint has obeyed a higher fencing number,
+/// [`Failure::Unknown`] when the order may or may not have been obeyed.
+pub async fn send(client: &awc::Client, url: &str, order: &Order) -> Result<(), Failure> {
+    let body = serde_json::to_vec(order).map_err(|_| Failure::NotSent)?;
+    let exchange = async {
+        let sent = client
+            .post(url)
+            .content_type("application/json")
+            .send_body(body);
+        let mut answer = sent.await.map_err(|_| Failure::Unknown)?;
+        let status = answer.status();
+        let body = http::read_body(&mut answer, MAX_BODY).await;
+        match status {
+            StatusCode::OK => Ok(()),
+            StatusCode::CONFLICT => {
+                let stale = body
+                    .ok()
+                    .and_then(|body| serde_json::from_slice::<Stale>(&body).ok());
+                Err(stale.map_or(Failure::Unknown, |stale| Failure::Stale {
+                    fence: stale.fence,
+                }))
+            }
+            _ => Err(Failure::Unknown),
+        }
+    };
+    tokio::time::timeout(ORDER_TIMEOUT, exchange)
+        .await
+        .unwrap_or(Err(Failure::Unknown))
+}
