Let crowded endpoints send questions elsewhere at once

Cause: packed endpoints were crowded for half a second when a burst began, since loads come back with answers only. At most one more message each way for a question, so it takes nothing from the retry budget.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -42,6 +42,9 @@
     /// True when it must run at most once, so that it can't be stopped and
     /// started again.
     pub once: bool,
+    /// True when its gateway has another endpoint for it and would rather be
+    /// told at once that this one is crowded than wait.
+    pub spills: bool,
 }
 
 /// How a run at the endpoint ended.
--- a/src/dispatch/queue/admit.rs
+++ b/src/dispatch/queue/admit.rs
@@ -23,6 +23,8 @@
 const UNKNOWN: u32 = 4;
 /// Without a question for this long the endpoint is all for batch work.
 const IDLE: Duration = Duration::from_millis(1_500);
+/// Questions without a first token at which the next one rather goes elsewhere.
+const CROWDED: u32 = 2;
 /// Batch prompts computed at the same time while questions run.
 const PROMPTS: u32 = 2;
 /// Batch prompts computed at the same time while there are no questions.
@@ -42,6 +44,9 @@
             return Some(Refusal::new(Reason::Deadline).after(MIN_RETRY));
         }
         if offer.class == Class::Online {
+            if offer.spills && self.count.online_computing + len(self.online.len()) >= CROWDED {
+                return Some(Refusal::new(Reason::Overloaded).after(MIN_RETRY));
+            }
             let wait = self.expected_wait();
             if now + wait > offer.deadline {
                 return Some(Refusal::new(Reason::Overloaded).after(wait.max(MIN_RETRY)));
--- a/standin/src/policy/gateway.rs
+++ b/standin/src/policy/gateway.rs
@@ -51,6 +51,8 @@
     pub queue: usize,
     /// Tokens that its caller had.
     pub resume_from: u32,
+    /// True when it rather goes elsewhere than wait.
+    pub spills: bool,
 }
 
 impl Gateway {
--- a/standin/src/policy/site.rs
+++ b/standin/src/policy/site.rs
@@ -150,6 +150,7 @@
             prompt_tokens: item.prompt.tokens,
             max_tokens: 2 * MAX_TOKENS,
             once: false,
+            spills: false,
         };
         self.work.insert(id, Work { item, done: 0 });
         self.queue.step(now, Input::Offer(offer), actions);
--- a/standin/src/policy/world.rs
+++ b/standin/src/policy/world.rs
@@ -150,7 +150,7 @@
                     let gateway = self.questions[attempt.question].gateway;
                     let router = &mut self.gateways[gateway].router;
                     router.ended(self.now, id, verdict, Some(load));
-                    self.told(id, attempt.question, failure);
+                    self.told(id, &attempt, failure);
                 }
             }
             Event::Poll => self.poll(),
@@ -195,6 +195,7 @@
             question: at,
             queue,
             resume_from: ask.assembly.tokens(),
+            spills: ask.count == 1,
         };
         let first = ask.count == 1;
         let wait = gateway.hedge.wait();
@@ -229,6 +230,7 @@
             prompt_tokens: question.prompt.tokens + attempt.resume_from,
             max_tokens: MAX_TOKENS,
             once: false,
+            spills: attempt.spills,
         };
         self.queue(attempt.queue, Input::Offer(offer));
     }
@@ -434,7 +436,8 @@
     }
 
     /// A gateway hears how an attempt ended.
-    fn told(&mut self, id: u64, at: usize, failure: Option<(bool, Refusal)>) {
+    fn told(&mut self, id: u64, attempt: &Attempt, failure: Option<(bool, Refusal)>) {
+        let (at, spilled) = (attempt.question, attempt.spills);
         let question = &self.questions[at];
         let ask = &mut self.asks[at];
         let was_active = ask.active.contains(&id);
@@ -453,6 +456,10 @@
         if !ask.active.is_empty() {
             return;
         }
+        if spilled && !ran {
+            self.send(at);
+            return;
+        }
         let failure = if ran {
             Failure::MayHaveRun(refusal)
         } else {
--- a/tests/dispatch_queue.rs
+++ b/tests/dispatch_queue.rs
@@ -93,6 +93,7 @@
         prompt_tokens: 100,
         max_tokens: 1_000,
         once: false,
+        spills: false,
     }
 }
 
