Send a question elsewhere when one other is being computed

Cause: two questions without a first token make the third wait two chunks already. Change: CROWDED from 2 to 1.

--- a/src/dispatch/queue/admit.rs
+++ b/src/dispatch/queue/admit.rs
@@ -24,7 +24,7 @@
 /// Without a question for this long the endpoint is all for batch work.
 const IDLE: Duration = Duration::from_millis(1_500);
 /// Questions without a first token at which the next one rather goes elsewhere.
-const CROWDED: u32 = 2;
+const CROWDED: u32 = 1;
 /// Batch prompts computed at the same time while questions run.
 const PROMPTS: u32 = 2;
 /// Batch prompts computed at the same time while there are no questions.
