--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -12,12 +12,17 @@
 use crate::outcome::Refusal;
 use crate::request::Class;
 
+pub mod board;
+pub mod handle;
 mod health;
 mod line;
 mod pace;
 mod policy;
 mod queue;
+mod run;
+pub mod shell;
 
+pub use handle::Handle;
 pub use policy::Policy;
 pub use queue::Queue;
 
--- a/src/embedded.rs
+++ b/src/embedded.rs
@@ -3,3 +3,4 @@
 
 pub mod engine;
 pub mod plain;
+pub mod platform;
--- a/src/event.rs
+++ b/src/event.rs
@@ -36,8 +36,28 @@
     102 NODE_LEAVING "node_leaving";
     103 NODE_STOPPED "node_stopped";
     104 LISTEN_FAILED "listen_failed";
+    201 MEMBER_CHANGED "member_changed";
+    202 MEMBER_REFUTED "member_refuted";
+    203 NODE_PAUSED "node_paused";
+    204 NAME_TAKEN "name_taken";
+    205 DATAGRAM_REFUSED "datagram_refused";
     301 REQUEST_REFUSED "request_refused";
     302 REQUEST_RETRIED "request_retried";
     303 LINK_CLOSED "link_closed";
     304 FRAME_REFUSED "frame_refused";
+    305 ENDPOINT_EJECTED "endpoint_ejected";
+    401 CHUNK_CLAIMED "chunk_claimed";
+    402 CHUNK_TAKEN_OVER "chunk_taken_over";
+    403 CHUNK_COMMITTED "chunk_committed";
+    404 CHUNK_LOST "chunk_lost";
+    405 CHUNK_RELEASED "chunk_released";
+    406 CHUNK_CANCELLED "chunk_cancelled";
+    450 CONFIG_IN_FORCE "config_in_force";
+    451 CONFIG_UNREAD "config_unread";
+    460 LEASE_GAINED "lease_gained";
+    461 LEASE_LOST "lease_lost";
+    470 ORDER_SENT "order_sent";
+    471 ORDER_REFUSED "order_refused";
+    472 ORDER_FAILED "order_failed";
+    473 PLACEMENT_SHORT "placement_short";
 }
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -5,7 +5,9 @@
 use clap::Command;
 
 mod engine;
+mod members;
 mod plain;
+mod platform;
 
 fn main() -> ExitCode {
     env_logger::Builder::from_default_env().init();
@@ -13,14 +15,18 @@
         .about("Stand-ins for the platform and the endpoints, and the policy benchmark")
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(platform::command())
         .subcommand(engine::command())
         .subcommand(plain::command())
         .subcommand(standin::policy::cli::command())
+        .subcommand(members::command())
         .get_matches();
     let result = match matches.subcommand() {
+        Some(("platform", arguments)) => platform::run(arguments),
         Some(("engine", arguments)) => engine::run(arguments),
         Some(("plain", arguments)) => plain::run(arguments),
         Some(("policy", arguments)) => standin::policy::cli::run(arguments),
+        Some(("members", arguments)) => members::run(arguments),
         _ => Ok(()),
     };
     match result {
