Meet the operators' methods: configuration, services and endpoints from the command line

Cause: nodes answer the operators' methods now and check the configuration; try's own was refused because it named no version of its model. Ruled out: a default version (two fleets would hold different weights under one name).

--- a/src/cli/service.rs
+++ b/src/cli/service.rs
@@ -48,6 +48,7 @@
         .arg(
             Arg::new("model-version")
                 .long("model-version")
+                .required_if_eq("kind", "model")
                 .help("The model's version"),
         )
         .arg(
--- a/src/cli/try_out/standin.rs
+++ b/src/cli/try_out/standin.rs
@@ -86,6 +86,7 @@
                 name: service.into(),
                 kind: v1::ServiceKind::Model.into(),
                 model: MODEL.into(),
+                model_version: "1".into(),
                 deadline_ms: 30_000,
                 max_tokens: 256,
                 latency_weight: 50,
--- a/tests/cli_fleet.rs
+++ b/tests/cli_fleet.rs
@@ -65,3 +65,85 @@
         eq(&serde_json::Value::from(0))
     );
 }
+
+#[gtest]
+fn config_dry_run_of_example() {
+    let mut fleet = env::Fleet::new();
+    fleet.node("zone-0");
+    let args = ["config", "apply", "--dry-run", "examples/config.toml"];
+    let applied = run(&fleet, &args, "");
+    expect_that!(applied.code, eq(0), "{}", applied.stderr);
+    expect_that!(applied.stdout, contains_substring("engine-2"));
+    expect_that!(
+        applied.stdout,
+        contains_substring("dry run, nothing changed")
+    );
+    let shown = run(&fleet, &["config", "show"], "");
+    expect_that!(shown.stdout, contains_substring("version = 0"));
+}
+
+#[gtest]
+fn config_two_operators() {
+    // Two operators show the same version and both change it. The second must
+    // be told, and what the first changed must stand.
+    let mut fleet = env::Fleet::new();
+    fleet.engine(&["--faster", "20"]);
+    fleet.node("zone-0").node("zone-1");
+    fleet.settle(2);
+    fleet.configure();
+    let shown = run(&fleet, &["config", "show"], "").stdout;
+    let first = shown.replace("slots = 8", "slots = 9");
+    let second = shown.replace("slots = 8", "slots = 7");
+    let args = ["config", "apply", "--note", "more slots", "-"];
+    let applied = run(&fleet, &args, &first);
+    expect_that!(applied.code, eq(0), "{}", applied.stderr);
+    let refused = run(&fleet, &args, &second);
+    expect_that!(refused.code, eq(4));
+    expect_that!(refused.stderr, contains_substring("(conflict)"));
+    let now = run(&fleet, &["config", "show"], "").stdout;
+    expect_that!(now, contains_substring("slots = 9"));
+    let history = run(&fleet, &["config", "history"], "").stdout;
+    expect_that!(history, contains_substring("by tester"));
+    expect_that!(history, contains_substring("more slots"));
+    env::until("the change is in force on both nodes", || {
+        let status = run(&fleet, &["config", "status"], "").stdout;
+        status.contains("in force on every live node") && status.contains("node-1")
+    });
+}
+
+#[gtest]
+fn endpoint_and_service_changed() {
+    let mut fleet = env::Fleet::new();
+    fleet.engine(&["--faster", "20"]).plain();
+    fleet.node("zone-0");
+    fleet.configure();
+    let service = ["service", "apply", "spare", "--kind", "plain"];
+    expect_that!(run(&fleet, &service, "").code, eq(0));
+    let listed = run(&fleet, &["service", "list"], "");
+    expect_that!(listed.stdout, contains_substring("spare"));
+    let plain = fleet.plain[0].address("listening");
+    let remove = ["endpoint", "remove", "plain-0"];
+    expect_that!(run(&fleet, &remove, "").code, eq(0));
+    let add = [
+        "endpoint",
+        "add",
+        "plain-9",
+        "--address",
+        &plain,
+        "--zone",
+        "zone-0",
+        "--service",
+        "spare",
+        "--slots",
+        "4",
+    ];
+    let added = run(&fleet, &add, "");
+    expect_that!(added.code, eq(0), "{}", added.stderr);
+    env::until("the new endpoint is listed", || {
+        let listed = run(&fleet, &["endpoint", "list"], "").stdout;
+        listed.contains("plain-9") && !listed.contains("plain-0")
+    });
+    let status = run(&fleet, &["status"], "");
+    expect_that!(status.code, eq(0), "{}", status.stderr);
+    expect_that!(status.stdout, contains_substring("node-0"));
+}
