Place models by the holder of a region's lease; spill a question from a crowded endpoint

Cause: placement, leases and the queue's spill met no shell. Ruled out: nothing new. Change: control starts a Keeper and a Placer for the node's region; requests carry spills for their first attempt.

--- a/src/dispatch/shell.rs
+++ b/src/dispatch/shell.rs
@@ -444,5 +444,6 @@
         prompt_tokens: u32::try_from(prompt_tokens).unwrap_or(u32::MAX),
         max_tokens,
         once: request.once,
+        spills: request.spills,
     }
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -268,6 +268,8 @@
             }
             request.time_left = left;
             stream.resume(&mut request);
+            request.spills =
+                tried.is_empty() && config.endpoints_of(&request.service).nth(1).is_some();
             let Some(endpoint) = self.pick(&request, &tried) else {
                 let refusal = Refusal::new(Reason::NoEndpoint).after(NOT_READY_RETRY);
                 return verdict(ran, refusal);
@@ -313,6 +315,12 @@
             time_left: deadline.since(self.shared.clock.now()),
             elsewhere: endpoints.any(|endpoint| !tried.contains(&endpoint.name)),
         };
+        if request.spills && refusal.reason == Reason::Overloaded && attempt.elsewhere {
+            // The endpoint was crowded and said so at once; going to another
+            // one costs a message and happens once, so no budget is needed.
+            self.shared.metrics.retry(request.class, refusal.reason);
+            return Ok(Duration::ZERO);
+        }
         match retry::decide(failure, &attempt, &mut self.budget.borrow_mut()) {
             retry::Decision::Again { wait } => {
                 self.shared.metrics.retry(request.class, refusal.reason);
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -17,11 +17,15 @@
 use crate::dispatch::board::Loads;
 use crate::gateway::{Shared, Wish};
 use crate::job::runner;
+use crate::lease;
+use crate::lease::keep::Keeper;
 use crate::limit::Grant;
 use crate::link::Pool;
 use crate::link::server::Asked;
+use crate::locate;
 use crate::member::shell::{self, Event, Handle, Setup};
 use crate::name::Name;
+use crate::placement::run::Placer;
 use crate::platform::Vm;
 use crate::platform::http::Client;
 use crate::wire::control::Note;
@@ -42,6 +46,8 @@
     pub setup: Setup,
     /// The socket of the control address.
     pub socket: tokio::net::UdpSocket,
+    /// Tells this process from others of the same name.
+    pub boot: u64,
     /// The platform.
     pub client: Client,
     /// Questions of other nodes' control threads.
@@ -83,6 +89,7 @@
     };
     let force = shared.force.clone();
     let client = start.client;
+    let placement = client.clone();
     let watch = Watch::new(
         &shared.node,
         client.clone(),
@@ -101,6 +108,7 @@
         drain: start.drain,
     });
     actix_rt::spawn(watch.run());
+    start_placement(&control.shared, start.boot, &placement);
     actix_rt::spawn(shares::serve(Rc::clone(&limits), start.wishes));
     actix_rt::spawn(Rc::clone(&control).listen(events, limits));
     actix_rt::spawn(Rc::clone(&control).answer(start.queries));
@@ -108,6 +116,25 @@
     control
 }
 
+/// Takes part in placing the models of this node's region: whoever holds the
+/// region's lease does it.
+fn start_placement(shared: &Shared, boot: u64, client: &Client) {
+    let region = locate::region(&shared.zone);
+    let name = format!("placement/{region}");
+    let setting = lease::Setting::new(&name, shared.node.clone(), boot);
+    let keeper = Keeper::new(client.clone(), shared.clock, setting);
+    let force = shared.force.clone();
+    let placer = Placer::new(
+        region.into(),
+        keeper.clone(),
+        client.clone(),
+        shared.clock,
+        force,
+    );
+    actix_rt::spawn(keeper.run());
+    actix_rt::spawn(placer.run());
+}
+
 fn vm(setup: &Setup) -> Vm {
     let me = &setup.me;
     Vm {
--- a/src/rpc/caller.rs
+++ b/src/rpc/caller.rs
@@ -55,6 +55,7 @@
         class: Class::Online,
         time_left,
         body: body(ask.prompt, ask.max_tokens, &ask.path, ask.body)?,
+        spills: false,
         resume_from: 0,
         resume_text: "".into(),
     })
