--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,430 @@
+//! One node: puts the services together, runs them and stops them in good
+//! order.
+//!
+//! The thread that calls [`start`] becomes the control thread; each traffic
+//! thread has a runtime of its own and shares nothing mutable with the others.
+
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_rt::Arbiter;
+use eyre::{OptionExt as _, Result, WrapErr};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+
+use crate::clock::{Clock, Time};
+use crate::config::follow::Force;
+use crate::dispatch::Handle;
+use crate::event;
+use crate::gateway::Shared;
+use crate::http;
+use crate::job::runner;
+use crate::kernel::Kernel;
+use crate::leave::{self, Action, Ending, Input, Leave, Phase, Times};
+use crate::member::shell::{Counts, Setup};
+use crate::member::tuning::Tuning;
+use crate::member::{Member, State, View};
+use crate::metric::Metrics;
+use crate::platform::http::Client;
+use crate::settings::Settings;
+use crate::snapshot::Cell;
+
+mod assign;
+mod batch;
+pub mod control;
+mod peers;
+pub mod remote;
+mod shares;
+mod traffic;
+pub mod work;
+
+use control::Control;
+use work::Work;
+
+/// Most time to wait for one answer of the platform.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(3);
+/// Messages that may wait between the control thread and the others.
+const WAITING: usize = 1_024;
+/// How long the last answers may take out of the process.
+const FLUSH: Duration = Duration::from_millis(200);
+/// How often a stop looks whether work has ended.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// Names under which services register with the kernel.
+pub mod service {
+    /// [`crate::snapshot::Cell`] of [`crate::config::follow::Force`].
+    pub const CONFIG: &str = "config";
+    /// [`crate::snapshot::Cell`] of [`crate::member::View`].
+    pub const VIEW: &str = "view";
+    /// [`crate::dispatch::Handle`].
+    pub const DISPATCH: &str = "dispatch";
+    /// [`crate::metric::Metrics`].
+    pub const METRICS: &str = "metrics";
+}
+
+/// A node that runs.
+pub struct Running {
+    /// Where callers reach it, with the port that was bound.
+    pub callers: SocketAddr,
+    /// Where it takes requests from other nodes.
+    pub link: SocketAddr,
+    /// Where it takes control messages from other nodes.
+    pub control: SocketAddr,
+    /// The services by name.
+    pub kernel: Kernel,
+    shared: Shared,
+    services: Rc<Control>,
+    /// Ends the batch thread's claims, then the callers' connections.
+    stop: Stop,
+    arbiters: Vec<Arbiter>,
+    drained: watch::Receiver<bool>,
+}
+
+/// What a stop turns true, one after the other.
+struct Stop {
+    batch: watch::Sender<bool>,
+    batch_ended: mpsc::Receiver<()>,
+    callers: watch::Sender<bool>,
+    cut: watch::Sender<bool>,
+}
+
+/// The listening sockets, all bound before anything is told to anyone.
+struct Sockets {
+    callers: TcpListener,
+    link: TcpListener,
+    control: UdpSocket,
+}
+
+impl Sockets {
+    fn bind(settings: &Settings) -> Result<Self> {
+        let why = |what: &str, address| {
+            format!("can't listen on {address} for {what}; is the port taken by another node?")
+        };
+        let listen = &settings.listen;
+        let callers = http::listen(listen.callers);
+        let link = http::listen(listen.link);
+        // Control messages are datagrams; docs/design/members.md says why.
+        let control = UdpSocket::bind(listen.control);
+        let sockets = Self {
+            callers: callers.wrap_err_with(|| why("callers", listen.callers))?,
+            link: link.wrap_err_with(|| why("links", listen.link))?,
+            control: control.wrap_err_with(|| why("control", listen.control))?,
+        };
+        sockets.control.set_nonblocking(true)?;
+        Ok(sockets)
+    }
+
+    fn member(&self, settings: &Settings) -> Result<Member> {
+        Ok(Member {
+            name: settings.node.name.clone(),
+            address: self.callers.local_addr()?.to_string().into(),
+            link: self.link.local_addr()?.to_string().into(),
+            control: self.control.local_addr()?.to_string().into(),
+            zone: settings.node.zone.clone(),
+            incarnation: crate::clock::unix_millis(),
+            state: State::Alive,
+            config_version: 0,
+        })
+    }
+}
+
+/// Runs a node until it is told to stop, and prints where it listens.
+///
+/// # Errors
+/// When it can't listen, or a thread can't be started.
+pub fn run(settings: &Settings) -> Result<()> {
+    actix_rt::System::new().block_on(async {
+        // Before anything is started: a stop during the start must be graceful.
+        let mut terminate = signal(SignalKind::terminate()).wrap_err("can't wait for SIGTERM")?;
+        let mut interrupt = signal(SignalKind::interrupt()).wrap_err("can't wait for SIGINT")?;
+        let mut running = start(settings)?;
+        println!(
+            "listening callers={} link={} control={}",
+            running.callers, running.link, running.control
+        );
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+            () = running.drained() => {}
+        }
+        let hurry = async move {
+            // A person at a terminal who presses Ctrl-C again will not wait.
+            interrupt.recv().await;
+        };
+        running.stop(settings.leave.limit, hurry).await;
+        Ok(())
+    })
+}
+
+/// Starts a node on this thread, which becomes its control thread.
+///
+/// # Errors
+/// When it can't listen, or a thread can't be started.
+pub fn start(settings: &Settings) -> Result<Running> {
+    let clock = Clock::start();
+    let sockets = Sockets::bind(settings)?;
+    let own = sockets.member(settings)?;
+    let mut metrics = Metrics::new();
+    let counts = Counts::default();
+    metrics.extend(|registry| counts.register(registry));
+    let threads = settings.traffic_threads;
+    let (dispatch, desks) = Handle::new(threads);
+    let shared = shared(&own, clock, dispatch, metrics);
+    let (callers_stop, callers_stopped) = watch::channel(false);
+    let (drain, drained) = watch::channel(false);
+    let (queries_in, queries) = mpsc::channel(WAITING);
+    let (wishes_in, wishes) = mpsc::channel(WAITING);
+    let (remote, inbox) = remote::channel();
+    let (cut_off, cut) = watch::channel(false);
+    let mut arbiters = Vec::new();
+    let mut grants_in = Vec::new();
+    for (number, desk) in desks.into_iter().enumerate() {
+        let (grant, grants) = mpsc::channel(WAITING);
+        grants_in.push(grant);
+        let thread = traffic::Thread {
+            number,
+            threads,
+            shared: shared.clone(),
+            desk,
+            queries: queries_in.clone(),
+            wishes: wishes_in.clone(),
+            grants,
+            control: remote.clone(),
+            callers: sockets.callers.try_clone()?,
+            links: sockets.link.try_clone()?,
+            cut: cut.clone(),
+            stopped: callers_stopped.clone(),
+            platform: settings.platform.address,
+        };
+        let arbiter = Arbiter::new();
+        arbiter.spawn_fn(move || thread.start());
+        arbiters.push(arbiter);
+    }
+    let boot = control::boot();
+    let batch = start_batch(&shared, settings, boot)?;
+    arbiters.push(batch.arbiter);
+    let callers = sockets.callers.local_addr()?;
+    let link = sockets.link.local_addr()?;
+    let control = sockets.control.local_addr()?;
+    let services = control::start(control::Start {
+        setup: Setup {
+            me: own,
+            boot,
+            seeds: settings.seeds.clone(),
+            tuning: Tuning::default(),
+            clock,
+            view: Arc::clone(&shared.view),
+            counts,
+        },
+        socket: tokio::net::UdpSocket::from_std(sockets.control)?,
+        client: Client::new(settings.platform.address, PLATFORM_TIMEOUT),
+        shared: shared.clone(),
+        queries,
+        wishes,
+        grants: grants_in,
+        runner: batch.handle,
+        drain,
+    });
+    actix_rt::spawn(inbox.serve(Rc::clone(&services)));
+    log::info!(
+        "{} node={} zone={} callers={callers}",
+        event::NODE_STARTED,
+        settings.node.name,
+        settings.node.zone,
+    );
+    let kernel = register(&shared);
+    shared.phase.publish(Phase::Serving);
+    Ok(Running {
+        callers,
+        link,
+        control,
+        kernel,
+        shared,
+        services,
+        stop: Stop {
+            batch: batch.stop,
+            batch_ended: batch.ended,
+            callers: callers_stop,
+            cut: cut_off,
+        },
+        arbiters,
+        drained,
+    })
+}
+
+fn shared(own: &Member, clock: Clock, dispatch: Handle, metrics: Metrics) -> Shared {
+    let view = View {
+        members: vec![own.clone()],
+    };
+    let force = Force {
+        document: Arc::default(),
+        until: Time::ZERO,
+    };
+    Shared {
+        node: own.name.clone(),
+        zone: own.zone.clone(),
+        clock,
+        force: Arc::new(Cell::new(force)),
+        view: Arc::new(Cell::new(view)),
+        dispatch,
+        metrics: Arc::new(metrics),
+        questions: Work::default(),
+        dispatched: Work::default(),
+        phase: Arc::new(Cell::new(Phase::Starting)),
+    }
+}
+
+/// The batch thread as the rest of the node knows it.
+struct Batch {
+    arbiter: Arbiter,
+    handle: runner::Handle,
+    stop: watch::Sender<bool>,
+    ended: mpsc::Receiver<()>,
+}
+
+fn start_batch(shared: &Shared, settings: &Settings, boot: u64) -> Result<Batch> {
+    let assignment = Arc::new(Cell::new(assign::Assignment::new()));
+    actix_rt::spawn(assign::follow(shared.clone(), Arc::clone(&assignment)));
+    let arbiter = Arbiter::new();
+    let shared = shared.clone();
+    let platform = settings.platform.address;
+    let session = format!("{}-{boot:x}", shared.node).into();
+    let (stop, stopped) = watch::channel(false);
+    let (end, ended) = mpsc::channel(1);
+    let (sender, handle) = std::sync::mpsc::channel();
+    arbiter.spawn_fn(move || {
+        let (runner, handle) = batch::runner(shared, assignment, platform, session);
+        let _ = sender.send(handle);
+        actix_rt::spawn(async move {
+            batch::run(runner, stopped).await;
+            drop(end);
+        });
+    });
+    let handle = handle
+        .recv()
+        .ok()
+        .ok_or_eyre("the batch thread did not start")?;
+    Ok(Batch {
+        arbiter,
+        handle,
+        stop,
+        ended,
+    })
+}
+
+fn register(shared: &Shared) -> Kernel {
+    let mut kernel = Kernel::default();
+    kernel.register(service::CONFIG, Arc::clone(&shared.force));
+    kernel.register(service::VIEW, Arc::clone(&shared.view));
+    kernel.register(service::DISPATCH, Arc::new(shared.dispatch.clone()));
+    kernel.register(service::METRICS, Arc::clone(&shared.metrics));
+    kernel
+}
+
+impl Running {
+    /// Returns when an operator has drained this node.
+    pub async fn drained(&mut self) {
+        // An error means that the control thread is gone, which can't be: it is
+        // this one.
+        let _ = self.drained.wait_for(|drained| *drained).await;
+    }
+
+    /// Stops the node in good order; [`Leave`] decides what happens when.
+    ///
+    /// What is in flight after `limit`, or once `hurry` is ready, is cut off
+    /// with a final answer.
+    pub async fn stop<H>(mut self, limit: Duration, hurry: H)
+    where
+        H: Future<Output = ()>,
+    {
+        let in_flight = self.work().questions;
+        log::info!("{} in_flight={in_flight}", event::NODE_LEAVING);
+        let mut leave = Leave::new(self.times(limit));
+        let mut hurry = pin!(hurry);
+        let mut hurried = false;
+        let mut inputs = vec![Input::Started, Input::Stop];
+        loop {
+            let now = self.shared.clock.now();
+            inputs.push(Input::Tick(self.work()));
+            for input in inputs.drain(..) {
+                for action in leave.step(now, input) {
+                    if let Some(ending) = self.act(action) {
+                        return self.exit(ending).await;
+                    }
+                }
+                self.shared.phase.publish(leave.phase());
+            }
+            tokio::select! {
+                () = actix_rt::time::sleep(STOP_POLL) => {}
+                () = &mut hurry, if !hurried => {
+                    hurried = true;
+                    inputs.push(Input::Hurry);
+                }
+            }
+        }
+    }
+
+    /// A node without peers has nobody to tell and no other address to send
+    /// callers to.
+    fn times(&self, limit: Duration) -> Times {
+        let times = Times {
+            limit,
+            ..Times::default()
+        };
+        if self.services.has_peers() {
+            return times;
+        }
+        Times {
+            spread: Duration::ZERO,
+            keep: Duration::ZERO,
+            ..times
+        }
+    }
+
+    fn work(&mut self) -> leave::Work {
+        // The batch thread gives back its chunks before it ends.
+        let ended = self.stop.batch_ended.try_recv();
+        let held = ended == Err(mpsc::error::TryRecvError::Empty);
+        leave::Work {
+            questions: self.shared.questions.count(),
+            dispatched: self.shared.dispatched.count(),
+            chunks: usize::from(held),
+            items: 0,
+        }
+    }
+
+    /// Does what leaving demands; an ending when the node is to exit.
+    fn act(&self, action: Action) -> Option<Ending> {
+        match action {
+            Action::Announce => self.services.members.leave(),
+            Action::StopClaiming => {
+                let _ = self.stop.batch.send(true);
+            }
+            // The dispatchers see the phase, and the batch thread gives back
+            // its chunks by itself once it is stopped.
+            Action::HandOver | Action::ReleaseChunks => {}
+            Action::RefuseQuestions => {
+                let _ = self.stop.callers.send(true);
+            }
+            Action::CutOff => {
+                let _ = self.stop.cut.send(true);
+            }
+            Action::Exit(ending) => return Some(ending),
+        }
+        None
+    }
+
+    async fn exit(self, ending: Ending) {
+        self.services.members.exit().await;
+        // The last answers may still lie in the sockets' buffers.
+        actix_rt::time::sleep(FLUSH).await;
+        for arbiter in self.arbiters {
+            arbiter.stop();
+        }
+        let Ending { cut, chunks } = ending;
+        log::info!("{} cut={cut} chunks={chunks}", event::NODE_STOPPED);
+    }
+}
