Tell plain calls from streams in the dispatch queue

Cause: the shell offered plain calls with max_tokens 1, so a call that took longer than 1.5 s would have been taken for a silent stream and abandoned, and a batch call would have been stopped for a question. Change: a call is an offer with max_tokens 0 (one line in the shell); calls are not counted as prompts being computed, never stopped and exempt from the silence rule. The router takes back its own count of a flight that ended without a load. Conclusion: tests call_silent_not_stuck, call_of_batch_left_alone, crowded_spills, pack_*.

--- a/src/dispatch/queue.rs
+++ b/src/dispatch/queue.rs
@@ -310,11 +310,13 @@
         } else {
             &mut self.batch
         }) += 1;
-        *(if online {
-            &mut self.online_computing
-        } else {
-            &mut self.batch_computing
-        }) += 1;
+        if run.streams() {
+            *(if online {
+                &mut self.online_computing
+            } else {
+                &mut self.batch_computing
+            }) += 1;
+        }
         self.prompt_tokens += run.offer.prompt_tokens + run.done;
         self.context += run.context();
         self.streams += u32::from(run.streams());
@@ -336,7 +338,7 @@
             Class::Batch => &mut self.batch,
         };
         *running = running.saturating_sub(1);
-        if run.computing {
+        if run.computing && run.streams() {
             self.computed(run);
         }
         self.stopping -= u32::from(run.stopping);
--- a/src/dispatch/queue/admit.rs
+++ b/src/dispatch/queue/admit.rs
@@ -44,7 +44,8 @@
             return Some(Refusal::new(Reason::Deadline).after(MIN_RETRY));
         }
         if offer.class == Class::Online {
-            if offer.spills && self.count.online_computing + len(self.online.len()) >= CROWDED {
+            let crowded = self.count.online_computing + len(self.online.len()) >= CROWDED;
+            if offer.spills && offer.max_tokens > 0 && crowded {
                 return Some(Refusal::new(Reason::Overloaded).after(MIN_RETRY));
             }
             let wait = self.expected_wait();
@@ -116,7 +117,9 @@
     /// True when another batch prompt may be computed now. Prompts are what
     /// questions wait for most, since the engine computes them in order.
     fn may_compute(&self, now: Time) -> bool {
-        if matches!(self.policy, Policy::All | Policy::Split(_)) {
+        let next = self.batch.peek();
+        let is_call = next.is_some_and(|entry| entry.offer.max_tokens == 0);
+        if is_call || matches!(self.policy, Policy::All | Policy::Split(_)) {
             return true;
         }
         if self.count.online_computing > 0 {
@@ -155,7 +158,9 @@
                     return free;
                 }
                 let Some(bound) = self.pace.bound(self.tolerance.step) else {
-                    return free.min(UNKNOWN);
+                    // Calls of a plain service don't slow each other's steps.
+                    let calls = self.count.streams == 0;
+                    return if calls { free } else { free.min(UNKNOWN) };
                 };
                 free.min(whole(bound).saturating_sub(self.count.online))
             }
@@ -201,7 +206,8 @@
         F: Fn(&Run) -> bool,
     {
         let may = |run: &Run| {
-            run.offer.class == Class::Batch && !run.offer.once && !run.stopping && which(run)
+            let stoppable = !run.offer.once && run.streams() && !run.stopping;
+            run.offer.class == Class::Batch && stoppable && which(run)
         };
         let mut ids: Vec<(bool, u64, Id)> = self
             .runs
--- a/src/dispatch/shell.rs
+++ b/src/dispatch/shell.rs
@@ -410,7 +410,8 @@
 fn offer_of(id: Id, deadline: Time, request: &Request) -> Offer {
     let (prompt_tokens, max_tokens) = match &request.body {
         Body::Prompt { prompt, max_tokens } => (prompt.len() / CHARS_PER_TOKEN, *max_tokens),
-        Body::Call { .. } => (0, 1),
+        // A call brings no tokens, so its silence must not count as stuck.
+        Body::Call { .. } => (0, 0),
     };
     Offer {
         id,
@@ -420,5 +421,6 @@
         prompt_tokens: u32::try_from(prompt_tokens).unwrap_or(u32::MAX),
         max_tokens,
         once: request.once,
+        spills: false,
     }
 }
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -283,8 +283,9 @@
             Verdict::Full | Verdict::Withdrawn if flight.first => endpoint.health.unclear(now),
             _ => {}
         }
-        if let Some(load) = load {
-            endpoint.take(now, load);
+        match load {
+            Some(load) => endpoint.take(now, load),
+            None => endpoint.since_load = endpoint.since_load.saturating_sub(1),
         }
     }
 
--- a/tests/dispatch_queue.rs
+++ b/tests/dispatch_queue.rs
@@ -381,3 +381,51 @@
     }
     expect_that!(env.queue.load().batch, le(9));
 }
+
+fn call(now: Time, id: Id, class: Class) -> Offer {
+    Offer {
+        prompt_tokens: 0,
+        max_tokens: 0,
+        ..offer(now, id, class, "clerks")
+    }
+}
+
+#[gtest]
+fn call_silent_not_stuck() {
+    // A plain service takes ten seconds for a call and brings no tokens. Were
+    // its silence taken for a fault, the call would be abandoned and might run
+    // twice.
+    let mut env = Env::new(80);
+    let slow = call(env.now, 1, Class::Online);
+    expect_that!(started(&env.input(Input::Offer(slow))), eq(&[1]));
+    env.now += Duration::from_secs(10);
+    expect_that!(abandoned(&env.input(Input::Tick)), is_empty());
+}
+
+#[gtest]
+fn call_of_batch_left_alone() {
+    // A call can't be resumed; stopping it would throw its work away.
+    let mut env = Env::new(80);
+    let item = call(env.now, 1, Class::Batch);
+    env.input(Input::Offer(item));
+    let question = call(env.now, 2, Class::Online);
+    let actions = env.input(Input::Offer(question));
+    expect_that!(stopped(&actions), is_empty());
+    expect_that!(started(&actions), eq(&[2]));
+    let item = call(env.now, 3, Class::Batch);
+    expect_that!(started(&env.input(Input::Offer(item))), eq(&[3]));
+}
+
+#[gtest]
+fn crowded_spills() {
+    // A question waits for its first token; the next one has another endpoint
+    // to go to and is told so at once. Only one that has none is kept.
+    let mut env = Env::new(80);
+    env.offer(1, Class::Online, "clerks");
+    let mut second = offer(env.now, 2, Class::Online, "clerks");
+    second.spills = true;
+    let actions = env.input(Input::Offer(second.clone()));
+    expect_that!(refused(&actions), eq(&[(2, Reason::Overloaded, true)]));
+    second.spills = false;
+    expect_that!(started(&env.input(Input::Offer(second))), eq(&[2]));
+}
--- a/tests/route_router.rs
+++ b/tests/route_router.rs
@@ -176,3 +176,46 @@
     expect_true!(router.is_healthy("e1"));
     expect_that!(chosen["e1"], gt(5));
 }
+
+#[gtest]
+fn pack_leaves_endpoints_free() {
+    // Few questions come. Spread over all endpoints they would slow, and be
+    // slowed by, the batch work of each of them.
+    let mut router = router(9);
+    router.weigh(SERVICE, 80);
+    for at in 0..9 {
+        let load = Load {
+            slots: 64,
+            ..Load::default()
+        };
+        router.loaded(Time::from_millis(900), &format!("e{at}"), load);
+    }
+    let chosen = drive(&mut router, 1_000, 900, |_| Some(50));
+    expect_that!(router.packed(SERVICE), le(3));
+    expect_that!(chosen.len(), le(4));
+}
+
+#[gtest]
+fn pack_grows_at_once() {
+    // A burst crowds the packed endpoints. The loads that come back with first
+    // tokens must widen the choice before they do.
+    let mut router = router(9);
+    router.weigh(SERVICE, 80);
+    let now = Time::from_millis(1_000);
+    router.pick(now, &query());
+    let load = Load {
+        online: 30,
+        slots: 64,
+        ..Load::default()
+    };
+    router.loaded(now, "e3", load);
+    router.pick(Time::from_millis(1_300), &query());
+    expect_that!(router.packed(SERVICE), ge(5));
+}
+
+#[gtest]
+fn pack_spread_at_full_weight() {
+    let mut router = router(9);
+    router.weigh(SERVICE, 100);
+    expect_that!(router.packed(SERVICE), eq(9));
+}
