--- a/src/member/gossip/learn.rs
+++ b/src/member/gossip/learn.rs
@@ -36,6 +36,8 @@
             return false;
         }
         if known.is_some_and(|entry| !record.supersedes(&entry.record)) {
+            let version = record.member.config_version;
+            self.learn_in_force(name, record.boot, version, actions);
             return false;
         }
         let before = known.map(|entry| entry.record.member.state);
--- a/src/member/gossip/receive.rs
+++ b/src/member/gossip/receive.rs
@@ -178,7 +178,7 @@
                 self.try_for(now, source, seq, to, &address, actions);
             }
             Body::Sync { digests, answer } => {
-                self.synchronise(source, &digests, answer, actions);
+                self.synchronise(now, source, &digests, answer, actions);
             }
             Body::Direct { topic, value } => {
                 let from = head.from.clone();
--- a/src/member/gossip/sync.rs
+++ b/src/member/gossip/sync.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use xxhash_rust::xxh3::Xxh3;
@@ -16,11 +17,15 @@
 
 /// Members are compared in this many buckets, so that one that differs costs
 /// the sending of a few and not of all.
-const BUCKETS: usize = 32;
+const BUCKETS: usize = 128;
+/// Bytes of a bucket's digest.
+const WIDTH: usize = 4;
 /// A node without peers tries again this often.
 const ALONE: Duration = Duration::from_secs(1);
 /// A node that meets unknown peers asks one of them this often.
 const ASK: Duration = Duration::from_millis(500);
+/// While a comparison finds differences, the next one comes this soon.
+const AGAIN: Duration = Duration::from_secs(1);
 /// Addresses that a node without peers tries at a time.
 const TRIES: usize = 3;
 
@@ -41,6 +46,7 @@
     fn offer(&mut self, to: SocketAddr, answer: bool, actions: &mut Vec<Action>) {
         let digests = self.digests();
         let first = vec![Update::Record(self.me.clone())];
+        let digests = Bytes::from(digests);
         self.post(to, Body::Sync { digests, answer }, first, actions);
     }
 
@@ -86,8 +92,9 @@
     /// Sends what differs and, unless this was the answer, asks back.
     pub(super) fn synchronise(
         &mut self,
+        now: Time,
         to: SocketAddr,
-        digests: &[u32],
+        digests: &[u8],
         answer: bool,
         actions: &mut Vec<Action>,
     ) {
@@ -99,29 +106,40 @@
         if own == digests {
             return;
         }
+        // When many start at once, few have anything to tell. Comparing again
+        // soon, and with anybody, spreads the work over all that know some.
+        self.due.sync = self.due.sync.min(now + AGAIN);
         if !answer {
             self.offer(to, true, actions);
         }
         let start = self.rng.random_range(0..BUCKETS);
-        for step in 0..BUCKETS {
-            let at = (start + step) % BUCKETS;
-            if own[at] != digests[at] {
-                self.send_bucket(to, at, actions);
-            }
+        let mut differing = [false; BUCKETS];
+        let pairs = own.chunks(WIDTH).zip(digests.chunks(WIDTH));
+        for (differs, (ours, theirs)) in differing.iter_mut().zip(pairs) {
+            *differs = ours != theirs;
         }
+        self.send_buckets(to, start, &differing, actions);
     }
 
-    /// Sends the members of one bucket, as far as the budget goes; what is left
-    /// differs the next time again.
-    fn send_bucket(&mut self, to: SocketAddr, at: usize, actions: &mut Vec<Action>) {
-        let records: Vec<Record> = self
+    /// Sends the members of the buckets that differ, as far as the budget goes;
+    /// what is left differs the next time again.
+    fn send_buckets(
+        &mut self,
+        to: SocketAddr,
+        start: usize,
+        differing: &[bool; BUCKETS],
+        actions: &mut Vec<Action>,
+    ) {
+        let mut records: Vec<(usize, Record)> = self
             .records()
-            .filter(|record| bucket(&record.member.name) == at)
-            .cloned()
+            .map(|record| (bucket(&record.member.name), record))
+            .filter(|(at, _)| differing[*at])
+            .map(|(at, record)| ((at + BUCKETS - start) % BUCKETS, record.clone()))
             .collect();
+        records.sort_by_key(|(at, _)| *at);
         let mut updates = Vec::new();
         let mut size = 0;
-        for update in records.into_iter().map(Update::Record) {
+        for update in records.into_iter().map(|(_, r)| Update::Record(r)) {
             if size + update.size() > MAX_DATAGRAM - HEAD_ROOM {
                 self.post(to, Body::Table, std::mem::take(&mut updates), actions);
                 size = 0;
@@ -144,11 +162,16 @@
             .chain(std::iter::once(&self.me))
     }
 
-    fn digests(&self) -> Vec<u32> {
-        let mut digests = vec![0_u32; BUCKETS];
+    fn digests(&self) -> Vec<u8> {
+        let mut digests = vec![0_u8; BUCKETS * WIDTH];
         for record in self.records() {
-            if record.member.state != State::Dead {
-                digests[bucket(&record.member.name)] ^= record.digest();
+            if record.member.state == State::Dead {
+                continue;
+            }
+            let place = bucket(&record.member.name) * WIDTH;
+            let digest = record.digest().to_be_bytes();
+            for (sum, byte) in digests[place..place + WIDTH].iter_mut().zip(digest) {
+                *sum ^= byte;
             }
         }
         digests
--- a/src/member/rumour.rs
+++ b/src/member/rumour.rs
@@ -76,7 +76,9 @@
             rumour.sent += 1;
             taken.push(rumour.update.clone());
         }
-        self.rumours.retain(|r| r.sent < limit);
+        let waiting = self.rumours.len();
+        self.rumours
+            .retain(|r| r.sent < r.update.sends(limit, waiting));
         taken
     }
 
--- a/src/wire/control.rs
+++ b/src/wire/control.rs
@@ -16,6 +16,8 @@
 pub const MAX_DATAGRAM: usize = 1_200;
 /// Largest value of a note or a direct message, in bytes.
 pub const MAX_VALUE: usize = 512;
+/// So many news items at once are a special event; see [`Update::sends`].
+const MANY: usize = 24;
 /// First byte of every datagram.
 const VERSION: u8 = 1;
 /// Room that a head and any body take at most, with the longest names.
@@ -93,8 +95,8 @@
     /// Compare what we know, and send me what I lack.
     #[serde(rename = "s")]
     Sync {
-        /// One number for each bucket of members.
-        digests: Vec<u32>,
+        /// Four bytes for each bucket of members.
+        digests: Bytes,
         /// True when this answers a [`Body::Sync`], which ends the exchange.
         answer: bool,
     },
@@ -153,11 +155,27 @@
 }
 
 impl Update {
+    /// How often a node sends it, when news as such is sent `limit` times and
+    /// `waiting` items wait to be sent.
+    ///
+    /// Many records at once mean that a fleet starts, or that regions have found
+    /// each other. Then sending each as often would take minutes within the
+    /// budget, and comparing with peers is what brings all up to date. Every member sends one [`Update::InForce`] for each change, which makes
+    /// them most of all news. One that misses a node is mended by the next
+    /// datagram from the member itself.
+    pub fn sends(&self, limit: u32, waiting: usize) -> u32 {
+        match self {
+            Self::InForce { .. } => limit.div_ceil(2),
+            Self::Record(_) if waiting > MANY => limit.div_ceil(8),
+            Self::Record(_) | Self::Committed(_) | Self::Note(_) => limit,
+        }
+    }
+
     /// Bytes that it takes in a datagram, at most.
     pub fn size(&self) -> usize {
         match self {
             Self::Record(record) => record.size() + 4,
-            Self::InForce { name, .. } => name.len() + 32,
+            Self::InForce { name, .. } => name.len() + 30,
             Self::Committed(_) => 14,
             Self::Note(note) => note.key.len() + note.value.len() + 32,
         }
--- a/tests/wire_control.rs
+++ b/tests/wire_control.rs
@@ -76,7 +76,7 @@
         Body::Gossip,
         Body::Table,
         Body::Sync {
-            digests: vec![u32::MAX; 32],
+            digests: Bytes::from_static(&[0xff; 512]),
             answer: true,
         },
         Body::Direct {
