--- a/src/dispatch/queue.rs
+++ b/src/dispatch/queue.rs
@@ -75,6 +75,8 @@
     pace: Pace,
     health: Health,
     last_question: Time,
+    /// When a batch item was last started.
+    last_item: Time,
 }
 
 impl Queue {
@@ -96,6 +98,7 @@
             pace: Pace::default(),
             health: Health::new(now),
             last_question: Time::ZERO,
+            last_item: Time::ZERO,
         }
     }
 
@@ -122,6 +125,11 @@
         self.admit(now, actions);
     }
 
+    /// The setting in force.
+    pub fn setting(&self) -> Setting {
+        self.setting
+    }
+
     /// When the next [`Input::Tick`] is due, if nothing else happens before.
     pub fn wake(&self) -> Option<Time> {
         let stuck = (self.count.streams > 0).then(|| self.stuck_at());
--- a/src/dispatch/queue/admit.rs
+++ b/src/dispatch/queue/admit.rs
@@ -23,6 +23,10 @@
 const UNKNOWN: u32 = 4;
 /// Without a question for this long the endpoint is all for batch work.
 const IDLE: Duration = Duration::from_millis(1_500);
+/// Questions without a first token at which the next one rather goes elsewhere.
+const CROWDED: u32 = 1;
+/// Batch prompts computed at the same time while questions run.
+const PROMPTS: u32 = 2;
 /// Batch prompts computed at the same time while there are no questions.
 const IDLE_PROMPTS: u32 = 4;
 
@@ -40,6 +44,9 @@
             return Some(Refusal::new(Reason::Deadline).after(MIN_RETRY));
         }
         if offer.class == Class::Online {
+            if offer.spills && self.count.online_computing + len(self.online.len()) >= CROWDED {
+                return Some(Refusal::new(Reason::Overloaded).after(MIN_RETRY));
+            }
             let wait = self.expected_wait();
             if now + wait > offer.deadline {
                 return Some(Refusal::new(Reason::Overloaded).after(wait.max(MIN_RETRY)));
@@ -115,12 +122,11 @@
         if self.count.online_computing > 0 {
             return false;
         }
-        let most = if self.is_idle(now) {
-            IDLE_PROMPTS
-        } else {
-            self.tolerance.prompts
-        };
-        self.count.batch_computing < most
+        if self.is_idle(now) {
+            return self.count.batch_computing < IDLE_PROMPTS;
+        }
+        let due = self.last_item + self.tolerance.prompt_gap;
+        self.count.batch_computing < PROMPTS && now >= due
     }
 
     /// True when the next batch item fits into KV memory with its answer.
@@ -224,6 +230,9 @@
             stopping: false,
             offer: entry.offer,
         };
+        if run.offer.class == Class::Batch {
+            self.last_item = now;
+        }
         let id = run.offer.id;
         Count::add(&mut self.count, &run);
         self.runs.insert(id, run);
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,43 +4,58 @@
 //! The thread that calls [`start`] becomes the control thread; each traffic
 //! thread has a runtime of its own and shares nothing mutable with the others.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::pin::pin;
+use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize};
 use std::time::Duration;
 
 use actix_rt::Arbiter;
-use eyre::{Result, WrapErr};
-use tokio::sync::watch;
+use eyre::{OptionExt as _, Result, WrapErr};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
 
-use crate::clock::Clock;
-use crate::config::Document;
+use crate::clock::{Clock, Time};
+use crate::config::follow::Force;
 use crate::dispatch::Handle;
 use crate::event;
 use crate::gateway::Shared;
 use crate::http;
+use crate::job::runner;
 use crate::kernel::Kernel;
-use crate::member::shell::{self, Setup};
+use crate::leave::{self, Action, Ending, Input, Leave, Phase, Times};
+use crate::member::shell::{Counts, Setup};
 use crate::member::tuning::Tuning;
 use crate::member::{Member, State, View};
 use crate::metric::Metrics;
-use crate::platform;
+use crate::platform::http::Client;
 use crate::settings::Settings;
 use crate::snapshot::Cell;
 
 mod assign;
 mod batch;
-mod control;
+pub mod control;
+mod peers;
+pub mod remote;
+mod shares;
 mod traffic;
+pub mod work;
 
-pub use control::CONFIG_ROW;
+use control::Control;
+use work::Work;
 
 /// Most time to wait for one answer of the platform.
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(3);
+/// Messages that may wait between the control thread and the others.
+const WAITING: usize = 1_024;
+/// How long the last answers may take out of the process.
+const FLUSH: Duration = Duration::from_millis(200);
+/// How often a stop looks whether work has ended.
+const STOP_POLL: Duration = Duration::from_millis(20);
 
 /// Names under which services register with the kernel.
 pub mod service {
-    /// [`crate::snapshot::Cell`] of [`crate::config::Document`].
+    /// [`crate::snapshot::Cell`] of [`crate::config::follow::Force`].
     pub const CONFIG: &str = "config";
     /// [`crate::snapshot::Cell`] of [`crate::member::View`].
     pub const VIEW: &str = "view";
@@ -60,42 +75,60 @@
     pub control: SocketAddr,
     /// The services by name.
     pub kernel: Kernel,
-    leaving: Arc<AtomicBool>,
-    in_flight: Arc<AtomicUsize>,
-    stop: watch::Sender<bool>,
+    shared: Shared,
+    services: Rc<Control>,
+    /// Ends the batch thread's claims, then the callers' connections.
+    stop: Stop,
     arbiters: Vec<Arbiter>,
-    members: Option<shell::Handle>,
+    drained: watch::Receiver<bool>,
+}
+
+/// What a stop turns true, one after the other.
+struct Stop {
+    batch: watch::Sender<bool>,
+    batch_ended: mpsc::Receiver<()>,
+    callers: watch::Sender<bool>,
+    cut: watch::Sender<bool>,
 }
 
 /// The listening sockets, all bound before anything is told to anyone.
 struct Sockets {
     callers: TcpListener,
     link: TcpListener,
-    control: std::net::UdpSocket,
+    control: UdpSocket,
 }
 
 impl Sockets {
     fn bind(settings: &Settings) -> Result<Self> {
-        let bind = |what: &str, address| {
-            http::listen(address).wrap_err_with(|| {
-                format!("can't listen on {address} for {what}; is the port taken by another node?")
-            })
+        let why = |what: &str, address| {
+            format!("can't listen on {address} for {what}; is the port taken by another node?")
         };
-        Ok(Self {
-            callers: bind("callers", settings.listen.callers)?,
-            link: bind("links", settings.listen.link)?,
-            control: datagrams(settings.listen.control)?,
-        })
+        let listen = &settings.listen;
+        let callers = http::listen(listen.callers);
+        let link = http::listen(listen.link);
+        // Control messages are datagrams; docs/design/members.md says why.
+        let control = UdpSocket::bind(listen.control);
+        let sockets = Self {
+            callers: callers.wrap_err_with(|| why("callers", listen.callers))?,
+            link: link.wrap_err_with(|| why("links", listen.link))?,
+            control: control.wrap_err_with(|| why("control", listen.control))?,
+        };
+        sockets.control.set_nonblocking(true)?;
+        Ok(sockets)
     }
-}
 
-/// Control messages are datagrams; docs/design/members.md says why.
-fn datagrams(address: SocketAddr) -> Result<std::net::UdpSocket> {
-    let socket = std::net::UdpSocket::bind(address).wrap_err_with(|| {
-        format!("can't listen on {address} for control; is the port taken by another node?")
-    })?;
-    socket.set_nonblocking(true)?;
-    Ok(socket)
+    fn member(&self, settings: &Settings) -> Result<Member> {
+        Ok(Member {
+            name: settings.node.name.clone(),
+            address: self.callers.local_addr()?.to_string().into(),
+            link: self.link.local_addr()?.to_string().into(),
+            control: self.control.local_addr()?.to_string().into(),
+            zone: settings.node.zone.clone(),
+            incarnation: crate::clock::unix_millis(),
+            state: State::Alive,
+            config_version: 0,
+        })
+    }
 }
 
 /// Runs a node until it is told to stop, and prints where it listens.
@@ -104,13 +137,24 @@
 /// When it can't listen, or a thread can't be started.
 pub fn run(settings: &Settings) -> Result<()> {
     actix_rt::System::new().block_on(async {
-        let running = start(settings)?;
+        // Before anything is started: a stop during the start must be graceful.
+        let mut terminate = signal(SignalKind::terminate()).wrap_err("can't wait for SIGTERM")?;
+        let mut interrupt = signal(SignalKind::interrupt()).wrap_err("can't wait for SIGINT")?;
+        let mut running = start(settings)?;
         println!(
             "listening callers={} link={} control={}",
             running.callers, running.link, running.control
         );
-        control::terminated().await?;
-        running.stop(settings.leave.limit).await;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+            () = running.drained() => {}
+        }
+        let hurry = async move {
+            // A person at a terminal who presses Ctrl-C again will not wait.
+            interrupt.recv().await;
+        };
+        running.stop(settings.leave.limit, hurry).await;
         Ok(())
     })
 }
@@ -122,58 +166,50 @@
 pub fn start(settings: &Settings) -> Result<Running> {
     let clock = Clock::start();
     let sockets = Sockets::bind(settings)?;
-    let control = sockets.control.local_addr()?;
-    let own = own_member(settings, &sockets)?;
+    let own = sockets.member(settings)?;
     let mut metrics = Metrics::new();
-    let counts = control::counts(&mut metrics);
-    let (dispatch, desks) = Handle::new(settings.traffic_threads);
-    let view = View {
-        members: vec![own.clone()],
-    };
-    let shared = Shared {
-        node: own.name.clone(),
-        clock,
-        config: Arc::new(Cell::new(Document::default())),
-        view: Arc::new(Cell::new(view)),
-        dispatch,
-        metrics: Arc::new(metrics),
-    };
-    let kernel = register(&shared);
-    let (stop, stopped) = watch::channel(false);
-    let leaving = Arc::new(AtomicBool::new(false));
-    let in_flight = Arc::new(AtomicUsize::new(0));
+    let counts = Counts::default();
+    metrics.extend(|registry| counts.register(registry));
+    let threads = settings.traffic_threads;
+    let (dispatch, desks) = Handle::new(threads);
+    let shared = shared(&own, clock, dispatch, metrics);
+    let (callers_stop, callers_stopped) = watch::channel(false);
+    let (drain, drained) = watch::channel(false);
+    let (queries_in, queries) = mpsc::channel(WAITING);
+    let (wishes_in, wishes) = mpsc::channel(WAITING);
+    let (remote, inbox) = remote::channel();
+    let (cut_off, cut) = watch::channel(false);
     let mut arbiters = Vec::new();
-    for desk in desks {
+    let mut grants_in = Vec::new();
+    for (number, desk) in desks.into_iter().enumerate() {
+        let (grant, grants) = mpsc::channel(WAITING);
+        grants_in.push(grant);
         let thread = traffic::Thread {
+            number,
+            threads,
             shared: shared.clone(),
             desk,
+            queries: queries_in.clone(),
+            wishes: wishes_in.clone(),
+            grants,
+            control: remote.clone(),
             callers: sockets.callers.try_clone()?,
             links: sockets.link.try_clone()?,
-            leaving: Arc::clone(&leaving),
-            stopped: stopped.clone(),
+            cut: cut.clone(),
+            stopped: callers_stopped.clone(),
             platform: settings.platform.address,
         };
         let arbiter = Arbiter::new();
         arbiter.spawn_fn(move || thread.start());
         arbiters.push(arbiter);
     }
-    let assignment = Arc::new(Cell::new(assign::Assignment::new()));
-    actix_rt::spawn(assign::follow(shared.clone(), Arc::clone(&assignment)));
     let boot = control::boot();
-    arbiters.push(start_batch(&shared, assignment, settings, boot, stopped));
-    let mut running = Running {
-        callers: sockets.callers.local_addr()?,
-        link: sockets.link.local_addr()?,
-        control,
-        kernel,
-        leaving,
-        in_flight,
-        stop,
-        arbiters,
-        members: None,
-    };
-    let client = platform::http::Client::new(settings.platform.address, PLATFORM_TIMEOUT);
-    let membership = control::Membership {
+    let batch = start_batch(&shared, settings, boot)?;
+    arbiters.push(batch.arbiter);
+    let callers = sockets.callers.local_addr()?;
+    let link = sockets.link.local_addr()?;
+    let control = sockets.control.local_addr()?;
+    let services = control::start(control::Start {
         setup: Setup {
             me: own,
             boot,
@@ -184,54 +220,104 @@
             counts,
         },
         socket: tokio::net::UdpSocket::from_std(sockets.control)?,
-    };
-    running.members = Some(control::start(&shared, membership, client));
+        client: Client::new(settings.platform.address, PLATFORM_TIMEOUT),
+        shared: shared.clone(),
+        queries,
+        wishes,
+        grants: grants_in,
+        runner: batch.handle,
+        drain,
+    });
+    actix_rt::spawn(inbox.serve(Rc::clone(&services)));
     log::info!(
-        "{} node={} zone={} callers={}",
+        "{} node={} zone={} callers={callers}",
         event::NODE_STARTED,
         settings.node.name,
         settings.node.zone,
-        running.callers
     );
-    Ok(running)
+    let kernel = register(&shared);
+    shared.phase.publish(Phase::Serving);
+    Ok(Running {
+        callers,
+        link,
+        control,
+        kernel,
+        shared,
+        services,
+        stop: Stop {
+            batch: batch.stop,
+            batch_ended: batch.ended,
+            callers: callers_stop,
+            cut: cut_off,
+        },
+        arbiters,
+        drained,
+    })
 }
 
-/// Starts the thread that runs batch work.
-fn start_batch(
-    shared: &Shared,
-    assignment: Arc<Cell<assign::Assignment>>,
-    settings: &Settings,
-    boot: u64,
-    stopped: watch::Receiver<bool>,
-) -> Arbiter {
+fn shared(own: &Member, clock: Clock, dispatch: Handle, metrics: Metrics) -> Shared {
+    let view = View {
+        members: vec![own.clone()],
+    };
+    let force = Force {
+        document: Arc::default(),
+        until: Time::ZERO,
+    };
+    Shared {
+        node: own.name.clone(),
+        zone: own.zone.clone(),
+        clock,
+        force: Arc::new(Cell::new(force)),
+        view: Arc::new(Cell::new(view)),
+        dispatch,
+        metrics: Arc::new(metrics),
+        questions: Work::default(),
+        dispatched: Work::default(),
+        phase: Arc::new(Cell::new(Phase::Starting)),
+    }
+}
+
+/// The batch thread as the rest of the node knows it.
+struct Batch {
+    arbiter: Arbiter,
+    handle: runner::Handle,
+    stop: watch::Sender<bool>,
+    ended: mpsc::Receiver<()>,
+}
+
+fn start_batch(shared: &Shared, settings: &Settings, boot: u64) -> Result<Batch> {
+    let assignment = Arc::new(Cell::new(assign::Assignment::new()));
+    actix_rt::spawn(assign::follow(shared.clone(), Arc::clone(&assignment)));
     let arbiter = Arbiter::new();
     let shared = shared.clone();
     let platform = settings.platform.address;
     let session = format!("{}-{boot:x}", shared.node).into();
+    let (stop, stopped) = watch::channel(false);
+    let (end, ended) = mpsc::channel(1);
+    let (sender, handle) = std::sync::mpsc::channel();
     arbiter.spawn_fn(move || {
-        let (runner, _handle) = batch::runner(shared, assignment, platform, session);
-        actix_rt::spawn(batch::run(runner, stopped));
+        let (runner, handle) = batch::runner(shared, assignment, platform, session);
+        let _ = sender.send(handle);
+        actix_rt::spawn(async move {
+            batch::run(runner, stopped).await;
+            drop(end);
+        });
     });
-    arbiter
-}
-
-fn own_member(settings: &Settings, sockets: &Sockets) -> Result<Member> {
-    let text = |listener: &TcpListener| listener.local_addr().map(|a| a.to_string().into());
-    Ok(Member {
-        name: settings.node.name.clone(),
-        address: text(&sockets.callers)?,
-        link: text(&sockets.link)?,
-        control: sockets.control.local_addr()?.to_string().into(),
-        zone: settings.node.zone.clone(),
-        incarnation: crate::clock::unix_millis(),
-        state: State::Alive,
-        config_version: 0,
+    let handle = handle
+        .recv()
+        .ok()
+        .ok_or_eyre("the batch thread did not start")?;
+    Ok(Batch {
+        arbiter,
+        handle,
+        stop,
+        ended,
     })
 }
 
 fn register(shared: &Shared) -> Kernel {
     let mut kernel = Kernel::default();
-    kernel.register(service::CONFIG, Arc::clone(&shared.config));
+    kernel.register(service::CONFIG, Arc::clone(&shared.force));
     kernel.register(service::VIEW, Arc::clone(&shared.view));
     kernel.register(service::DISPATCH, Arc::new(shared.dispatch.clone()));
     kernel.register(service::METRICS, Arc::clone(&shared.metrics));
@@ -239,19 +325,106 @@
 }
 
 impl Running {
-    /// Stops the node in good order, within `limit`.
-    pub async fn stop(self, limit: Duration) {
-        use std::sync::atomic::Ordering;
-        self.leaving.store(true, Ordering::Relaxed);
-        log::info!("{}", event::NODE_LEAVING);
-        let _ = self.stop.send(true);
-        let _ = limit;
-        while self.in_flight.load(Ordering::Relaxed) > 0 {
-            actix_rt::time::sleep(Duration::from_millis(20)).await;
+    /// Returns when an operator has drained this node.
+    pub async fn drained(&mut self) {
+        // An error means that the control thread is gone, which can't be: it is
+        // this one.
+        let _ = self.drained.wait_for(|drained| *drained).await;
+    }
+
+    /// Stops the node in good order; [`Leave`] decides what happens when.
+    ///
+    /// What is in flight after `limit`, or once `hurry` is ready, is cut off
+    /// with a final answer.
+    pub async fn stop<H>(mut self, limit: Duration, hurry: H)
+    where
+        H: Future<Output = ()>,
+    {
+        let in_flight = self.work().questions;
+        log::info!("{} in_flight={in_flight}", event::NODE_LEAVING);
+        let mut leave = Leave::new(self.times(limit));
+        let mut hurry = pin!(hurry);
+        let mut hurried = false;
+        let mut inputs = vec![Input::Started, Input::Stop];
+        loop {
+            let now = self.shared.clock.now();
+            inputs.push(Input::Tick(self.work()));
+            for input in inputs.drain(..) {
+                for action in leave.step(now, input) {
+                    if let Some(ending) = self.act(action) {
+                        return self.exit(ending).await;
+                    }
+                }
+                self.shared.phase.publish(leave.phase());
+            }
+            tokio::select! {
+                () = actix_rt::time::sleep(STOP_POLL) => {}
+                () = &mut hurry, if !hurried => {
+                    hurried = true;
+                    inputs.push(Input::Hurry);
+                }
+            }
+        }
+    }
+
+    /// A node without peers has nobody to tell and no other address to send
+    /// callers to.
+    fn times(&self, limit: Duration) -> Times {
+        let times = Times {
+            limit,
+            ..Times::default()
+        };
+        if self.services.has_peers() {
+            return times;
         }
+        Times {
+            spread: Duration::ZERO,
+            keep: Duration::ZERO,
+            ..times
+        }
+    }
+
+    fn work(&mut self) -> leave::Work {
+        // The batch thread gives back its chunks before it ends.
+        let ended = self.stop.batch_ended.try_recv();
+        let held = ended == Err(mpsc::error::TryRecvError::Empty);
+        leave::Work {
+            questions: self.shared.questions.count(),
+            dispatched: self.shared.dispatched.count(),
+            chunks: usize::from(held),
+            items: 0,
+        }
+    }
+
+    /// Does what leaving demands; an ending when the node is to exit.
+    fn act(&self, action: Action) -> Option<Ending> {
+        match action {
+            Action::Announce => self.services.members.leave(),
+            Action::StopClaiming => {
+                let _ = self.stop.batch.send(true);
+            }
+            // The dispatchers see the phase, and the batch thread gives back
+            // its chunks by itself once it is stopped.
+            Action::HandOver | Action::ReleaseChunks => {}
+            Action::RefuseQuestions => {
+                let _ = self.stop.callers.send(true);
+            }
+            Action::CutOff => {
+                let _ = self.stop.cut.send(true);
+            }
+            Action::Exit(ending) => return Some(ending),
+        }
+        None
+    }
+
+    async fn exit(self, ending: Ending) {
+        self.services.members.exit().await;
+        // The last answers may still lie in the sockets' buffers.
+        actix_rt::time::sleep(FLUSH).await;
         for arbiter in self.arbiters {
             arbiter.stop();
         }
-        log::info!("{}", event::NODE_STOPPED);
+        let Ending { cut, chunks } = ending;
+        log::info!("{} cut={cut} chunks={chunks}", event::NODE_STOPPED);
     }
 }
--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -1,8 +1,8 @@
 //! Answers callers and operators over HTTP.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 use actix_http::body::{BodyStream, BoxBody};
 use actix_http::{ConnectionType, HttpMessage as _, Method, Request, Response, StatusCode, header};
@@ -14,15 +14,19 @@
 use tokio::sync::mpsc;
 
 use super::codec::{self, Format, Media};
+use super::operator::Change;
 use super::{caller, error, job, operator, v1};
 use crate::clock::unix_millis;
 use crate::gateway::{Gateway, Shared};
 use crate::http::{self, BodyError};
 use crate::job::Jobs;
-use crate::node::CONFIG_ROW;
+use crate::leave::Phase;
+use crate::locate;
+use crate::node::control::Control;
+use crate::node::remote::Remote;
+use crate::node::work::Guard;
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::platform::http::Client;
-use crate::platform::{Expect, Fault, Table as _, Transaction};
 use crate::request::Class;
 
 const CALLER: &str = "/auburnspoke.v1.Caller/";
@@ -40,11 +44,9 @@
 pub struct Server {
     shared: Shared,
     gateway: Rc<Gateway>,
-    platform: Client,
+    control: Remote<Control>,
     jobs: Jobs<Client, Client>,
-    /// True once the node leaves: connections are closed after their answer,
-    /// so that callers go to another address.
-    leaving: Arc<AtomicBool>,
+    tickets: Cell<u64>,
 }
 
 impl Server {
@@ -53,22 +55,23 @@
         shared: Shared,
         gateway: Rc<Gateway>,
         platform: Client,
-        leaving: Arc<AtomicBool>,
+        control: Remote<Control>,
     ) -> Rc<Self> {
         Rc::new(Self {
             shared,
             gateway,
-            jobs: Jobs::new(platform.clone(), platform.clone()),
-            platform,
-            leaving,
+            jobs: Jobs::new(platform.clone(), platform),
+            control,
+            tickets: Cell::new(rand::random()),
         })
     }
 
     /// Answers one HTTP request.
     pub async fn handle(self: Rc<Self>, request: Request) -> Response<BoxBody> {
-        let leaving = Arc::clone(&self.leaving);
+        let phase = Arc::clone(&self.shared.phase);
         let mut response = self.route(request).await;
-        if leaving.load(Ordering::Relaxed) {
+        if **phase.read() != Phase::Serving {
+            // Callers are sent to another address after this answer.
             response
                 .head_mut()
                 .set_connection_type(ConnectionType::Close);
@@ -102,7 +105,7 @@
     }
 
     fn ready(&self) -> bool {
-        !self.leaving.load(Ordering::Relaxed) && self.shared.config.read().version > 0
+        **self.shared.phase.read() == Phase::Serving && self.shared.config().is_ok()
     }
 
     async fn call(self: Rc<Self>, path: &str, mut request: Request) -> Response<BoxBody> {
@@ -125,9 +128,14 @@
             Ok(body) => body,
             Err(error) => return refused(media, true, &too_long(error)),
         };
+        let work = self.shared.questions.begin();
+        if matches!(**self.shared.phase.read(), Phase::Closing | Phase::Cutting) {
+            let refusal = Refusal::new(Reason::NotReady).because("the node leaves; use another");
+            return refused(media, true, &refusal);
+        }
         if let Some(method) = path.strip_prefix(CALLER) {
             if method == "AskStream" {
-                return self.ask_stream(media, body);
+                return self.ask_stream(media, body, work);
             }
             return answer(media, self.caller(method, media.format, body).await);
         }
@@ -139,6 +147,7 @@
 
     async fn caller(&self, method: &str, format: Format, body: Bytes) -> Outcome<Bytes> {
         match method {
+            "Locate" => unary(format, &body, |ask| async move { self.locate(&ask) }).await,
             "Ask" => unary(format, &body, |ask| self.ask(ask)).await,
             "SubmitJob" => unary(format, &body, |job| self.submit_job(job)).await,
             "JobStatus" => unary(format, &body, |ask| self.job_status(ask)).await,
@@ -150,14 +159,46 @@
     }
 
     async fn operator(&self, method: &str, format: Format, body: Bytes) -> Outcome<Bytes> {
+        let call = &self.control;
         match method {
-            "ApplyConfig" => unary(format, &body, |apply| self.apply(apply)).await,
+            "GetConfig" => {
+                let get = |_: v1::GetConfigRequest| operator::config(call);
+                unary(format, &body, get).await
+            }
+            "ApplyConfig" => {
+                let apply = |ask| operator::change(call, Change::Config(ask));
+                unary(format, &body, apply).await
+            }
+            "ApplyService" => {
+                let apply = |ask| operator::change(call, Change::Service(ask));
+                unary(format, &body, apply).await
+            }
+            "AddEndpoint" => {
+                let add = |ask| operator::change(call, Change::Endpoint(ask));
+                unary(format, &body, add).await
+            }
+            "RemoveEndpoint" => {
+                let remove = |ask| operator::change(call, Change::Remove(ask));
+                unary(format, &body, remove).await
+            }
+            "ConfigHistory" => unary(format, &body, |ask| operator::history(call, ask)).await,
+            "ConfigStatus" => {
+                let status = |_: v1::ConfigStatusRequest| async {
+                    Outcome::Done(operator::status(&self.shared))
+                };
+                unary(format, &body, status).await
+            }
+            "ListEndpoints" => {
+                let list = |_: v1::ListEndpointsRequest| operator::endpoints(call, &self.shared);
+                unary(format, &body, list).await
+            }
             "ListMembers" => {
                 let list = |_: v1::ListMembersRequest| async {
                     Outcome::Done(operator::members(&self.shared.view.read()))
                 };
                 unary(format, &body, list).await
             }
+            "Drain" => unary(format, &body, |ask| operator::drain(call, ask)).await,
             _ => unknown_method(method),
         }
     }
@@ -172,8 +213,26 @@
         self.gateway.ask(request, pieces).await.map(caller::answer)
     }
 
+    fn locate(&self, ask: &v1::LocateRequest) -> Outcome<v1::LocateResponse> {
+        let ticket = self.tickets.get().wrapping_add(1);
+        self.tickets.set(ticket);
+        let view = self.shared.view.read();
+        let here = &self.shared.zone;
+        let count = usize::try_from(ask.count).unwrap_or(usize::MAX);
+        match locate::locate(&view, here, &ask.zone, count, ticket) {
+            Ok(answer) => Outcome::Done(v1::LocateResponse {
+                addresses: answer.addresses.iter().map(ToString::to_string).collect(),
+                keep_ms: u32::try_from(answer.keep.as_millis()).unwrap_or(u32::MAX),
+            }),
+            Err(refusal) => Outcome::NotRun(refusal),
+        }
+    }
+
     async fn submit_job(&self, ask: v1::SubmitJobRequest) -> Outcome<v1::SubmitJobResponse> {
-        let config = self.shared.config.take();
+        let config = match self.shared.config() {
+            Ok(config) => config,
+            Err(refusal) => return Outcome::NotRun(refusal),
+        };
         let submission = match job::submission(ask, MAX_ITEMS) {
             Ok(submission) => submission,
             Err(refusal) => return Outcome::NotRun(refusal),
@@ -242,30 +301,7 @@
         listing.map(|listing| job::listing(&listing))
     }
 
-    async fn apply(&self, apply: v1::ApplyConfigRequest) -> Outcome<v1::ApplyConfigResponse> {
-        let document = operator::document(&apply.config.unwrap_or_default());
-        let value = serde_json::to_vec(&document).unwrap_or_default();
-        let expect = match apply.expect_version {
-            0 => Expect::Absent,
-            version => Expect::Version(version),
-        };
-        let change = Transaction::default()
-            .check(CONFIG_ROW, expect)
-            .put(CONFIG_ROW, value);
-        match self.platform.transact(change).await {
-            Ok(version) => Outcome::Done(v1::ApplyConfigResponse {
-                version,
-                ..v1::ApplyConfigResponse::default()
-            }),
-            Err(Fault::Conflict { .. }) => Outcome::NotRun(Refusal::new(Reason::Conflict)),
-            Err(Fault::Refused { retry_after }) => {
-                Outcome::NotRun(Refusal::new(Reason::Platform).after(retry_after))
-            }
-            Err(Fault::Unknown) => Outcome::MayHaveRun(Refusal::new(Reason::Platform)),
-        }
-    }
-
-    fn ask_stream(self: Rc<Self>, media: Media, body: Bytes) -> Response<BoxBody> {
+    fn ask_stream(self: Rc<Self>, media: Media, body: Bytes, work: Guard) -> Response<BoxBody> {
         if !media.stream {
             let refusal = Refusal::new(Reason::Invalid)
                 .because("AskStream needs application/connect+json or application/connect+proto");
@@ -280,7 +316,10 @@
         };
         let (sender, receiver) = mpsc::channel(PIECES);
         let gateway = Rc::clone(&self.gateway);
-        let asking = async move { gateway.ask(request, sender).await };
+        let asking = async move {
+            let _work = work;
+            gateway.ask(request, sender).await
+        };
         let format = media.format;
         let messages = caller::pieces(asking, receiver)
             .map(move |piece| codec::envelope(0, &codec::encode(format, &piece)));
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -18,12 +18,14 @@
         .subcommand(platform::command())
         .subcommand(engine::command())
         .subcommand(plain::command())
+        .subcommand(standin::policy::cli::command())
         .subcommand(members::command())
         .get_matches();
     let result = match matches.subcommand() {
         Some(("platform", arguments)) => platform::run(arguments),
         Some(("engine", arguments)) => engine::run(arguments),
         Some(("plain", arguments)) => plain::run(arguments),
+        Some(("policy", arguments)) => standin::policy::cli::run(arguments),
         Some(("members", arguments)) => members::run(arguments),
         _ => Ok(()),
     };
