--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -12,8 +12,18 @@
 use crate::outcome::Refusal;
 use crate::request::Class;
 
+pub mod board;
+pub mod handle;
+mod health;
+mod line;
+mod pace;
+mod policy;
 mod queue;
+mod run;
+pub mod shell;
 
+pub use handle::Handle;
+pub use policy::Policy;
 pub use queue::Queue;
 
 /// Identity of a request at one dispatcher; never used twice.
@@ -37,6 +47,9 @@
     /// True when it must run at most once, so that it can't be stopped and
     /// started again.
     pub once: bool,
+    /// True when its gateway has another endpoint for it and would rather be
+    /// told at once that this one is crowded than wait.
+    pub spills: bool,
 }
 
 /// How a run at the endpoint ended.
@@ -110,6 +123,14 @@
         /// Which request.
         id: Id,
     },
+    /// Cancel the run at the endpoint, if there is one, and tell the requester
+    /// that it may have run. The queue has forgotten it.
+    Abandon {
+        /// Which request.
+        id: Id,
+        /// Why, and when to come back.
+        refusal: Refusal,
+    },
     /// Tell the requester that it did not run.
     Refuse {
         /// Which request.
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -4,6 +4,9 @@
 
 use clap::Command;
 
+mod engine;
+mod members;
+mod plain;
 mod platform;
 
 fn main() -> ExitCode {
@@ -13,9 +16,17 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(platform::command())
+        .subcommand(engine::command())
+        .subcommand(plain::command())
+        .subcommand(standin::policy::cli::command())
+        .subcommand(members::command())
         .get_matches();
     let result = match matches.subcommand() {
         Some(("platform", arguments)) => platform::run(arguments),
+        Some(("engine", arguments)) => engine::run(arguments),
+        Some(("plain", arguments)) => plain::run(arguments),
+        Some(("policy", arguments)) => standin::policy::cli::run(arguments),
+        Some(("members", arguments)) => members::run(arguments),
         _ => Ok(()),
     };
     match result {
