Go round a dispatcher that failed, and back to an endpoint that was merely crowded

Cause: the new drills on real processes failed four ways: with a dispatcher killed or paused mid-stream every question for its endpoint ended as link_failed, because the gateway counted the endpoint as tried and chose the same dead dispatcher until the members knew; with an endpoint killed or stalled, a question that had spilled from the other endpoint found no endpoint left, because crowded counted as tried. Ruled out: a faulty resume (answers compared word for word); the retry budget (20 left). Change: route::dispatcher_but; a gateway passes over a node for 5 s after its link failed; LinkFailed and NotReady do not use up an endpoint; a crowded endpoint is passed over once only.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,6 +6,7 @@
 //! and puts the pieces together. docs/ARCHITECTURE.md shows the whole way.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -107,6 +108,8 @@
     version: Cell<u64>,
     marks: Marks<Client>,
     cut: watch::Receiver<bool>,
+    /// Nodes whose links failed, and until when they are passed over.
+    avoided: RefCell<HashMap<Name, Time>>,
 }
 
 impl Gateway {
@@ -129,6 +132,7 @@
             limiter: RefCell::new(Limiter::new(1)),
             gate: RefCell::new(Gate::new(CAPACITY)),
             budget: RefCell::default(),
+            avoided: RefCell::default(),
             last_flight: Cell::new(0),
             version: Cell::new(0),
             shared,
@@ -259,7 +263,7 @@
         let now = self.shared.clock.now();
         let deadline = now + request.time_left;
         let mut stream = attempt::Stream::new(now, pieces);
-        let mut tried: Vec<Name> = Vec::new();
+        let mut tried = Tried::default();
         let mut ran = false;
         loop {
             let left = deadline.since(self.shared.clock.now());
@@ -268,8 +272,7 @@
             }
             request.time_left = left;
             stream.resume(&mut request);
-            request.spills =
-                tried.is_empty() && config.endpoints_of(&request.service).nth(1).is_some();
+            request.spills = tried.count == 0;
             let Some(endpoint) = self.pick(&request, &tried) else {
                 let refusal = Refusal::new(Reason::NoEndpoint).after(NOT_READY_RETRY);
                 return verdict(ran, refusal);
@@ -277,7 +280,6 @@
             let outcome = self
                 .attempt(&config, &endpoint, &request, &mut stream, deadline)
                 .await;
-            tried.push(endpoint);
             let failure = match outcome {
                 Outcome::Done(answer) => {
                     self.budget.borrow_mut().deposit();
@@ -290,6 +292,7 @@
                     retry::Failure::MayHaveRun(refusal)
                 }
             };
+            tried.add(endpoint, &request, &failure);
             match self.again(&config, &request, &tried, deadline, failure) {
                 Ok(wait) => actix_rt::time::sleep(wait).await,
                 Err(refusal) => return verdict(ran, refusal),
@@ -302,20 +305,19 @@
         &self,
         config: &Document,
         request: &Request,
-        tried: &[Name],
+        tried: &Tried,
         deadline: Time,
         failure: retry::Failure,
     ) -> Result<Duration, Refusal> {
-        let (retry::Failure::NotRun(refusal) | retry::Failure::MayHaveRun(refusal)) =
-            failure.clone();
+        let refusal = refusal_of(&failure).clone();
         let mut endpoints = config.endpoints_of(&request.service);
         let attempt = retry::Attempt {
-            count: u32::try_from(tried.len()).unwrap_or(u32::MAX),
+            count: tried.count,
             once: request.once,
             time_left: deadline.since(self.shared.clock.now()),
-            elsewhere: endpoints.any(|endpoint| !tried.contains(&endpoint.name)),
+            elsewhere: endpoints.any(|endpoint| !tried.failed.contains(&endpoint.name)),
         };
-        if request.spills && refusal.reason == Reason::Overloaded && attempt.elsewhere {
+        if tried.crowded.is_some() {
             // The endpoint was crowded and said so at once; going to another
             // one costs a message and happens once, so no budget is needed.
             self.shared.metrics.retry(request.class, refusal.reason);
@@ -356,6 +358,37 @@
     }
 }
 
+/// What earlier attempts of a request told.
+#[derive(Default)]
+struct Tried {
+    /// Attempts so far.
+    count: u32,
+    /// Endpoints that failed or were full.
+    failed: Vec<Name>,
+    /// An endpoint that was crowded: passed over once, and good enough later,
+    /// when the others have failed.
+    crowded: Option<Name>,
+}
+
+impl Tried {
+    fn add(&mut self, endpoint: Name, request: &Request, failure: &retry::Failure) {
+        self.count += 1;
+        self.crowded = None;
+        match refusal_of(failure).reason {
+            Reason::Overloaded if request.spills => self.crowded = Some(endpoint),
+            // The way to the endpoint failed, not the endpoint: it is tried
+            // again through another dispatcher.
+            Reason::LinkFailed | Reason::NotReady => {}
+            _ => self.failed.push(endpoint),
+        }
+    }
+}
+
+fn refusal_of(failure: &retry::Failure) -> &Refusal {
+    let (retry::Failure::NotRun(refusal) | retry::Failure::MayHaveRun(refusal)) = failure;
+    refusal
+}
+
 /// Fills in the service's own bounds where the caller named none.
 fn complete(config: &Document, request: &mut Request) -> Result<(), Refusal> {
     let Some(service) = config.services.get(&request.service) else {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,13 +1,16 @@
 //! One attempt of a request at one endpoint, and the answer over all attempts.
 
+use std::time::Duration;
+
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::{Gateway, Shared, guard};
+use super::{Gateway, Shared, Tried, guard};
 use crate::clock::Time;
 use crate::config::Document;
 use crate::dispatch::Load;
 use crate::dispatch::handle::Event;
+use crate::member::{Member, View};
 use crate::name::Name;
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::request::{Answer, Body, Class, Piece, Request};
@@ -17,23 +20,43 @@
 /// Bytes of a prompt that make up one block of an engine's prefix cache: its
 /// 16 tokens of roughly four bytes.
 const BLOCK: usize = 64;
+/// How long a node is passed over after a link to it failed; by then the members
+/// know whether it is gone.
+const AVOID: Duration = Duration::from_secs(5);
 /// Leading blocks that routing looks at; more say nothing new.
 const BLOCKS: usize = 32;
 
 impl Gateway {
     /// The endpoint to try next.
-    pub(super) fn pick(&self, request: &Request, tried: &[Name]) -> Option<Name> {
+    pub(super) fn pick(&self, request: &Request, tried: &Tried) -> Option<Name> {
         let now = self.shared.clock.now();
-        let query = Query {
-            service: &request.service,
-            blocks: &blocks(&request.body),
-            tried,
-            repeatable: !request.once,
+        let blocks = blocks(&request.body);
+        let pick = |tried: &[Name]| {
+            let query = Query {
+                service: &request.service,
+                blocks: &blocks,
+                tried,
+                repeatable: !request.once,
+            };
+            self.router.borrow_mut().pick(now, &query)
         };
-        let choice = self.router.borrow_mut().pick(now, &query)?;
+        let passed_over = tried.failed.iter().chain(&tried.crowded);
+        let passed_over: Vec<Name> = passed_over.cloned().collect();
+        let choice = pick(&passed_over).or_else(|| pick(&tried.failed))?;
         Some(choice.endpoint)
     }
 
+    /// The node to go through to an endpoint: its dispatcher, unless the link
+    /// to that one has just failed.
+    fn dispatcher<'a>(&self, view: &'a View, endpoint: &str, zone: &str) -> Option<&'a Member> {
+        let now = self.shared.clock.now();
+        let mut avoided = self.avoided.borrow_mut();
+        avoided.retain(|_, until| now < *until);
+        let avoid = |member: &Member| avoided.contains_key(&member.name);
+        route::dispatcher_but(view, endpoint, zone, avoid)
+            .or_else(|| route::dispatcher(view, endpoint, zone))
+    }
+
     /// Tries one endpoint through its dispatcher.
     pub(super) async fn attempt(
         &self,
@@ -43,7 +66,7 @@
         stream: &mut Stream,
         deadline: Time,
     ) -> Outcome<Answer> {
-        let Some(mut events) = self.submit(config, endpoint, request) else {
+        let Some((node, mut events)) = self.submit(config, endpoint, request) else {
             return Outcome::NotRun(Refusal::new(Reason::NoEndpoint));
         };
         let flight = guard::Flight::start(self, endpoint, &blocks(&request.body));
@@ -72,6 +95,12 @@
         // A link that broke brings no load with it.
         let load = load.filter(|load| *load != Load::default());
         flight.end(judge(&outcome), load);
+        if let Outcome::NotRun(refusal) | Outcome::MayHaveRun(refusal) = &outcome
+            && matches!(refusal.reason, Reason::LinkFailed | Reason::NotReady)
+        {
+            let until = self.shared.clock.now() + AVOID;
+            self.avoided.borrow_mut().insert(node, until);
+        }
         outcome
     }
 
@@ -81,16 +110,18 @@
         config: &Document,
         endpoint: &Name,
         request: &Request,
-    ) -> Option<mpsc::Receiver<Event>> {
+    ) -> Option<(Name, mpsc::Receiver<Event>)> {
         let view = self.shared.view.read();
         let zone = &config.endpoints.get(endpoint)?.zone;
-        let member = route::dispatcher(&view, endpoint, zone)?;
+        let member = self.dispatcher(&view, endpoint, zone)?;
         let request = request.clone();
         let endpoint = endpoint.clone();
-        if member.name == self.shared.node {
-            return Some(self.shared.dispatch.submit(endpoint, request));
-        }
-        Some(self.links.submit(&member.link, endpoint, request))
+        let events = if member.name == self.shared.node {
+            self.shared.dispatch.submit(endpoint, request)
+        } else {
+            self.links.submit(&member.link, endpoint, request)
+        };
+        Some((member.name.clone(), events))
     }
 }
 
--- a/src/route.rs
+++ b/src/route.rs
@@ -24,8 +24,27 @@
 /// endpoint's zone go before all others, because an answer streams through
 /// the dispatcher and the way between zones is longer.
 pub fn dispatcher<'a>(view: &'a View, endpoint: &str, zone: &str) -> Option<&'a Member> {
+    dispatcher_but(view, endpoint, zone, |_| false)
+}
+
+/// The same, passing over the members for which `avoid` is true.
+///
+/// What goes wrong without it: a dispatcher dies, and until the members know
+/// it seconds later every question for its endpoints fails. A gateway that has
+/// just lost its link to a node goes to the endpoint's next one at once. Two
+/// dispatchers before one endpoint for a moment cost latency, nothing else.
+pub fn dispatcher_but<'a, A>(
+    view: &'a View,
+    endpoint: &str,
+    zone: &str,
+    avoid: A,
+) -> Option<&'a Member>
+where
+    A: Fn(&Member) -> bool,
+{
     let seed = xxh3_64_with_seed(endpoint.as_bytes(), 0);
-    view.usable().max_by_key(|member| {
+    let usable = view.usable().filter(|member| !avoid(member));
+    usable.max_by_key(|member| {
         let weight = xxh3_64_with_seed(member.name.as_bytes(), seed);
         (&*member.zone == zone, weight, &member.name)
     })
--- /dev/null
+++ b/tests/drill_online.rs
@@ -0,0 +1,272 @@
+//! Failures of endpoints and nodes while questions run, on real processes.
+
+use std::io::{Read as _, Write as _};
+use std::net::TcpStream;
+use std::thread::JoinHandle;
+
+use googletest::prelude::*;
+use serde_json::{Value, json};
+
+#[path = "support/env.rs"]
+mod env;
+
+const ASK: &str = "/auburnspoke.v1.Caller/Ask";
+
+/// A question that takes a while on an engine that is not sped up.
+fn long(n: usize) -> Value {
+    json!({"service": "recipes", "prompt": format!("question {n}"), "maxTokens": 80, "key": format!("k{n}")})
+}
+
+type Asking = JoinHandle<std::result::Result<Value, Value>>;
+
+fn ask_in_background(fleet: &env::Fleet, node: usize, ask: &Value) -> Asking {
+    let address = fleet.nodes[node].address("callers");
+    let ask = ask.clone();
+    std::thread::spawn(move || env::call(&address, ASK, &ask))
+}
+
+fn arrived(fleet: &env::Fleet, engine: usize) -> u64 {
+    fleet.engine_counts(engine)["arrived"].as_u64().unwrap_or(0)
+}
+
+/// Three nodes before engines in three availability zones.
+fn fleet(engines: usize) -> env::Fleet {
+    let mut fleet = env::Fleet::new();
+    for _ in 0..engines {
+        fleet.engine(&[]);
+    }
+    fleet.node("zone-0").node("zone-1").node("zone-2");
+    fleet.settle(3);
+    fleet.configure();
+    fleet
+}
+
+/// What an undisturbed engine answers to each of `count` questions.
+fn expected(count: usize) -> Vec<Value> {
+    let mut calm = env::Fleet::new();
+    calm.engine(&["--faster", "50"]);
+    calm.node("zone-0");
+    calm.configure();
+    (0..count)
+        .map(|n| calm.caller(0, "Ask", &long(n)).unwrap()["text"].clone())
+        .collect()
+}
+
+/// An endpoint's VM dies while it streams answers. Callers see their whole
+/// answer, with no word missing or doubled, from the other endpoint.
+#[gtest]
+fn endpoint_killed_midstream() {
+    let mut fleet = fleet(2);
+    let asking: Vec<_> = (0..6)
+        .map(|n| ask_in_background(&fleet, n % 3, &long(n)))
+        .collect();
+    env::until("both engines generate", || {
+        (0..2).all(|engine| fleet.engine_counts(engine)["tokens"].as_u64() > Some(20))
+    });
+    fleet.engines[0].kill();
+    let answers: Vec<_> = asking
+        .into_iter()
+        .map(|asking| asking.join().unwrap())
+        .collect();
+    for (answer, text) in answers.into_iter().zip(expected(6)) {
+        expect_that!(answer.map(|a| a["text"].clone()), ok(eq(&text)));
+    }
+}
+
+/// An endpoint stops generating but still answers health checks. Its streams
+/// are given up after a while and resumed elsewhere; callers get whole answers.
+#[gtest]
+fn endpoint_stalled_midstream() {
+    let fleet = fleet(2);
+    let asking: Vec<_> = (0..4)
+        .map(|n| ask_in_background(&fleet, n % 3, &long(n)))
+        .collect();
+    env::until("both engines generate", || {
+        (0..2).all(|engine| fleet.engine_counts(engine)["tokens"].as_u64() > Some(10))
+    });
+    fleet.engine_fault(0, &json!({"stall": true}));
+    let answers: Vec<_> = asking
+        .into_iter()
+        .map(|asking| asking.join().unwrap())
+        .collect();
+    for (answer, text) in answers.into_iter().zip(expected(4)) {
+        expect_that!(answer.map(|a| a["text"].clone()), ok(eq(&text)));
+    }
+}
+
+/// The node that dispatches for an endpoint dies while answers stream through
+/// it. Callers of the other nodes get their whole answers.
+#[gtest]
+fn dispatcher_killed_midstream() {
+    let mut fleet = fleet(1);
+    let endpoints = fleet.operator(0, "ListEndpoints", &json!({})).unwrap();
+    let dispatcher = endpoints["endpoints"][0]["dispatcher"].as_str().unwrap();
+    let dead: usize = dispatcher.strip_prefix("node-").unwrap().parse().unwrap();
+    let others: Vec<usize> = (0..3).filter(|node| *node != dead).collect();
+    let asking: Vec<_> = (0..4)
+        .map(|n| ask_in_background(&fleet, others[n % 2], &long(n)))
+        .collect();
+    env::until("the engine generates", || {
+        fleet.engine_counts(0)["tokens"].as_u64() > Some(20)
+    });
+    fleet.nodes[dead].kill();
+    let answers: Vec<_> = asking
+        .into_iter()
+        .map(|asking| asking.join().unwrap())
+        .collect();
+    for (answer, text) in answers.into_iter().zip(expected(4)) {
+        expect_that!(answer.map(|a| a["text"].clone()), ok(eq(&text)));
+    }
+}
+
+/// The node that dispatches is paused, as a VM that its host takes off the
+/// processor. Callers of the other nodes are not kept waiting for it.
+#[gtest]
+fn dispatcher_paused_midstream() {
+    let fleet = fleet(1);
+    let endpoints = fleet.operator(0, "ListEndpoints", &json!({})).unwrap();
+    let dispatcher = endpoints["endpoints"][0]["dispatcher"].as_str().unwrap();
+    let paused: usize = dispatcher.strip_prefix("node-").unwrap().parse().unwrap();
+    let other = (paused + 1) % 3;
+    let asking = ask_in_background(&fleet, other, &long(0));
+    env::until("the engine generates", || {
+        fleet.engine_counts(0)["tokens"].as_u64() > Some(5)
+    });
+    fleet.nodes[paused].pause();
+    let answer = asking.join().unwrap();
+    fleet.nodes[paused].resume();
+    expect_that!(answer.map(|a| a["text"].clone()), ok(eq(&expected(1)[0])));
+}
+
+/// More questions come than the endpoints can take. Those that are refused are
+/// told so with when to come back, and none of them has reached an endpoint.
+#[gtest]
+fn refused_never_reached_an_endpoint() {
+    let mut fleet = env::Fleet::new();
+    fleet.engine(&["--parameters", r#"{"sequences": 8}"#]);
+    fleet.node("zone-0").node("zone-1");
+    fleet.settle(2);
+    fleet.configure_with(&json!({"deadlineMs": 3000}));
+    let asking: Vec<_> = (0..60)
+        .map(|n| ask_in_background(&fleet, n % 2, &long(n)))
+        .collect();
+    let answers: Vec<_> = asking
+        .into_iter()
+        .map(|asking| asking.join().unwrap())
+        .collect();
+    let reached = fleet.engine_counts(0)["keys"].clone();
+    let mut refused = 0;
+    for (n, answer) in answers.iter().enumerate() {
+        let Err(error) = answer else { continue };
+        let refusal = env::refusal(error);
+        if refusal["notRun"] == json!(true) {
+            refused += 1;
+            expect_that!(reached.get(format!("k{n}")), none());
+            expect_that!(refusal["retryAfterMs"].as_u64(), some(gt(0)));
+        }
+    }
+    expect_that!(refused, gt(0));
+    expect_that!(
+        answers.iter().filter(|answer| answer.is_ok()).count(),
+        gt(0)
+    );
+}
+
+/// Every engine fails for a while. Retries must stay a small part of the
+/// questions, or the load after the fault would keep the fleet down; and once
+/// the fault is gone questions are answered again.
+#[gtest]
+fn retry_storm_bounded() {
+    let fleet = fleet(2);
+    for engine in 0..2 {
+        fleet.engine_fault(engine, &json!({"refuse": true}));
+    }
+    let before = arrived(&fleet, 0) + arrived(&fleet, 1);
+    let questions = 300;
+    for n in 0..questions {
+        let _ = fleet.caller(n % 3, "Ask", &long(n));
+    }
+    let attempts = arrived(&fleet, 0) + arrived(&fleet, 1) - before;
+    // Each of six gateway threads has 20 retries saved up, and nothing succeeds.
+    expect_that!(attempts, le(questions as u64 + 6 * 20));
+    for engine in 0..2 {
+        fleet.engine_fault(engine, &json!({}));
+    }
+    let ask = json!({"service": "recipes", "prompt": "after", "maxTokens": 2});
+    for node in 0..3 {
+        env::until("questions are answered again", || {
+            fleet.caller(node, "Ask", &ask).is_ok()
+        });
+    }
+}
+
+/// A caller asks for a long streamed answer and does not read it. Its stream
+/// alone stops; questions beside it, through the same node, are answered.
+#[gtest]
+fn slow_reader_alone_waits() {
+    let mut fleet = env::Fleet::new();
+    fleet.engine(&["--faster", "20"]);
+    fleet.node("zone-0").node("zone-1");
+    fleet.settle(2);
+    fleet.configure();
+    let body = json!({"service": "recipes", "prompt": "stream", "maxTokens": 500}).to_string();
+    let mut readers: Vec<TcpStream> = (0..2)
+        .map(|node| {
+            let address = fleet.nodes[node].address("callers");
+            let mut stream = TcpStream::connect(&address).unwrap();
+            let length = u32::try_from(body.len()).unwrap();
+            write!(
+                stream,
+                "POST /auburnspoke.v1.Caller/AskStream HTTP/1.1\r\nHost: {address}\r\n\
+                 Content-Type: application/connect+json\r\nContent-Length: {}\r\n\r\n",
+                length + 5
+            )
+            .unwrap();
+            stream.write_all(&[0]).unwrap();
+            stream.write_all(&length.to_be_bytes()).unwrap();
+            stream.write_all(body.as_bytes()).unwrap();
+            stream
+        })
+        .collect();
+    env::until("the streams run", || arrived(&fleet, 0) >= 2);
+    for n in 0..10 {
+        let ask = json!({"service": "recipes", "prompt": format!("beside {n}"), "maxTokens": 4});
+        let answer = fleet.caller(n % 2, "Ask", &ask);
+        expect_that!(answer.map(|a| a["tokens"].clone()), ok(eq(&json!(4))));
+    }
+    for reader in &mut readers {
+        let mut head = [0; 12];
+        reader.read_exact(&mut head).unwrap();
+        expect_that!(&head[..], eq(b"HTTP/1.1 200"));
+    }
+}
+
+/// Batch work fills every endpoint when clerks begin to ask. Their questions
+/// are answered while nearly all of the batch work still waits.
+#[gtest]
+fn burst_beside_batch() {
+    let fleet = fleet(2);
+    let items: Vec<_> = (0..600)
+        .map(|n| json!({"key": format!("i{n}"), "prompt": format!("item {n}"), "maxTokens": 200}))
+        .collect();
+    let job = json!({"service": "recipes", "organisation": "trust", "key": "bulk", "items": items});
+    fleet.caller(0, "SubmitJob", &job).unwrap();
+    env::until("batch work runs", || {
+        arrived(&fleet, 0) >= 4 && arrived(&fleet, 1) >= 4
+    });
+    let asking: Vec<_> = (0..12)
+        .map(|n| {
+            let ask = json!({"service": "recipes", "prompt": format!("burst {n}"), "maxTokens": 4});
+            ask_in_background(&fleet, n % 3, &ask)
+        })
+        .collect();
+    for answer in asking {
+        let answer = answer.join().unwrap();
+        expect_that!(answer.map(|a| a["tokens"].clone()), ok(eq(&json!(4))));
+    }
+    let completed: u64 = (0..2)
+        .map(|engine| fleet.engine_counts(engine)["completed"].as_u64().unwrap())
+        .sum();
+    // Had the questions waited behind the items, 600 would have come first.
+    expect_that!(completed, lt(12 + 100));
+}
