--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -22,6 +22,8 @@
 use crate::link::server::Asked;
 use crate::member::shell::{self, Event, Handle, Setup};
 use crate::name::Name;
+use crate::placement;
+use crate::placement::run::Site;
 use crate::platform::Vm;
 use crate::platform::http::Client;
 use crate::wire::control::Note;
@@ -90,6 +92,15 @@
         shared.clock,
         force,
     );
+    let site = Site {
+        node: shared.node.clone(),
+        zone: shared.zone.clone(),
+        nonce: boot(),
+        clock: shared.clock,
+        force: shared.force.clone(),
+        view: shared.view.clone(),
+    };
+    placement::run::start(site, client.clone());
     let limits = Rc::new(Shares::new(shared.clone(), members.clone(), start.grants));
     let control = Rc::new(Control {
         operator: Operator::new(client, watch.clone()),
--- a/src/order.rs
+++ b/src/order.rs
@@ -36,8 +36,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Role {
-    /// Prompts and generation.
+    /// Prompts and generation; engines without roles leave it empty.
     #[default]
+    #[serde(alias = "")]
     Both,
     /// Prompts only.
     Prefill,
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -14,9 +14,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::clock::Time;
 use crate::config::Document;
 use crate::lease::Held;
+use crate::locate::region;
+use crate::member::View;
 use crate::name::Name;
 use crate::order::{Load, Order, State};
 
@@ -60,6 +64,31 @@
     rest: bool,
 }
 
+/// Members of a region that wait for its lease beside the holder. Each looks at
+/// the row every few seconds, which would be too much for the table if all did.
+const CONTENDERS: usize = 3;
+
+/// True when `node` should want the lease of its region: when it is alive and
+/// among the first members of the region by rendezvous hashing.
+///
+/// Members may disagree for a while, so that more or fewer of them contend; the
+/// lease keeps them apart.
+pub fn contends(view: &View, node: &str) -> bool {
+    let Some(me) = view.find(node) else {
+        return false;
+    };
+    let mut ranked: Vec<(u64, &str)> = view
+        .usable()
+        .filter(|member| region(&member.zone) == region(&me.zone))
+        .map(|member| (xxh3_64(member.name.as_bytes()), &*member.name))
+        .collect();
+    ranked.sort_unstable();
+    ranked
+        .iter()
+        .take(CONTENDERS)
+        .any(|(_, name)| *name == node)
+}
+
 /// Places the models of one region.
 #[derive(Debug)]
 pub struct Planner {
@@ -130,11 +159,11 @@
     }
 
     fn set_document(&mut self, now: Time, document: Arc<Document>) {
-        let region = &self.region;
+        let own = self.region.clone();
         let mut old = std::mem::take(&mut self.endpoints);
         let managed = |name: &Name| document.services.get(name).is_some_and(choose::is_managed);
         for endpoint in document.endpoints.values() {
-            let here = choose::region(&endpoint.zone) == &**region;
+            let here = region(&endpoint.zone) == &*own;
             if !here || endpoint.leaving || !endpoint.services.iter().any(managed) {
                 continue;
             }
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -4,18 +4,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::config::{Document, Endpoint, Kind, Service};
+use crate::locate::region;
 use crate::name::Name;
 use crate::order::{Load, State};
 
-/// The region of an availability zone: its name up to the last `-`, so that
-/// `muscat-1` lies in `muscat`. Zones without `-` lie in one region.
-///
-/// One node places for a region, because a holder in another could not reach
-/// its endpoints while the regions have lost each other.
-pub fn region(zone: &str) -> &str {
-    zone.rsplit_once('-').map_or("", |(region, _)| region)
-}
-
 /// What one service wants in one region and has.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Count {
--- a/src/placement/run.rs
+++ b/src/placement/run.rs
@@ -8,12 +8,15 @@
 
 use actix_http::StatusCode;
 
-use super::{Action, Failure, Input, ORDER_TIMEOUT, Planner};
+use super::{Action, Failure, Input, ORDER_TIMEOUT, Planner, contends};
 use crate::clock::{Clock, Time};
 use crate::config::follow::Force;
 use crate::event;
 use crate::http;
+use crate::lease::Setting;
 use crate::lease::keep::Keeper;
+use crate::locate::region;
+use crate::member::View;
 use crate::name::Name;
 use crate::order::{MAX_BODY, ORDER_PATH, Order, STATE_PATH, Stale, State};
 use crate::platform::{Fault, Table, Weight};
@@ -24,6 +27,48 @@
 /// When the weight store is asked again after its answer was lost.
 const ADMIT_RETRY: Duration = Duration::from_secs(2);
 
+/// Where a node's placement runs.
+pub struct Site {
+    /// The node's name.
+    pub node: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Tells this process from earlier ones of the same name.
+    pub nonce: u64,
+    /// The monotonic clock.
+    pub clock: Clock,
+    /// The configuration that may be acted by.
+    pub force: Arc<Cell<Force>>,
+    /// The members.
+    pub view: Arc<Cell<View>>,
+}
+
+/// Starts placement on this thread: it wants the region's lease while the
+/// members say so, and places while it holds it. A node that leaves is no
+/// longer among those that contend, and gives the lease up.
+pub fn start<P>(site: Site, platform: P) -> Placer<P, P>
+where
+    P: Table + Weight + Clone + 'static,
+{
+    let region: Name = region(&site.zone).into();
+    let setting = Setting::new(
+        &format!("placement/{region}"),
+        site.node.clone(),
+        site.nonce,
+    );
+    let keeper = Keeper::new(platform.clone(), site.clock, setting);
+    let placer = Placer::new(region, keeper.clone(), platform, site.clock, site.force);
+    actix_rt::spawn(keeper.clone().run());
+    actix_rt::spawn(placer.clone().run());
+    actix_rt::spawn(async move {
+        loop {
+            keeper.contend(contends(&site.view.read(), &site.node));
+            actix_rt::time::sleep(TICK).await;
+        }
+    });
+    placer
+}
+
 /// Places the models of this node's region while it holds the lease.
 pub struct Placer<T, W> {
     inner: Rc<Inner<T, W>>,
