--- a/src/node.rs
+++ b/src/node.rs
@@ -220,6 +220,7 @@
             counts,
         },
         socket: tokio::net::UdpSocket::from_std(sockets.control)?,
+        boot,
         client: Client::new(settings.platform.address, PLATFORM_TIMEOUT),
         shared: shared.clone(),
         queries,
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -44,6 +44,8 @@
     pub setup: Setup,
     /// The socket of the control address.
     pub socket: tokio::net::UdpSocket,
+    /// Tells this process from others of the same name.
+    pub boot: u64,
     /// The platform.
     pub client: Client,
     /// Questions of other nodes' control threads.
@@ -85,6 +87,7 @@
     };
     let force = shared.force.clone();
     let client = start.client;
+    let placement = client.clone();
     let watch = Watch::new(
         &shared.node,
         client.clone(),
@@ -92,15 +95,6 @@
         shared.clock,
         force,
     );
-    let site = Site {
-        node: shared.node.clone(),
-        zone: shared.zone.clone(),
-        nonce: boot(),
-        clock: shared.clock,
-        force: shared.force.clone(),
-        view: shared.view.clone(),
-    };
-    placement::run::start(site, client.clone());
     let limits = Rc::new(Shares::new(shared.clone(), members.clone(), start.grants));
     let control = Rc::new(Control {
         operator: Operator::new(client, watch.clone()),
@@ -112,6 +106,7 @@
         drain: start.drain,
     });
     actix_rt::spawn(watch.run());
+    start_placement(&control.shared, start.boot, &placement);
     actix_rt::spawn(shares::serve(Rc::clone(&limits), start.wishes));
     actix_rt::spawn(Rc::clone(&control).listen(events, limits));
     actix_rt::spawn(Rc::clone(&control).answer(start.queries));
@@ -119,6 +114,20 @@
     control
 }
 
+/// Takes part in placing the models of this node's region: whoever holds the
+/// region's lease does it.
+fn start_placement(shared: &Shared, boot: u64, client: &Client) {
+    let site = Site {
+        node: shared.node.clone(),
+        zone: shared.zone.clone(),
+        nonce: boot,
+        clock: shared.clock,
+        force: shared.force.clone(),
+        view: shared.view.clone(),
+    };
+    placement::run::start(site, client.clone());
+}
+
 fn vm(setup: &Setup) -> Vm {
     let me = &setup.me;
     Vm {
--- a/src/request.rs
+++ b/src/request.rs
@@ -66,6 +66,9 @@
     pub time_left: Duration,
     /// What to do.
     pub body: Body,
+    /// True when its gateway has another endpoint for it and would rather be
+    /// told at once that this one is crowded than wait.
+    pub spills: bool,
     /// Tokens of the answer that the caller has already, when a broken stream
     /// is resumed on another path.
     pub resume_from: u32,
