--- a/src/dispatch/health.rs
+++ b/src/dispatch/health.rs
@@ -12,9 +12,11 @@
 /// Failures one after the other that close the endpoint.
 const FAILURES: u32 = 3;
 /// Silence that counts as stuck, while something runs.
-const SILENCE: Duration = Duration::from_millis(1_500);
+const SILENCE: Duration = Duration::from_millis(800);
 /// Silence that counts as stuck, in steps as they usually take.
 const SILENT_STEPS: u32 = 30;
+/// Waking up this late means that this node itself was paused.
+const OVERSLEPT: Duration = Duration::from_millis(500);
 /// Silence that each token of a prompt excuses, until it has been computed.
 const PROMPT_TOKEN: Duration = Duration::from_micros(300);
 /// First time for which nothing is sent; doubles each time.
@@ -139,6 +141,18 @@
         self.heard + SILENCE.max(self.step * SILENT_STEPS) + PROMPT_TOKEN * tokens
     }
 
+    /// True when silence has lasted until `stuck_at`. After a pause of this node
+    /// the tokens that came meanwhile have not been read yet, so the endpoint
+    /// gets the time once more; otherwise each pause of a node would abandon
+    /// every stream of its endpoints.
+    pub fn is_stuck(&mut self, now: Time, stuck_at: Time) -> bool {
+        if now >= stuck_at + OVERSLEPT {
+            self.heard = now;
+            return false;
+        }
+        now >= stuck_at
+    }
+
     /// Sends nothing for a while.
     pub fn close(&mut self, now: Time) {
         let pause = PAUSE * 2_u32.saturating_pow(self.pauses);
--- a/src/dispatch/queue.rs
+++ b/src/dispatch/queue.rs
@@ -262,7 +262,8 @@
 
     /// Gives up on an endpoint that is silent while it should generate.
     fn watch(&mut self, now: Time, actions: &mut Vec<Action>) {
-        if self.count.streams > 0 && now >= self.stuck_at() {
+        let stuck_at = self.stuck_at();
+        if self.count.streams > 0 && self.health.is_stuck(now, stuck_at) {
             self.health.close(now);
             self.clear(now, actions);
         }
--- a/standin/src/policy.rs
+++ b/standin/src/policy.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 pub mod case;
+pub mod cli;
 mod event;
 mod gateway;
 mod load;
@@ -16,6 +17,9 @@
 pub use case::{Case, Deployment, Scenario, Topology, Way};
 pub use measure::Measure;
 
+/// Runs at the same time.
+const THREADS: usize = 4;
+
 /// One line of the benchmark's output.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Line {
@@ -45,12 +49,6 @@
     pub batch_fraction: f64,
 }
 
-/// Runs one case beside the runs it is compared with.
-pub fn line(case: &Case, alone: &Measure, oracle: &Measure) -> Line {
-    let measure = world::simulate(case);
-    compare(case, &measure, alone, oracle)
-}
-
 /// The output line of a measure.
 pub fn compare(case: &Case, measure: &Measure, alone: &Measure, oracle: &Measure) -> Line {
     let ratio = |ours: f64, theirs: f64| round(ours / theirs.max(1e-9), 3);
@@ -75,77 +73,22 @@
     (value * scale).round() / scale
 }
 
-/// The command line of `standin policy`.
-pub mod cli {
-    use clap::{Arg, ArgAction, ArgMatches, Command};
-    use eyre::Result;
-
-    use super::{Case, Deployment, Scenario, Way, compare, world};
-
-    /// The subcommand's arguments.
-    pub fn command() -> Command {
-        let number = |name: &'static str, default: &'static str| {
-            Arg::new(name)
-                .long(name)
-                .value_parser(clap::value_parser!(u64))
-                .default_value(default)
-        };
-        let text = |name: &'static str| Arg::new(name).long(name);
-        Command::new("policy")
-            .about("Measures the policies in virtual time")
-            .arg(Arg::new("json").long("json").action(ArgAction::SetTrue))
-            .arg(number("seed", "1"))
-            .arg(number("seconds", "90"))
-            .arg(text("deployment"))
-            .arg(text("scenario"))
-            .arg(text("policy"))
-            .arg(text("weight").value_parser(clap::value_parser!(u32)))
-    }
-
-    /// Runs and prints.
-    ///
-    /// # Errors
-    /// When a line can't be written.
-    pub fn run(arguments: &ArgMatches) -> Result<()> {
-        let is = |name: &str, label: &str| {
-            let wanted = arguments.get_one::<String>(name);
-            wanted.is_none_or(|wanted| wanted == label)
-        };
-        let number = |name: &str| arguments.get_one::<u64>(name).copied();
-        for deployment in Deployment::ALL {
-            for scenario in Scenario::ALL {
-                if !is("deployment", deployment.label()) || !is("scenario", scenario.label()) {
-                    continue;
-                }
-                let mut case = Case::new(deployment, scenario, Way::Alone);
-                case.seed = number("seed").unwrap_or(case.seed);
-                case.seconds = number("seconds").unwrap_or(case.seconds);
-                if let Some(weight) = arguments.get_one::<u32>("weight") {
-                    case.latency_weight = *weight;
-                }
-                let alone = world::simulate(&case);
-                let oracle = world::simulate(&case.with(Way::ORACLE));
-                for way in Way::ALL.into_iter().chain([Way::ORACLE]) {
-                    if !is("policy", way.label()) {
-                        continue;
-                    }
-                    let measure = match way {
-                        Way::Alone => alone.clone(),
-                        Way::ORACLE => oracle.clone(),
-                        _ => world::simulate(&case.with(way)),
-                    };
-                    let line = compare(&case.with(way), &measure, &alone, &oracle);
-                    println!("{}", serde_json::to_string(&line)?);
-                    log::debug!(
-                        "{} stopped {} preempted {} retried {}",
-                        line.policy,
-                        measure.stopped,
-                        measure.preempted,
-                        measure.retried
-                    );
+/// Runs cases side by side on a few threads; each is a world of its own.
+pub fn run_all(cases: &[Case]) -> Vec<Measure> {
+    let mut measures = Vec::new();
+    for some in cases.chunks(THREADS) {
+        std::thread::scope(|scope| {
+            let running: Vec<_> = some
+                .iter()
+                .map(|case| scope.spawn(|| world::simulate(case)))
+                .collect();
+            for thread in running {
+                match thread.join() {
+                    Ok(measure) => measures.push(measure),
+                    Err(panic) => std::panic::resume_unwind(panic),
                 }
             }
-        }
-        Ok(())
+        });
     }
+    measures
 }
--- /dev/null
+++ b/standin/src/policy/cli.rs
@@ -0,0 +1,192 @@
+//! The command line of `standin policy`.
+
+use std::path::PathBuf;
+
+use auburnspoke::dispatch::Policy;
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use eyre::Result;
+
+use super::plot::{self, Panel, Point};
+use super::{Case, Deployment, Line, Measure, Scenario, Topology, Way, compare, run_all};
+
+/// Weights along the frontier.
+const WEIGHTS: [u32; 7] = [100, 90, 80, 60, 40, 20, 0];
+/// Fixed parts along the frontier, in a hundred.
+const PARTS: [u32; 4] = [10, 25, 50, 75];
+/// Batch sequences that the oracle lets run beside a question.
+const BESIDE: [u32; 6] = [0, 8, 16, 32, 48, u32::MAX];
+
+/// The subcommand's arguments.
+pub fn command() -> Command {
+    let number = |name: &'static str, default: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_parser(clap::value_parser!(u64))
+            .default_value(default)
+    };
+    let text = |name: &'static str| Arg::new(name).long(name);
+    Command::new("policy")
+        .about("Measures the policies in virtual time")
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print one JSON object a line, which is the only format"),
+        )
+        .arg(number("seed", "1"))
+        .arg(number("seconds", "90"))
+        .arg(text("deployment").help("Only this deployment"))
+        .arg(text("scenario").help("Only this scenario"))
+        .arg(text("policy").help("Only this policy"))
+        .arg(text("weight").value_parser(clap::value_parser!(u32)))
+        .arg(
+            Arg::new("hedge")
+                .long("hedge")
+                .action(ArgAction::SetTrue)
+                .help("Hedge late questions, in every policy but alone"),
+        )
+        .arg(
+            text("topology")
+                .value_parser(["dispatcher", "reports", "parts"])
+                .default_value("dispatcher")
+                .help("Who admits to an endpoint, in every policy but alone"),
+        )
+        .arg(
+            Arg::new("frontier")
+                .long("frontier")
+                .value_parser(clap::value_parser!(PathBuf))
+                .help("Plot the frontier into this SVG file instead"),
+        )
+}
+
+/// Runs and prints.
+///
+/// # Errors
+/// When a line or the plot can't be written.
+pub fn run(arguments: &ArgMatches) -> Result<()> {
+    if let Some(path) = arguments.get_one::<PathBuf>("frontier") {
+        return frontier(arguments, path);
+    }
+    let ways: Vec<Way> = Way::ALL
+        .into_iter()
+        .chain([Way::ORACLE])
+        .filter(|way| is(arguments, "policy", way.label()))
+        .collect();
+    for deployment in Deployment::ALL {
+        for scenario in Scenario::ALL {
+            if is(arguments, "deployment", deployment.label())
+                && is(arguments, "scenario", scenario.label())
+            {
+                let base = base(arguments, deployment, scenario);
+                let cases: Vec<Case> = ways
+                    .iter()
+                    .map(|way| changed(arguments, base.with(*way)))
+                    .collect();
+                for (line, measure) in lines(base, &cases) {
+                    println!("{}", serde_json::to_string(&line)?);
+                    let policy = line.policy;
+                    let Measure {
+                        stopped,
+                        preempted,
+                        retried,
+                        hedged,
+                        ..
+                    } = measure;
+                    log::info!(
+                        "{policy} stopped={stopped} preempted={preempted} retried={retried} hedged={hedged}"
+                    );
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+/// The lines of `cases`, compared with the run without batch work and with the
+/// oracle's.
+fn lines(base: Case, cases: &[Case]) -> Vec<(Line, Measure)> {
+    let all: Vec<Case> = [base.with(Way::Alone), base.with(Way::ORACLE)]
+        .into_iter()
+        .chain(cases.iter().copied())
+        .collect();
+    let measures = run_all(&all);
+    let (alone, oracle) = (&measures[0], &measures[1]);
+    cases
+        .iter()
+        .zip(&measures[2..])
+        .map(|(case, measure)| (compare(case, measure, alone, oracle), measure.clone()))
+        .collect()
+}
+
+fn frontier(arguments: &ArgMatches, path: &std::path::Path) -> Result<()> {
+    let mut panels = Vec::new();
+    for deployment in Deployment::ALL {
+        for scenario in [Scenario::Steady, Scenario::Burst, Scenario::DeadlineWeek] {
+            let base = base(arguments, deployment, scenario);
+            let weighted = WEIGHTS.map(|weight| Case {
+                latency_weight: weight,
+                ..base.with(Way::Queue(Policy::AdaptiveCancel))
+            });
+            let split = PARTS.map(|part| base.with(Way::Queue(Policy::Split(part))));
+            let oracle = BESIDE.map(|beside| base.with(Way::Oracle { beside }));
+            let all = [base.with(Way::Queue(Policy::All))];
+            let cases: Vec<Case> = weighted
+                .into_iter()
+                .chain(split)
+                .chain(oracle)
+                .chain(all)
+                .collect();
+            let mut points = Vec::new();
+            for (case, (line, _)) in cases.iter().zip(lines(base, &cases)) {
+                let mark = mark(case);
+                println!("{mark} {}", serde_json::to_string(&line)?);
+                points.push(Point {
+                    policy: line.policy,
+                    mark,
+                    harm: line.ttft_p99_ratio.max(line.itl_p99_ratio),
+                    batch: line.batch_fraction,
+                });
+            }
+            let title = format!("{}, {}", deployment.label(), scenario.label());
+            panels.push(Panel { title, points });
+        }
+    }
+    plot::draw(path, &panels)
+}
+
+fn mark(case: &Case) -> String {
+    match case.way {
+        Way::Queue(Policy::Split(part)) => format!("{part}%"),
+        Way::Oracle { beside: u32::MAX } | Way::Queue(Policy::All) => "all".to_owned(),
+        Way::Oracle { beside } => beside.to_string(),
+        Way::Queue(_) | Way::Alone => case.latency_weight.to_string(),
+    }
+}
+
+fn base(arguments: &ArgMatches, deployment: Deployment, scenario: Scenario) -> Case {
+    let number = |name: &str| arguments.get_one::<u64>(name).copied();
+    let mut case = Case::new(deployment, scenario, Way::Alone);
+    case.seed = number("seed").unwrap_or(case.seed);
+    case.seconds = number("seconds").unwrap_or(case.seconds);
+    if let Some(weight) = arguments.get_one::<u32>("weight") {
+        case.latency_weight = *weight;
+    }
+    case
+}
+
+fn changed(arguments: &ArgMatches, mut case: Case) -> Case {
+    if matches!(case.way, Way::Queue(_)) {
+        case.hedge = arguments.get_flag("hedge");
+        case.topology = match arguments.get_one::<String>("topology").map(String::as_str) {
+            Some("reports") => Topology::Reports,
+            Some("parts") => Topology::Parts,
+            _ => Topology::Dispatcher,
+        };
+    }
+    case
+}
+
+fn is(arguments: &ArgMatches, name: &str, label: &str) -> bool {
+    let wanted = arguments.get_one::<String>(name);
+    wanted.is_none_or(|wanted| wanted == label)
+}
--- a/tests/dispatch_queue.rs
+++ b/tests/dispatch_queue.rs
@@ -350,6 +350,20 @@
     expect_that!(started(&env.offer(5, Class::Online, "clerks")), eq(&[5]));
 }
 
+#[gtest]
+fn paused_node_abandons_nothing() {
+    // This node was frozen for a minute while its endpoint went on. What came
+    // meanwhile is read after the first tick; were the silence taken for the
+    // endpoint's, every stream would be broken off and run again elsewhere.
+    let mut env = Env::new(80);
+    env.offer(1, Class::Online, "clerks");
+    env.generate(50);
+    env.now += Duration::from_secs(30);
+    expect_that!(abandoned(&env.input(Input::Tick)), is_empty());
+    env.generate(1);
+    expect_that!(env.queue.load().online, eq(1));
+}
+
 #[gtest]
 fn failing_endpoint_closed() {
     let mut env = Env::new(80);
