Give messages for single members a budget of their own

Cause: limits report each organisation each second as single datagrams. They drew on the budget of news: with a thousand reports a second none would be left for a dead node's news, and nothing bounded the reports themselves. Change: 7 KB/s and 28 KB saved up for messages; what is above is dropped and counted as member_dropped.

--- a/src/member/gossip.rs
+++ b/src/member/gossip.rs
@@ -24,6 +24,9 @@
 mod schedule;
 mod sync;
 
+/// Bytes of a datagram without news, as far as budgets go.
+const HEAD: u64 = 64;
+
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -95,6 +98,9 @@
     Refuted,
     /// This process was paused for longer than others wait.
     Paused,
+    /// A message for a member was dropped: there are too many of them, it is too
+    /// long, or the member is not there.
+    Dropped,
     /// A datagram was meant for somebody else, or can't be true.
     Refused,
     /// Another process uses this node's name and keeps it; this one must leave.
@@ -151,6 +157,7 @@
     last_step: Time,
     last_heard: Time,
     budget: u64,
+    direct_budget: u64,
     due: Due,
 }
 
@@ -180,6 +187,7 @@
             last_step: now,
             last_heard: now,
             budget: tuning.burst,
+            direct_budget: tuning.direct_burst,
             due: Due {
                 gossip: now,
                 probe: now,
@@ -287,7 +295,7 @@
         self.post(to, body, updates, actions);
     }
 
-    /// Sends exactly this.
+    /// Sends exactly this, on the account of news.
     fn post(
         &mut self,
         to: SocketAddr,
@@ -296,7 +304,11 @@
         actions: &mut Vec<Action>,
     ) {
         let size: usize = updates.iter().map(Update::size).sum();
-        self.budget = self.budget.saturating_sub(size as u64 + 64);
+        self.budget = self.budget.saturating_sub(size as u64 + HEAD);
+        actions.push(self.action(to, body, updates));
+    }
+
+    fn action(&self, to: SocketAddr, body: Body, updates: Vec<Update>) -> Action {
         let head = Head {
             from: self.me.member.name.clone(),
             boot: self.me.boot,
@@ -309,7 +321,7 @@
             body,
             updates,
         };
-        actions.push(Action::Send { to, frame });
+        Action::Send { to, frame }
     }
 
     /// What a member that is doubted has to be told, so that it can object.
--- a/src/member/gossip/schedule.rs
+++ b/src/member/gossip/schedule.rs
@@ -1,10 +1,13 @@
 //! What is due as time passes.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 
-use super::{Action, Gossip};
+use super::{Action, Gossip, HEAD};
 use crate::clock::Time;
 use crate::member::State;
+use crate::member::tuning::Tuning;
 use crate::name::Name;
 use crate::wire::control::{Body, MAX_VALUE, Update};
 
@@ -16,9 +19,8 @@
     /// change hands for nothing. So whatever ran during the pause starts anew.
     pub(super) fn notice_pause(&mut self, now: Time, actions: &mut Vec<Action>) {
         let gap = now.since(self.last_step);
-        let earned = gap.as_micros() * u128::from(self.tuning.rate) / 1_000_000;
         self.last_step = now;
-        self.refill(u64::try_from(earned).unwrap_or(u64::MAX));
+        self.refill(gap);
         if gap <= self.tuning.pause() {
             return;
         }
@@ -32,8 +34,21 @@
         actions.push(Action::Paused);
     }
 
-    fn refill(&mut self, earned: u64) {
-        self.budget = self.budget.saturating_add(earned).min(self.tuning.burst);
+    fn refill(&mut self, gap: Duration) {
+        let earned = |rate: u64| {
+            let earned = gap.as_micros() * u128::from(rate) / 1_000_000;
+            u64::try_from(earned).unwrap_or(u64::MAX)
+        };
+        let Tuning {
+            rate,
+            burst,
+            direct,
+            direct_burst,
+            ..
+        } = self.tuning;
+        self.budget = self.budget.saturating_add(earned(rate)).min(burst);
+        let left = self.direct_budget.saturating_add(earned(direct));
+        self.direct_budget = left.min(direct_burst);
     }
 
     pub(super) fn tick(&mut self, now: Time, actions: &mut Vec<Action>) {
@@ -146,13 +161,22 @@
         }
     }
 
+    /// Sends one member a message.
+    ///
+    /// Messages have a budget of their own. On that of news, a few hundred
+    /// reports a second would leave nothing for it, and one would notice by a
+    /// dead node that goes on getting requests.
     pub(super) fn direct(&mut self, to: &Name, topic: u8, value: Bytes, actions: &mut Vec<Action>) {
         let known = self.peers().find(|entry| entry.record.member.name == *to);
-        let Some(address) = known.map(|entry| entry.control) else {
-            return;
-        };
-        if value.len() <= MAX_VALUE {
-            self.post(address, Body::Direct { topic, value }, Vec::new(), actions);
+        let address = known.map(|entry| entry.control);
+        let size = value.len() as u64 + HEAD;
+        match address {
+            Some(address) if value.len() <= MAX_VALUE && size <= self.direct_budget => {
+                self.direct_budget -= size;
+                let body = Body::Direct { topic, value };
+                actions.push(self.action(address, body, Vec::new()));
+            }
+            _ => actions.push(Action::Dropped),
         }
     }
 
--- a/src/member/shell.rs
+++ b/src/member/shell.rs
@@ -158,7 +158,8 @@
     pub refuted: Counter,
     /// Times that this process noticed a pause of its own.
     pub paused: Counter,
-    /// Commands and events dropped because the receiver was slow.
+    /// Messages dropped: above their budget, for nobody, or because a receiver
+    /// within this process was slow.
     pub dropped: Counter,
     /// Readings of the platform's list that failed.
     pub roster_failed: Counter,
@@ -188,7 +189,11 @@
             ("died", "Members taken for dead", &self.died),
             ("refuted", "Own deaths denied", &self.refuted),
             ("paused", "Own pauses noticed", &self.paused),
-            ("dropped", "Messages dropped within the node", &self.dropped),
+            (
+                "dropped",
+                "Messages to or from the fleet dropped",
+                &self.dropped,
+            ),
             (
                 "roster_failed",
                 "Failed readings of the platform's list",
@@ -369,6 +374,9 @@
                 Action::Refused => {
                     self.counts.refused.inc();
                 }
+                Action::Dropped => {
+                    self.counts.dropped.inc();
+                }
                 Action::Replaced => {
                     replaced = true;
                     log::error!("{}", event::NAME_TAKEN);
--- a/src/member/tuning.rs
+++ b/src/member/tuning.rs
@@ -35,6 +35,11 @@
     pub rate: u64,
     /// Bytes that may go out at once after a quiet time.
     pub burst: u64,
+    /// Bytes a second that messages for single members may take, apart from
+    /// `rate`; what is above it is dropped.
+    pub direct: u64,
+    /// Bytes of such messages that may go out at once after a quiet time.
+    pub direct_burst: u64,
 }
 
 impl Default for Tuning {
@@ -53,6 +58,8 @@
             note: Duration::from_secs(600),
             rate: 5_000,
             burst: 48_000,
+            direct: 7_000,
+            direct_burst: 28_000,
         }
     }
 }
--- a/tests/member_gossip.rs
+++ b/tests/member_gossip.rs
@@ -68,3 +68,29 @@
         expect_that!(heard, eq(1 - own));
     }
 }
+
+/// A thousand organisations are busy and every node reports each of them to
+/// its owner. The reports must not crowd out the news of a dead node.
+#[gtest]
+fn direct_does_not_crowd_out_news() {
+    let mut net = Net::fleet(4, 12);
+    let before = net.node(0).sent.bytes;
+    net.kill(11);
+    let mut seconds = 0;
+    while !net.all_see(11, State::Dead) && seconds < 60 {
+        for from in 0..11 {
+            for message in 0..1_000 {
+                let to = net::member((from + 1 + message % 10) % 11).name;
+                let value = bytes::Bytes::from_static(&[1; 60]);
+                let topic = 1;
+                net.input(from, Input::Direct { to, topic, value });
+            }
+        }
+        net.run(secs(1));
+        seconds += 1;
+    }
+    expect_that!(seconds, lt(12));
+    let spent = net.node(0).sent.bytes - before;
+    // 7 kB/s and what was saved up for messages, 5 kB/s for news, and probes.
+    expect_that!(spent, lt(28_000 + seconds * 13_000));
+}
