--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -17,15 +17,13 @@
 use crate::dispatch::board::Loads;
 use crate::gateway::{Shared, Wish};
 use crate::job::runner;
-use crate::lease;
-use crate::lease::keep::Keeper;
 use crate::limit::Grant;
 use crate::link::Pool;
 use crate::link::server::Asked;
-use crate::locate;
 use crate::member::shell::{self, Event, Handle, Setup};
 use crate::name::Name;
-use crate::placement::run::Placer;
+use crate::placement;
+use crate::placement::run::Site;
 use crate::platform::Vm;
 use crate::platform::http::Client;
 use crate::wire::control::Note;
@@ -119,20 +117,15 @@
 /// Takes part in placing the models of this node's region: whoever holds the
 /// region's lease does it.
 fn start_placement(shared: &Shared, boot: u64, client: &Client) {
-    let region = locate::region(&shared.zone);
-    let name = format!("placement/{region}");
-    let setting = lease::Setting::new(&name, shared.node.clone(), boot);
-    let keeper = Keeper::new(client.clone(), shared.clock, setting);
-    let force = shared.force.clone();
-    let placer = Placer::new(
-        region.into(),
-        keeper.clone(),
-        client.clone(),
-        shared.clock,
-        force,
-    );
-    actix_rt::spawn(keeper.run());
-    actix_rt::spawn(placer.run());
+    let site = Site {
+        node: shared.node.clone(),
+        zone: shared.zone.clone(),
+        nonce: boot,
+        clock: shared.clock,
+        force: shared.force.clone(),
+        view: shared.view.clone(),
+    };
+    placement::run::start(site, client.clone());
 }
 
 fn vm(setup: &Setup) -> Vm {
