Obey the limits and timeouts of the settings

Cause: settings checked limits and timeouts that no code read; the bounds stood as constants in four files. A connection to a silent endpoint could take the client library's 5 s although 1.5 s were meant. Ruled out: taking the keys out of the settings (the two deployments need different bounds on jobs); refusing a deadline above timeouts.request (callers can't know it). Change: Shared carries limits and timeouts; the server bounds bodies, prompts and items by them; a longer deadline is cut, so that leave.limit covers every question; the client's connector takes the timeout too. Defaults are what the constants were (128 MiB, 256 KiB, 500,000 items, 1.5 s); questions up to 120 s. Not shown: the bound on connecting.

--- a/src/dispatch/shell.rs
+++ b/src/dispatch/shell.rs
@@ -94,7 +94,7 @@
             force: Arc::clone(&shared.force),
             work: shared.dispatched.clone(),
             phase: Arc::clone(&shared.phase),
-            client: crate::http::client(crate::endpoint::CONNECT_TIMEOUT),
+            client: crate::http::client(shared.timeouts.connect),
             state: RefCell::default(),
             changed: Notify::new(),
             post,
--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -18,9 +18,6 @@
 pub mod completion;
 pub mod plain;
 
-/// Most time to connect to an endpoint. It lies in the same region, a few
-/// milliseconds away at most.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// An endpoint that sends nothing for this long has stalled, even if it still
 /// answers health checks; its stream is given up so that it can be resumed
 /// elsewhere.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -30,6 +30,7 @@
 use crate::request::{Answer, Body, Piece, Request};
 use crate::retry::{self, Budget};
 use crate::route::{Router, Target};
+use crate::settings::{Limits, Timeouts};
 use crate::snapshot;
 
 mod attempt;
@@ -66,6 +67,10 @@
     pub dispatched: Work,
     /// Where this node is in its life.
     pub phase: Arc<snapshot::Cell<Phase>>,
+    /// Bounds on what callers may send.
+    pub limits: Limits,
+    /// How long this node waits.
+    pub timeouts: Timeouts,
 }
 
 impl Shared {
@@ -209,6 +214,7 @@
         if let Err(refusal) = complete(&config, &mut request) {
             return Outcome::NotRun(refusal);
         }
+        request.time_left = request.time_left.min(self.shared.timeouts.request);
         let _passage = match guard::Passage::enter(self, &request) {
             Ok(passage) => passage,
             Err(refusal) => return Outcome::NotRun(refusal),
--- a/src/http.rs
+++ b/src/http.rs
@@ -169,9 +169,11 @@
     )
 }
 
-/// A client for this thread. `timeout` bounds the time until an answer's head.
+/// A client for this thread. `timeout` bounds the time until a connection is
+/// made and, unless a request says otherwise, the time until an answer's head.
 pub fn client(timeout: Duration) -> awc::Client {
     awc::Client::builder()
+        .connector(awc::Connector::new().timeout(timeout))
         .timeout(timeout)
         .disable_redirects()
         .no_default_headers()
--- a/src/node.rs
+++ b/src/node.rs
@@ -172,7 +172,7 @@
     metrics.extend(|registry| counts.register(registry));
     let threads = settings.traffic_threads;
     let (dispatch, desks) = Handle::new(threads);
-    let shared = shared(&own, clock, dispatch, metrics);
+    let shared = shared(settings, &own, clock, dispatch, metrics);
     let (callers_stop, callers_stopped) = watch::channel(false);
     let (drain, drained) = watch::channel(false);
     let (queries_in, queries) = mpsc::channel(WAITING);
@@ -256,7 +256,13 @@
     })
 }
 
-fn shared(own: &Member, clock: Clock, dispatch: Handle, metrics: Metrics) -> Shared {
+fn shared(
+    settings: &Settings,
+    own: &Member,
+    clock: Clock,
+    dispatch: Handle,
+    metrics: Metrics,
+) -> Shared {
     let view = View {
         members: vec![own.clone()],
     };
@@ -275,6 +281,8 @@
         questions: Work::default(),
         dispatched: Work::default(),
         phase: Arc::new(Cell::new(Phase::Starting)),
+        limits: settings.limits,
+        timeouts: settings.timeouts,
     }
 }
 
--- a/src/rpc/caller.rs
+++ b/src/rpc/caller.rs
@@ -12,16 +12,15 @@
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::request::{Answer, Body, Class, Piece, Request};
 
-/// Longest prompt in bytes.
-const MAX_PROMPT: usize = 256 * 1024;
 /// Longest deadline that a caller may name.
 const MAX_DEADLINE: Duration = Duration::from_secs(600);
 
-/// Checks a question and turns it into a request.
+/// Checks a question and turns it into a request; its prompt may have up to
+/// `prompt_bytes` bytes.
 ///
 /// # Errors
 /// A refusal that names the field and what to write instead.
-pub fn request(ask: v1::AskRequest) -> Result<Request, Refusal> {
+pub fn request(ask: v1::AskRequest, prompt_bytes: usize) -> Result<Request, Refusal> {
     if !name::is_valid(&ask.service) {
         return Err(wrong("service", "name a service, as `payment-run`"));
     }
@@ -37,9 +36,9 @@
             "a request that must not be repeated needs a key of its own",
         ));
     }
-    if ask.prompt.len() > MAX_PROMPT {
+    if ask.prompt.len() > prompt_bytes {
         return Err(Refusal::new(Reason::TooLarge).because(format!(
-            "the prompt has {} bytes; send at most {MAX_PROMPT}",
+            "the prompt has {} bytes; send at most {prompt_bytes}",
             ask.prompt.len()
         )));
     }
--- a/src/rpc/job.rs
+++ b/src/rpc/job.rs
@@ -6,12 +6,13 @@
 use crate::job::{self, End, Id, Listing, Reply, Results, State, Status, Submission};
 use crate::name;
 use crate::outcome::{Reason, Refusal};
+use crate::settings::Limits;
 
 /// Checks a job and turns it into a submission.
 ///
 /// # Errors
 /// A refusal that names the field and what to write instead.
-pub fn submission(job: v1::SubmitJobRequest, most: usize) -> Result<Submission, Refusal> {
+pub fn submission(job: v1::SubmitJobRequest, limits: Limits) -> Result<Submission, Refusal> {
     for (field, text) in [
         ("service", &job.service),
         ("organisation", &job.organisation),
@@ -21,12 +22,19 @@
             return Err(Refusal::new(Reason::Invalid).because(message));
         }
     }
+    let most = limits.job_items;
     if job.items.len() > most {
         return Err(Refusal::new(Reason::TooLarge).because(format!(
             "the job has {} items; send at most {most}, as several jobs",
             job.items.len()
         )));
     }
+    let long = |item: &v1::Item| item.prompt.len() > limits.prompt_bytes;
+    if let Some(number) = job.items.iter().position(long) {
+        let bound = limits.prompt_bytes;
+        let message = format!("items[{number}].prompt: send at most {bound} bytes");
+        return Err(Refusal::new(Reason::TooLarge).because(message));
+    }
     if let Some(number) = job.items.iter().position(|item| item.prompt.is_empty()) {
         let message = format!("items[{number}].prompt: send one, it is empty");
         return Err(Refusal::new(Reason::Invalid).because(message));
--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -31,12 +31,11 @@
 
 const CALLER: &str = "/auburnspoke.v1.Caller/";
 const OPERATOR: &str = "/auburnspoke.v1.Operator/";
-/// Largest body of a question.
-const MAX_BODY: usize = 1024 * 1024;
-/// Largest body of a job.
-const MAX_JOB_BODY: usize = 128 * 1024 * 1024;
-/// Most items of a job.
-const MAX_ITEMS: usize = 500_000;
+/// Largest body of a call other than a job, in bytes, as long as the settings
+/// bound prompts below a fourth of it.
+const SMALL_BODY: usize = 1024 * 1024;
+/// JSON may take this many bytes for one of an ordinary prompt.
+const ESCAPED: usize = 4;
 /// Pieces of an answer that may wait for a caller that reads slowly.
 const PIECES: usize = 64;
 
@@ -119,11 +118,7 @@
                 "send application/json or application/proto\n",
             );
         };
-        let bound = if path.ends_with("/SubmitJob") {
-            MAX_JOB_BODY
-        } else {
-            MAX_BODY
-        };
+        let bound = self.body_bound(path);
         let body = match http::read_body(&mut request.take_payload(), bound).await {
             Ok(body) => body,
             Err(error) => return refused(media, true, &too_long(error)),
@@ -145,6 +140,17 @@
         plain(StatusCode::NOT_FOUND, "no such method\n")
     }
 
+    /// Only jobs may be long, so that many callers at once can't fill the
+    /// memory with questions that would be refused anyway.
+    fn body_bound(&self, path: &str) -> usize {
+        let limits = self.shared.limits;
+        if path.ends_with("/SubmitJob") {
+            return limits.body_bytes;
+        }
+        let question = limits.prompt_bytes.saturating_mul(ESCAPED);
+        question.max(SMALL_BODY).min(limits.body_bytes)
+    }
+
     async fn caller(&self, method: &str, format: Format, body: Bytes) -> Outcome<Bytes> {
         match method {
             "Locate" => unary(format, &body, |ask| async move { self.locate(&ask) }).await,
@@ -204,7 +210,7 @@
     }
 
     async fn ask(&self, ask: v1::AskRequest) -> Outcome<v1::AskResponse> {
-        let request = match caller::request(ask) {
+        let request = match caller::request(ask, self.shared.limits.prompt_bytes) {
             Ok(request) => request,
             Err(refusal) => return self.invalid(refusal),
         };
@@ -233,7 +239,7 @@
             Ok(config) => config,
             Err(refusal) => return Outcome::NotRun(refusal),
         };
-        let submission = match job::submission(ask, MAX_ITEMS) {
+        let submission = match job::submission(ask, self.shared.limits) {
             Ok(submission) => submission,
             Err(refusal) => return Outcome::NotRun(refusal),
         };
@@ -308,7 +314,7 @@
             return refused(media, true, &refusal);
         }
         let asked = open_request(media.format, body)
-            .and_then(caller::request)
+            .and_then(|ask| caller::request(ask, self.shared.limits.prompt_bytes))
             .map_err(|refusal| self.invalid::<()>(refusal));
         let request = match asked {
             Ok(request) => request,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -83,9 +83,9 @@
 /// Bounds on what callers may send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
-    /// Largest body of a call, in bytes; 64 MiB by default.
+    /// Largest body of a job, in bytes; 128 MiB by default.
     pub body_bytes: usize,
-    /// Largest prompt, in bytes; 1 MiB by default.
+    /// Largest prompt, in bytes; 256 KiB by default, and at most.
     pub prompt_bytes: usize,
     /// Most items of a job; 500,000 by default.
     pub job_items: usize,
@@ -94,11 +94,10 @@
 /// How long a node waits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timeouts {
-    /// For the end of a question when neither its caller nor its service names
-    /// a deadline; 60 s by default.
+    /// For the end of a question; a longer deadline of its caller or its service
+    /// is cut to it; 120 s by default.
     pub request: Duration,
-    /// For a connection to an endpoint, to another node or to the platform;
-    /// 1 s by default.
+    /// For a connection to an endpoint; 1.5 s by default.
     pub connect: Duration,
 }
 
@@ -131,8 +130,8 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            body_bytes: 64 * 1024 * 1024,
-            prompt_bytes: 1024 * 1024,
+            body_bytes: 128 * 1024 * 1024,
+            prompt_bytes: crate::job::accept::MAX_PROMPT,
             job_items: 500_000,
         }
     }
@@ -141,8 +140,8 @@
 impl Default for Timeouts {
     fn default() -> Self {
         Self {
-            request: Duration::from_secs(60),
-            connect: Duration::from_secs(1),
+            request: Duration::from_secs(120),
+            connect: Duration::from_millis(1_500),
         }
     }
 }
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -9,6 +9,7 @@
 use super::{
     Format, Invalid, Leave, Limits, Listen, Log, Node, Platform, Settings, Timeouts, unit,
 };
+use crate::job::accept::{MAX_ITEMS, MAX_PROMPT};
 use crate::name::{self, Name};
 
 /// Threads that carry requests when the file names no number.
@@ -19,10 +20,8 @@
 const REGION: &str = "default";
 /// Shortest and longest wait that a key may name.
 const WAITS: (Duration, Duration) = (Duration::from_millis(1), Duration::from_secs(86_400));
-/// Largest bound on a body or a prompt, in bytes.
+/// Largest bound on a body, in bytes.
 const MAX_BYTES: usize = 1024 * 1024 * 1024;
-/// Largest bound on the items of a job.
-const MAX_ITEMS: usize = 10_000_000;
 
 /// Reads and checks the whole text.
 pub(super) fn settings(text: &str) -> Result<Settings, Invalid> {
@@ -242,7 +241,7 @@
             .map_or(Some(fallback), |entry| entry.number((1, most), faults))
     };
     let body_bytes = read("body_bytes", MAX_BYTES, fallback.body_bytes, faults);
-    let prompt_bytes = read("prompt_bytes", MAX_BYTES, fallback.prompt_bytes, faults);
+    let prompt_bytes = read("prompt_bytes", MAX_PROMPT, fallback.prompt_bytes, faults);
     let job_items = read("job_items", MAX_ITEMS, fallback.job_items, faults);
     let prompt_entry = section.entry("prompt_bytes");
     section.finish(faults);
--- a/tests/rpc_bad_input.rs
+++ b/tests/rpc_bad_input.rs
@@ -223,6 +223,62 @@
     );
 }
 
+/// A fleet of one node whose settings end with `more`.
+fn fleet_with(more: &str, engine: &[&str]) -> Fleet {
+    let mut fleet = Fleet::new();
+    fleet.engine(engine);
+    let node = fleet.start_node("node-0", "zone-0", "127.0.0.1:0", more);
+    fleet.nodes.push(node);
+    fleet.configure();
+    fleet
+}
+
+#[gtest]
+fn limits_of_settings() {
+    let submit = "/auburnspoke.v1.Caller/SubmitJob";
+    let job = |items: Value| json!({"service": "recipes", "key": "k", "organisation": "o", "items": items});
+    let item = json!({"prompt": "x"});
+    let long = "x".repeat(101);
+    let body = "x".repeat(3000);
+    let more = "[limits]\nbody_bytes = 2000\nprompt_bytes = 100\njob_items = 2\n";
+    let large = "REASON_TOO_LARGE";
+    check(
+        &fleet_with(more, &["--faster", "20"]),
+        vec![
+            bad(
+                ASK,
+                &json!({"service": "recipes", "prompt": long}),
+                400,
+                large,
+            ),
+            bad(
+                ASK,
+                &json!({"service": "recipes", "prompt": body}),
+                400,
+                large,
+            ),
+            bad(submit, &job(json!([item, item, item])), 400, large),
+            bad(submit, &job(json!([{"prompt": long}])), 400, large),
+            bad(submit, &job(json!([{"prompt": body}])), 400, large),
+        ],
+    );
+}
+
+#[gtest]
+fn deadline_of_settings() {
+    // A caller names a deadline far away. Without the cut its question could
+    // outlast the longest planned stop, which would then cut it short.
+    let more = "[timeouts]\nrequest = \"300ms\"\nconnect = \"100ms\"\n";
+    let fleet = fleet_with(more, &[]);
+    // Some seven seconds of work for the engine.
+    let ask = json!({"service": "recipes", "prompt": "x", "maxTokens": 512, "deadlineMs": 60_000});
+    let error = fleet.caller(0, "Ask", &ask).unwrap_err();
+    expect_that!(
+        env::refusal(&error)["reason"],
+        eq(&json!("REASON_DEADLINE"))
+    );
+}
+
 #[gtest]
 fn head_too_long() {
     // A caller sends headers without end. Without a bound they would fill the
