--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -6,6 +6,7 @@
 
 mod engine;
 mod members;
+mod overhead;
 mod plain;
 mod platform;
 
@@ -20,6 +21,7 @@
         .subcommand(plain::command())
         .subcommand(standin::policy::cli::command())
         .subcommand(members::command())
+        .subcommand(overhead::command())
         .get_matches();
     let result = match matches.subcommand() {
         Some(("platform", arguments)) => platform::run(arguments),
@@ -27,6 +29,7 @@
         Some(("plain", arguments)) => plain::run(arguments),
         Some(("policy", arguments)) => standin::policy::cli::run(arguments),
         Some(("members", arguments)) => members::run(arguments),
+        Some(("overhead", arguments)) => overhead::run(arguments),
         _ => Ok(()),
     };
     match result {
--- /dev/null
+++ b/standin/src/overhead.rs
@@ -0,0 +1,253 @@
+//! `standin overhead`: what the way through a node adds to a question.
+//!
+//! Questions go to the engine directly and through the node in turns, so that
+//! whatever else the machine does meets both alike. The processor time of the
+//! node is read from the operating system before and after.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use auburnspoke::clock::Clock;
+use auburnspoke::endpoint::{Target, completion};
+use auburnspoke::http;
+use auburnspoke::rpc::client::{Client, Timeouts};
+use auburnspoke::rpc::v1;
+use clap::{Arg, ArgMatches, Command, value_parser};
+use eyre::{OptionExt as _, Result, WrapErr as _, eyre};
+use futures_util::future::join_all;
+use hdrhistogram::Histogram;
+use serde_json::json;
+
+/// Longest wait for one answer.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Questions that warm up both ways and are not counted.
+const WARM_UP: u32 = 50;
+/// Clock ticks a second, in which Linux counts processor time.
+const TICKS: u64 = 100;
+
+/// The subcommand's arguments.
+pub fn command() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .default_value(default)
+            .value_parser(value_parser!(u32))
+            .help(help)
+    };
+    let address = |name: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .required(true)
+            .value_parser(value_parser!(SocketAddr))
+            .help(help)
+    };
+    Command::new("overhead")
+        .about("Compare questions through a node with the same to its engine directly")
+        .arg(address("node", "The node's address for callers"))
+        .arg(address("engine", "The engine's address"))
+        .arg(
+            Arg::new("service")
+                .long("service")
+                .default_value("recipes")
+                .help("The service that the engine answers"),
+        )
+        .arg(
+            Arg::new("model")
+                .long("model")
+                .default_value("recipe-model")
+                .help("The model that the engine is asked for"),
+        )
+        .arg(
+            Arg::new("pid")
+                .long("pid")
+                .value_parser(value_parser!(u32))
+                .action(clap::ArgAction::Append)
+                .help("A node's process, whose processor time is counted; may be repeated"),
+        )
+        .arg(number("questions", "2000", "Questions each way"))
+        .arg(number("tokens", "16", "Tokens of each answer"))
+        .arg(number(
+            "at-once",
+            "64",
+            "Questions at a time in the second part",
+        ))
+}
+
+/// Measures and prints one JSON object a line.
+///
+/// # Errors
+/// When an address can't be reached or a question is refused.
+pub fn run(arguments: &ArgMatches) -> Result<()> {
+    let setting = Setting::read(arguments)?;
+    actix_rt::System::new().block_on(async move {
+        latency(&setting).await?;
+        rate(&setting).await
+    })
+}
+
+struct Setting {
+    node: SocketAddr,
+    engine: Target,
+    service: String,
+    pids: Vec<u32>,
+    questions: u32,
+    tokens: u32,
+    at_once: u32,
+}
+
+impl Setting {
+    fn read(arguments: &ArgMatches) -> Result<Self> {
+        let address = |name| arguments.get_one::<SocketAddr>(name).copied();
+        let number = |name| arguments.get_one::<u32>(name).copied().unwrap_or(1);
+        let text = |name| arguments.get_one::<String>(name).cloned();
+        let pids = arguments.get_many::<u32>("pid").unwrap_or_default();
+        Ok(Self {
+            node: address("node").ok_or_eyre("name a node")?,
+            engine: Target {
+                name: "engine".into(),
+                address: address("engine")
+                    .ok_or_eyre("name an engine")?
+                    .to_string()
+                    .into(),
+                model: text("model").ok_or_eyre("name a model")?.into(),
+            },
+            service: text("service").ok_or_eyre("name a service")?,
+            pids: pids.copied().collect(),
+            questions: number("questions"),
+            tokens: number("tokens"),
+            at_once: number("at-once"),
+        })
+    }
+
+    async fn direct(&self, client: &awc::Client, number: u32) -> Result<()> {
+        let text = format!("direct {number}");
+        let prompt = completion::Prompt {
+            model: &self.engine.model,
+            prompt: &text,
+            max_tokens: self.tokens,
+            stream: true,
+            key: "",
+            resume_from: 0,
+            resume_text: "",
+        };
+        completion::run(client, &self.engine, &prompt, PATIENCE, |_| async {})
+            .await
+            .map_err(|failure| eyre!("the engine failed: {failure}"))
+    }
+
+    async fn through(&self, client: &Client, number: u32) -> Result<()> {
+        let request = v1::AskRequest {
+            service: self.service.clone(),
+            prompt: format!("through {number}"),
+            max_tokens: self.tokens,
+            ..v1::AskRequest::default()
+        };
+        client.call(&request).await?;
+        Ok(())
+    }
+
+    fn processor(&self) -> Result<Duration> {
+        let each = self.pids.iter().map(|pid| processor(*pid));
+        each.sum()
+    }
+}
+
+fn clients(setting: &Setting) -> (awc::Client, Client) {
+    let timeouts = Timeouts {
+        connect: PATIENCE,
+        answer: PATIENCE,
+    };
+    let node = Client::new(vec![setting.node], timeouts);
+    (http::client(PATIENCE), node)
+}
+
+/// Questions one after the other, in turns.
+async fn latency(setting: &Setting) -> Result<()> {
+    let (engine, node) = clients(setting);
+    let clock = Clock::start();
+    let mut direct = Histogram::<u64>::new(3)?;
+    let mut through = Histogram::<u64>::new(3)?;
+    for number in 0..WARM_UP {
+        setting.direct(&engine, number).await?;
+        setting.through(&node, number).await?;
+    }
+    let before = setting.processor()?;
+    for number in 0..setting.questions {
+        let start = clock.now();
+        setting.direct(&engine, number).await?;
+        let middle = clock.now();
+        setting.through(&node, number).await?;
+        direct.record(middle.since(start).as_micros().try_into()?)?;
+        through.record(clock.now().since(middle).as_micros().try_into()?)?;
+    }
+    let used = setting.processor()?.saturating_sub(before);
+    let at = |of: &Histogram<u64>, quantile| of.value_at_quantile(quantile);
+    let (p50, p99) = (at(&direct, 0.5), at(&direct, 0.99));
+    let (node_p50, node_p99) = (at(&through, 0.5), at(&through, 0.99));
+    let line = json!({
+        "part": "latency", "questions": setting.questions, "tokens": setting.tokens,
+        "direct_p50_us": p50, "direct_p99_us": p99,
+        "node_p50_us": node_p50, "node_p99_us": node_p99,
+        "ratio_p50": node_p50 as f64 / p50 as f64, "ratio_p99": node_p99 as f64 / p99 as f64,
+        "node_cpu_us": used.as_micros() as f64 / f64::from(setting.questions),
+    });
+    println!("{line}");
+    Ok(())
+}
+
+/// Many questions at a time: what one node carries.
+async fn rate(setting: &Setting) -> Result<()> {
+    let (engine, node) = clients(setting);
+    let each = setting.questions / setting.at_once.max(1);
+    let start = Instant::now();
+    let direct = (0..setting.at_once).map(|lane| {
+        let engine = &engine;
+        async move {
+            for number in 0..each {
+                setting.direct(engine, lane * each + number).await?;
+            }
+            Ok::<_, eyre::Report>(())
+        }
+    });
+    join_all(direct).await.into_iter().collect::<Result<()>>()?;
+    let direct = start.elapsed();
+    let before = setting.processor()?;
+    let start = Instant::now();
+    let through = (0..setting.at_once).map(|lane| {
+        let node = &node;
+        async move {
+            let mut refused = 0;
+            for number in 0..each {
+                let asked = setting.through(node, lane * each + number).await;
+                refused += u32::from(asked.is_err());
+            }
+            refused
+        }
+    });
+    let refused: u32 = join_all(through).await.into_iter().sum();
+    let through = start.elapsed();
+    let used = setting.processor()?.saturating_sub(before);
+    let asked = each * setting.at_once;
+    let answered = f64::from(asked - refused);
+    let line = json!({
+        "part": "rate", "questions": asked, "refused": refused, "at_once": setting.at_once,
+        "direct_per_s": f64::from(asked) / direct.as_secs_f64(),
+        "node_per_s": answered / through.as_secs_f64(),
+        "node_tokens_per_s": answered * f64::from(setting.tokens) / through.as_secs_f64(),
+        "node_cpu_us": used.as_micros() as f64 / f64::from(asked),
+    });
+    println!("{line}");
+    Ok(())
+}
+
+/// Processor time that a process has used, in user and kernel mode.
+fn processor(pid: u32) -> Result<Duration> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))
+        .wrap_err("can't read the process; does it run?")?;
+    // The fields after the name in parentheses, which may hold spaces.
+    let fields = stat.rsplit_once(')').ok_or_eyre("an odd stat line")?.1;
+    let mut fields = fields.split_whitespace().skip(11);
+    let mut next =
+        || -> Result<u64> { Ok(fields.next().ok_or_eyre("a short stat line")?.parse()?) };
+    Ok(Duration::from_millis((next()? + next()?) * 1_000 / TICKS))
+}
