--- a/benches/overhead.sh
+++ b/benches/overhead.sh
@@ -38,13 +38,26 @@
 start "$folder/node" $bin/auburnspoke serve --settings "$folder/node.toml"
 node_pid=${pids[-1]}
 node=$(sed 's/.*callers=\([^ ]*\).*/\1/' "$folder/node")
-cat >"$folder/config.json" <<JSON
-{"services": [{"name": "recipes", "kind": "SERVICE_KIND_MODEL", "model": "recipe-model",
-  "modelVersion": "1", "deadlineMs": 30000, "maxTokens": 512, "latencyWeight": 50}],
- "endpoints": [{"name": "engine-0", "address": "$engine", "zone": "zone-0",
-  "services": ["recipes"], "slots": 64}]}
-JSON
+cat >"$folder/config.toml" <<TOML
+version = 0
+
+[[services]]
+name = "recipes"
+kind = "model"
+model = "recipe-model"
+model_version = "1"
+deadline_ms = 30000
+max_tokens = 512
+latency_weight = 50
+
+[[endpoints]]
+name = "engine-0"
+address = "$engine"
+zone = "zone-0"
+services = ["recipes"]
+slots = 64
+TOML
 export AUBURNSPOKE_SERVER=$node
-$bin/auburnspoke config apply "$folder/config.json" --author bench >/dev/null
+$bin/auburnspoke config apply "$folder/config.toml" --author bench >/dev/null
 until curl -sf "http://$node/readyz" >/dev/null; do sleep 0.1; done
 $bin/standin overhead --node "$node" --engine "$engine" --pid "$node_pid" "$@"
