--- a/src/job/chunk.rs
+++ b/src/job/chunk.rs
@@ -6,7 +6,6 @@
 //! which kills whatever runs it is found, bounded, and harms no neighbour twice.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use super::lane::{Committed, Held};
 use super::record::{Counts, Item};
@@ -14,18 +13,15 @@
 use super::{End, Reply};
 use crate::clock::Time;
 use crate::name::Name;
-use crate::outcome::{Outcome, Reason, Refusal};
+use crate::outcome::Outcome;
 use crate::request::Answer;
 
+mod answer;
+mod inherit;
+
 /// Losses of holders after which every open item of a chunk runs alone,
 /// because one of them may be what takes the VMs down.
 const SUSPICIOUS_LOSSES: u32 = 2;
-/// Shortest and longest wait before an item is sent again.
-const MIN_WAIT: Duration = Duration::from_millis(50);
-const MAX_WAIT: Duration = Duration::from_secs(30);
-/// Wait when a refusal names none, and after an item failed alone.
-const RETRY_WAIT: Duration = Duration::from_millis(500);
-
 /// Where an item is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -325,59 +321,6 @@
         prompts.sum::<usize>() + texts.sum::<usize>()
     }
 
-    fn done(&mut self, number: u32, answer: Answer) {
-        let tokens = answer.tokens;
-        let text = if answer.text.is_empty() && !answer.body.is_empty() {
-            String::from_utf8_lossy(&answer.body).into_owned()
-        } else {
-            answer.text
-        };
-        self.reply(number, End::Done, text, tokens);
-    }
-
-    fn not_run(&mut self, now: Time, number: u32, refusal: &Refusal) {
-        if matches!(refusal.reason, Reason::Invalid | Reason::TooLarge) {
-            self.reply(number, End::Failed, refusal.to_string(), 0);
-            return;
-        }
-        let wait = refusal.retry_after.unwrap_or(RETRY_WAIT);
-        self.unsend(number, now + wait.clamp(MIN_WAIT, MAX_WAIT));
-    }
-
-    /// An attempt that does not count. When it was recorded, the log is told.
-    fn unsend(&mut self, number: u32, from: Time) {
-        let Some(slot) = self.slot(number) else {
-            return;
-        };
-        slot.sent -= 1;
-        slot.phase = Phase::Waiting(from);
-        if slot.alone {
-            slot.tries = slot.tries.saturating_sub(1);
-            let count = slot.tries;
-            self.unwritten.attempts.push(Attempt { number, count });
-        }
-    }
-
-    fn doubtful(&mut self, now: Time, number: u32, refusal: &Refusal) {
-        if self.once {
-            self.reply(number, End::MayHaveRun, refusal.to_string(), 0);
-            return;
-        }
-        let bound = self.bound;
-        let Some(slot) = self.slot(number) else {
-            return;
-        };
-        if slot.alone && slot.tries >= bound {
-            let text = format!("failed {bound} times on its own; last: {refusal}");
-            self.reply(number, End::Failed, text, 0);
-            return;
-        }
-        slot.alone = true;
-        slot.phase = Phase::Waiting(now + RETRY_WAIT);
-        let count = slot.tries;
-        self.unwritten.attempts.push(Attempt { number, count });
-    }
-
     fn reply(&mut self, number: u32, end: End, text: String, tokens: u32) {
         let Some(slot) = self.slot(number) else {
             return;
@@ -395,43 +338,6 @@
         self.unwritten.replies.push(number);
     }
 
-    /// Takes over what an earlier holder logged. It is not written again: the
-    /// earlier logs stay named in the lane's row.
-    fn inherit(&mut self, entry: &Entry) {
-        for attempt in &entry.attempts {
-            if let Some(slot) = self.slot(attempt.number) {
-                slot.alone = true;
-                slot.tries = attempt.count;
-            }
-        }
-        for reply in &entry.replies {
-            if let Some(slot) = self.slot(reply.number) {
-                slot.phase = Phase::Over;
-                self.replies.entry(reply.number).or_insert(reply.clone());
-            }
-        }
-    }
-
-    /// Marked items without a result may have been sent by a holder before this
-    /// one, so they are never sent again and their results say so.
-    fn doubt(&mut self, marked: &[u32]) {
-        for number in marked {
-            if self.once && !self.replies.contains_key(number) {
-                let text = "the node that had it was lost; it may have run".to_owned();
-                self.reply(*number, End::MayHaveRun, text, 0);
-            }
-        }
-    }
-
-    /// Items whose last allowed attempt took its VM down.
-    fn give_up(&mut self) {
-        let bound = self.bound;
-        for number in self.numbers(|slot| slot.phase != Phase::Over && slot.tries >= bound) {
-            let text = format!("failed {bound} times on its own; the node was lost last");
-            self.reply(number, End::Failed, text, 0);
-        }
-    }
-
     fn numbers<F>(&self, wanted: F) -> Vec<u32>
     where
         F: Fn(&Slot) -> bool,
--- a/tests/job_lane.rs
+++ b/tests/job_lane.rs
@@ -260,7 +260,7 @@
             }
             now += Duration::from_millis(100);
             // The answer to a mark comes only every third time.
-            if now.as_millis() % 300 == 0 {
+            if now.as_millis().is_multiple_of(300) {
                 let unmarked = chunk.unmarked(5);
                 chunk.marked(&unmarked);
                 marked.extend(unmarked);
