Show at most once over real processes

Change: one VM is killed and one paused with items in flight that must run at most once; the engines' own counts say that none arrived twice.

--- a/tests/job_process.rs
+++ b/tests/job_process.rs
@@ -177,3 +177,37 @@
         expect_that!(status["state"], eq(&json!("JOB_STATE_CANCELLED")));
     }
 }
+
+/// Items that must run at most once are at the engines when one VM is killed and
+/// another paused. A remittance that is sent again is paid twice; one that is in
+/// doubt has to be said to be.
+#[gtest]
+fn kill_and_freeze_with_once_items_in_flight() {
+    let mut fleet = fleet();
+    let mut wanted = job("payments", 400, 24);
+    wanted["once"] = json!(true);
+    let accepted = fleet.caller(0, "SubmitJob", &wanted).expect("accepted");
+    let name = json!({"job": accepted["job"]});
+    std::thread::sleep(Duration::from_secs(4));
+    fleet.nodes[1].kill();
+    fleet.nodes[2].pause();
+    wait(&fleet, 0, &name, "JOB_STATE_ENDED");
+    fleet.nodes[2].resume();
+    std::thread::sleep(Duration::from_secs(5));
+    let results = results(&fleet, 0, &name);
+    expect_that!(results.len(), eq(400));
+    let known = |result: &Value| {
+        result["state"] == "ITEM_STATE_DONE" || result["state"] == "ITEM_STATE_MAY_HAVE_RUN"
+    };
+    expect_that!(results.iter().all(known), eq(true));
+    let mut runs = std::collections::BTreeMap::new();
+    for engine in 0..3 {
+        let counts = fleet.engine_counts(engine);
+        for (prompt, count) in counts["prompts"].as_object().into_iter().flatten() {
+            *runs.entry(prompt.clone()).or_insert(0) += count.as_u64().unwrap_or(0);
+        }
+    }
+    expect_that!(runs.len(), gt(100), "the engines count by prompt");
+    let twice = runs.values().filter(|count| **count > 1).count();
+    expect_that!(twice, eq(0), "{runs:?}");
+}
