--- a/src/retry/hedge.rs
+++ b/src/retry/hedge.rs
@@ -9,7 +9,7 @@
 /// Hedges that can be saved up.
 const MOST: f64 = 10.0;
 /// Estimate before anything is known, in microseconds.
-const START_US: f64 = 500_000.0;
+const START_US: f64 = 150_000.0;
 /// The quantile of the first-token time after which a question is late.
 const QUANTILE: f64 = 0.95;
 
--- a/src/route/pack.rs
+++ b/src/route/pack.rs
@@ -13,6 +13,9 @@
 const LEAST: f64 = 1.0;
 /// What is added to that at weight 0.
 const SPAN: f64 = 25.0;
+/// Most of them: above it packed endpoints turn so many away that the others
+/// are disturbed more than they gain.
+const MOST: f64 = 11.0;
 /// Part of the endpoints that stays free of questions at weight 0, however many
 /// there are, so that batch work always gets on.
 const FREE: f64 = 0.6;
@@ -35,7 +38,7 @@
         }
         let ease = f64::from(100 - latency_weight) / 100.0;
         Some(Self {
-            target: LEAST + SPAN * ease,
+            target: (LEAST + SPAN * ease).min(MOST),
             free: FREE * ease,
         })
     }
--- a/tests/dispatch_queue.rs
+++ b/tests/dispatch_queue.rs
@@ -147,15 +147,13 @@
     env.fill(1);
     let mut asked = Vec::new();
     for id in 100..112 {
-        asked.extend(started(&env.offer(id, Class::Online, "clerks")));
-    }
-    let stops = SLOTS - env.queue.load().batch;
-    expect_that!(stops, ge(4));
-    expect_that!(asked.len(), ge(4));
-    for id in 1..=12 {
-        asked.extend(started(&env.end(id, End::Stopped)));
+        let actions = env.offer(id, Class::Online, "clerks");
+        asked.extend(started(&actions));
+        for id in stopped(&actions) {
+            asked.extend(started(&env.end(id, End::Stopped)));
+        }
     }
-    expect_that!(asked, contains_each![eq(&100), eq(&105), eq(&111)]);
+    expect_that!(asked, eq(&(100..112).collect::<Vec<_>>()));
 }
 
 #[gtest]
@@ -412,8 +410,10 @@
     let mut env = Env::new(80);
     let slow = call(env.now, 1, Class::Online);
     expect_that!(started(&env.input(Input::Offer(slow))), eq(&[1]));
-    env.now += Duration::from_secs(10);
-    expect_that!(abandoned(&env.input(Input::Tick)), is_empty());
+    for _ in 0..100 {
+        env.now += Duration::from_millis(100);
+        expect_that!(abandoned(&env.input(Input::Tick)), is_empty());
+    }
 }
 
 #[gtest]
--- a/tests/route_router.rs
+++ b/tests/route_router.rs
@@ -106,12 +106,14 @@
 #[gtest]
 fn pick_follows_prefix() {
     // Cache events are late and some are lost: the one for the second block
-    // never came. The endpoint that holds the longest prefix is still found.
+    // never came, and another endpoint holds the first. The one that holds the
+    // longest prefix is still found.
     let mut router = router(9);
     let blocks: Vec<u64> = (100..140).collect();
     for block in blocks.iter().filter(|block| **block != 101) {
         router.cache("e4", *block, true);
     }
+    router.cache("e2", 100, true);
     let query = Query {
         blocks: &blocks,
         ..query()
