--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,27 +6,32 @@
 //! and puts the pieces together. docs/ARCHITECTURE.md shows the whole way.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
-use crate::clock::{Clock, Time};
+use crate::clock::{Clock, Time, unix_millis};
 use crate::config::follow::Force;
 use crate::config::{Document, Kind};
 use crate::dispatch::Handle;
 use crate::event;
+use crate::leave::Phase;
 use crate::limit::{Bound, Demand, Gate, Grant, Limiter};
 use crate::link::Pool;
 use crate::member::View;
 use crate::metric::Metrics;
 use crate::name::Name;
 use crate::node::work::Work;
+use crate::once::{self, Marks};
 use crate::outcome::{Outcome, Reason, Refusal};
+use crate::platform::http::Client;
 use crate::request::{Answer, Body, Piece, Request};
 use crate::retry::{self, Budget};
 use crate::route::{Router, Target};
+use crate::settings::{Limits, Timeouts};
 use crate::snapshot;
 
 mod attempt;
@@ -57,8 +62,16 @@
     pub dispatch: Handle,
     /// Counters.
     pub metrics: Arc<Metrics>,
-    /// What is in flight on this node.
-    pub work: Work,
+    /// Callers' questions in flight on this node.
+    pub questions: Work,
+    /// Requests that this node's dispatchers hold.
+    pub dispatched: Work,
+    /// Where this node is in its life.
+    pub phase: Arc<snapshot::Cell<Phase>>,
+    /// Bounds on what callers may send.
+    pub limits: Limits,
+    /// How long this node waits.
+    pub timeouts: Timeouts,
 }
 
 impl Shared {
@@ -98,18 +111,33 @@
     budget: RefCell<Budget>,
     last_flight: Cell<u64>,
     version: Cell<u64>,
+    marks: Marks<Client>,
+    cut: watch::Receiver<bool>,
+    /// Nodes whose links failed, and until when they are passed over.
+    avoided: RefCell<HashMap<Name, Time>>,
 }
 
 impl Gateway {
     /// A gateway that has heard of no endpoint's load yet.
-    pub fn new(shared: Shared, thread: usize) -> Rc<Self> {
+    ///
+    /// `cut` turns true when everything in flight must get its final answer.
+    pub fn new(
+        shared: Shared,
+        thread: usize,
+        platform: Client,
+        cut: watch::Receiver<bool>,
+    ) -> Rc<Self> {
+        let owner = once::owner(&shared.node, unix_millis(), thread);
         Rc::new(Self {
             thread,
+            marks: Marks::new(owner, platform),
+            cut,
             links: Pool::new(shared.node.clone()),
             router: RefCell::new(Router::new(shared.zone.clone(), rand::random())),
             limiter: RefCell::new(Limiter::new(1)),
             gate: RefCell::new(Gate::new(CAPACITY)),
             budget: RefCell::default(),
+            avoided: RefCell::default(),
             last_flight: Cell::new(0),
             version: Cell::new(0),
             shared,
@@ -165,7 +193,15 @@
     /// pieces can drop the other end.
     pub async fn ask(&self, request: Request, pieces: mpsc::Sender<Piece>) -> Outcome<Answer> {
         let class = request.class;
-        let outcome = self.admit(request, pieces).await;
+        let mut cut = self.cut.clone();
+        let outcome = tokio::select! {
+            biased;
+            outcome = self.admit(request, pieces) => outcome,
+            // Dropping the request cancels it at the endpoint.
+            _ = cut.wait_for(|cut| *cut) => Outcome::MayHaveRun(
+                Refusal::new(Reason::NotReady).because("the node stops; use another address"),
+            ),
+        };
         if let Outcome::NotRun(refusal) | Outcome::MayHaveRun(refusal) = &outcome {
             self.shared.metrics.refuse(class, refusal.reason);
             log::debug!("{} {refusal}", event::REQUEST_REFUSED);
@@ -182,13 +218,47 @@
         if let Err(refusal) = complete(&config, &mut request) {
             return Outcome::NotRun(refusal);
         }
+        request.time_left = request.time_left.min(self.shared.timeouts.request);
         let _passage = match guard::Passage::enter(self, &request) {
             Ok(passage) => passage,
             Err(refusal) => return Outcome::NotRun(refusal),
         };
+        if request.once {
+            return self.run_once(config, request, pieces).await;
+        }
         self.run(config, request, pieces).await
     }
 
+    /// Runs a request that must not be repeated, after its mark is in the
+    /// table.
+    async fn run_once(
+        &self,
+        config: Arc<Document>,
+        request: Request,
+        pieces: mpsc::Sender<Piece>,
+    ) -> Outcome<Answer> {
+        let key = once::Key {
+            organisation: request.organisation.clone(),
+            key: request.key.clone(),
+        };
+        let mark = match self.marks.mark(&key).await {
+            Ok(mark) => mark,
+            // This request did not run, but the one that used its key may have:
+            // "not run" would invite the caller to choose a new key.
+            Err(refusal) if refusal.reason == Reason::AlreadyRun => {
+                return Outcome::MayHaveRun(refusal);
+            }
+            Err(refusal) => return Outcome::NotRun(refusal),
+        };
+        let outcome = self.run(config, request, pieces).await;
+        if outcome.is_not_run() && self.marks.unmark(&mark).await.is_err() {
+            // The caller is told that it did not run, which is true; with the
+            // same key it will be told that the key is used up.
+            log::debug!("{} key={}", event::MARK_KEPT, key.key);
+        }
+        outcome
+    }
+
     /// Tries endpoints until one answers or trying again is of no use.
     async fn run(
         &self,
@@ -199,7 +269,7 @@
         let now = self.shared.clock.now();
         let deadline = now + request.time_left;
         let mut stream = attempt::Stream::new(now, pieces);
-        let mut tried: Vec<Name> = Vec::new();
+        let mut tried = Tried::default();
         let mut ran = false;
         loop {
             let left = deadline.since(self.shared.clock.now());
@@ -208,6 +278,7 @@
             }
             request.time_left = left;
             stream.resume(&mut request);
+            request.spills = tried.count == 0;
             let Some(endpoint) = self.pick(&request, &tried) else {
                 let refusal = Refusal::new(Reason::NoEndpoint).after(NOT_READY_RETRY);
                 return verdict(ran, refusal);
@@ -215,7 +286,6 @@
             let outcome = self
                 .attempt(&config, &endpoint, &request, &mut stream, deadline)
                 .await;
-            tried.push(endpoint);
             let failure = match outcome {
                 Outcome::Done(answer) => {
                     self.budget.borrow_mut().deposit();
@@ -228,6 +298,7 @@
                     retry::Failure::MayHaveRun(refusal)
                 }
             };
+            tried.add(endpoint, &request, &failure);
             match self.again(&config, &request, &tried, deadline, failure) {
                 Ok(wait) => actix_rt::time::sleep(wait).await,
                 Err(refusal) => return verdict(ran, refusal),
@@ -240,19 +311,24 @@
         &self,
         config: &Document,
         request: &Request,
-        tried: &[Name],
+        tried: &Tried,
         deadline: Time,
         failure: retry::Failure,
     ) -> Result<Duration, Refusal> {
-        let (retry::Failure::NotRun(refusal) | retry::Failure::MayHaveRun(refusal)) =
-            failure.clone();
+        let refusal = refusal_of(&failure).clone();
         let mut endpoints = config.endpoints_of(&request.service);
         let attempt = retry::Attempt {
-            count: u32::try_from(tried.len()).unwrap_or(u32::MAX),
+            count: tried.count,
             once: request.once,
             time_left: deadline.since(self.shared.clock.now()),
-            elsewhere: endpoints.any(|endpoint| !tried.contains(&endpoint.name)),
+            elsewhere: endpoints.any(|endpoint| !tried.failed.contains(&endpoint.name)),
         };
+        if tried.crowded.is_some() {
+            // The endpoint was crowded and said so at once; going to another
+            // one costs a message and happens once, so no budget is needed.
+            self.shared.metrics.retry(request.class, refusal.reason);
+            return Ok(Duration::ZERO);
+        }
         match retry::decide(failure, &attempt, &mut self.budget.borrow_mut()) {
             retry::Decision::Again { wait } => {
                 self.shared.metrics.retry(request.class, refusal.reason);
@@ -288,6 +364,37 @@
     }
 }
 
+/// What earlier attempts of a request told.
+#[derive(Default)]
+struct Tried {
+    /// Attempts so far.
+    count: u32,
+    /// Endpoints that failed or were full.
+    failed: Vec<Name>,
+    /// An endpoint that was crowded: passed over once, and good enough later,
+    /// when the others have failed.
+    crowded: Option<Name>,
+}
+
+impl Tried {
+    fn add(&mut self, endpoint: Name, request: &Request, failure: &retry::Failure) {
+        self.count += 1;
+        self.crowded = None;
+        match refusal_of(failure).reason {
+            Reason::Overloaded if request.spills => self.crowded = Some(endpoint),
+            // The way to the endpoint failed, not the endpoint: it is tried
+            // again through another dispatcher.
+            Reason::LinkFailed | Reason::NotReady => {}
+            _ => self.failed.push(endpoint),
+        }
+    }
+}
+
+fn refusal_of(failure: &retry::Failure) -> &Refusal {
+    let (retry::Failure::NotRun(refusal) | retry::Failure::MayHaveRun(refusal)) = failure;
+    refusal
+}
+
 /// Fills in the service's own bounds where the caller named none.
 fn complete(config: &Document, request: &mut Request) -> Result<(), Refusal> {
     let Some(service) = config.services.get(&request.service) else {
--- a/src/job/runner/work.rs
+++ b/src/job/runner/work.rs
@@ -270,6 +270,7 @@
             prompt: item.prompt,
             max_tokens: item.max_tokens,
         },
+        spills: false,
         resume_from: 0,
         resume_text: "".into(),
     }
--- a/src/wire/control.rs
+++ b/src/wire/control.rs
@@ -14,8 +14,12 @@
 /// Largest datagram in bytes, below the smallest usual path limit, so that
 /// none is ever split on the way.
 pub const MAX_DATAGRAM: usize = 1_200;
+/// Bytes of a member's print.
+pub const PRINT: usize = 8;
 /// Largest value of a note or a direct message, in bytes.
 pub const MAX_VALUE: usize = 512;
+/// So many news items at once are a special event; see [`Update::sends`].
+const MANY: usize = 24;
 /// First byte of every datagram.
 const VERSION: u8 = 1;
 /// Room that a head and any body take at most, with the longest names.
@@ -93,8 +97,8 @@
     /// Compare what we know, and send me what I lack.
     #[serde(rename = "s")]
     Sync {
-        /// One number for each bucket of members.
-        digests: Vec<u32>,
+        /// Four bytes for each bucket of members.
+        digests: Bytes,
         /// True when this answers a [`Body::Sync`], which ends the exchange.
         answer: bool,
     },
@@ -114,18 +118,17 @@
     /// A member as somebody knows it.
     #[serde(rename = "r")]
     Record(Record),
-    /// A member has a configuration version in force.
+    /// Members have a configuration version in force. After a change every
+    /// member says so at about the same time, so they are named by
+    /// [`Record::print`], [`PRINT`] bytes each, and told together.
     #[serde(rename = "v")]
     InForce {
-        /// The member.
-        #[serde(rename = "n")]
-        name: Name,
-        /// Its process.
-        #[serde(rename = "b")]
-        boot: u64,
         /// The version.
         #[serde(rename = "v")]
         version: u64,
+        /// The members' prints, one after the other.
+        #[serde(rename = "p")]
+        prints: Bytes,
     },
     /// A configuration version was committed.
     #[serde(rename = "w")]
@@ -153,11 +156,24 @@
 }
 
 impl Update {
+    /// How often a node sends it, when news as such is sent `limit` times and
+    /// `waiting` items wait to be sent.
+    ///
+    /// Many records at once mean that a fleet starts, or that regions have found
+    /// each other. Then sending each as often would take minutes within the
+    /// budget, and comparing with peers is what brings all up to date.
+    pub fn sends(&self, limit: u32, waiting: usize) -> u32 {
+        match self {
+            Self::Record(_) if waiting > MANY => limit.div_ceil(8),
+            Self::InForce { .. } | Self::Record(_) | Self::Committed(_) | Self::Note(_) => limit,
+        }
+    }
+
     /// Bytes that it takes in a datagram, at most.
     pub fn size(&self) -> usize {
         match self {
             Self::Record(record) => record.size() + 4,
-            Self::InForce { name, .. } => name.len() + 32,
+            Self::InForce { prints, .. } => prints.len() + 22,
             Self::Committed(_) => 14,
             Self::Note(note) => note.key.len() + note.value.len() + 32,
         }
