--- a/benches/member.rs
+++ b/benches/member.rs
@@ -102,7 +102,7 @@
     for count in COUNTS {
         let mut net = Net::fleet(1, count);
         criterion.bench_function(
-            &format!("step/second of one member of {count}"),
+            &format!("step/a second of all {count} members"),
             |bencher| {
                 bencher.iter(|| net.run(secs(1)));
             },
--- a/tests/support/env.rs
+++ b/tests/support/env.rs
@@ -55,6 +55,11 @@
             .to_owned()
     }
 
+    /// Its id, to read what the kernel says of it.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
