--- a/tests/job_budget.rs
+++ b/tests/job_budget.rs
@@ -50,6 +50,18 @@
     });
 }
 
+/// The mean job of the plan, 841 items: 7 chunks in 7 lanes.
+#[gtest]
+fn writes_of_the_mean_job() {
+    run(async {
+        let (counts, ..) = cost(841, false).await;
+        let rows = writes(&counts, "job") + writes(&counts, "open") + writes(&counts, "lane");
+        expect_that!(rows, eq(30));
+        let objects = writes(&counts, "items") + writes(&counts, "replies");
+        expect_that!(objects, eq(14));
+    });
+}
+
 /// A job of 100,000 items in chunks of 512: two rows a chunk, and two objects.
 #[gtest]
 fn writes_of_a_large_job() {
