Push cancellations and count what the batch thread does

Change: CancelJob tells the control thread; SubmitJob lets this node's runner look at once; batch_* counters.

--- a/src/node.rs
+++ b/src/node.rs
@@ -170,6 +170,8 @@
     let mut metrics = Metrics::new();
     let counts = Counts::default();
     metrics.extend(|registry| counts.register(registry));
+    let batch_counts = batch::Counts::default();
+    metrics.extend(|registry| batch_counts.register(registry));
     let threads = settings.traffic_threads;
     let (dispatch, desks) = Handle::new(threads);
     let shared = shared(settings, &own, clock, dispatch, metrics);
@@ -204,7 +206,7 @@
         arbiters.push(arbiter);
     }
     let boot = control::boot();
-    let batch = start_batch(&shared, settings, boot)?;
+    let batch = start_batch(&shared, settings, boot, batch_counts)?;
     arbiters.push(batch.arbiter);
     let callers = sockets.callers.local_addr()?;
     let link = sockets.link.local_addr()?;
@@ -294,7 +296,12 @@
     ended: mpsc::Receiver<()>,
 }
 
-fn start_batch(shared: &Shared, settings: &Settings, boot: u64) -> Result<Batch> {
+fn start_batch(
+    shared: &Shared,
+    settings: &Settings,
+    boot: u64,
+    counts: batch::Counts,
+) -> Result<Batch> {
     let assignment = Arc::new(Cell::new(assign::Assignment::new()));
     actix_rt::spawn(assign::follow(shared.clone(), Arc::clone(&assignment)));
     let arbiter = Arbiter::new();
@@ -307,6 +314,7 @@
     arbiter.spawn_fn(move || {
         let (runner, handle) = batch::runner(shared, assignment, platform, session);
         let _ = sender.send(handle);
+        actix_rt::spawn(counts.follow(runner.tally()));
         actix_rt::spawn(async move {
             batch::run(runner, stopped).await;
             drop(end);
--- a/src/node/batch.rs
+++ b/src/node/batch.rs
@@ -4,15 +4,19 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::registry::Registry;
 use tokio::sync::watch;
 
 use super::PLATFORM_TIMEOUT;
 use super::assign::{Assignment, Own};
 use crate::dispatch::handle::Event;
 use crate::gateway::Shared;
-use crate::job::runner::{self, Runner};
+use crate::job::runner::{self, Runner, Tally};
 use crate::job::{Execute, Setting};
 use crate::name::Name;
 use crate::outcome::{Outcome, Reason, Refusal};
@@ -20,6 +24,9 @@
 use crate::request::{Answer, Request};
 use crate::snapshot::Cell;
 
+/// How often the counters follow the runner.
+const COUNT_EVERY: Duration = Duration::from_secs(1);
+
 /// Makes the runner of this node; it must be made on the thread that runs it.
 pub fn runner(
     shared: Shared,
@@ -51,6 +58,72 @@
     runner.run(stop).await;
 }
 
+/// What the batch thread counts.
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    sent: Counter,
+    claimed: Counter,
+    taken_over: Counter,
+    committed: Counter,
+    lost: Counter,
+    released: Counter,
+    collided: Counter,
+    flushed: Counter,
+}
+
+impl Counts {
+    /// Makes every counter known under `batch_...`; docs/BATCH.md says what
+    /// each means.
+    pub fn register(&self, registry: &mut Registry) {
+        let all = [
+            ("sent", "Items sent to dispatchers", &self.sent),
+            ("claimed", "Chunks claimed", &self.claimed),
+            (
+                "taken_over",
+                "Chunks taken from lost holders",
+                &self.taken_over,
+            ),
+            ("committed", "Chunks committed", &self.committed),
+            ("lost", "Chunks lost to other holders", &self.lost),
+            ("released", "Chunks given back", &self.released),
+            ("collided", "Claims that met another node's", &self.collided),
+            ("flushed", "Segments written", &self.flushed),
+        ];
+        for (name, help, counter) in all {
+            registry.register(format!("batch_{name}"), help, counter.clone());
+        }
+    }
+
+    /// Adds what the runner has done since `before`.
+    fn add(&self, before: Tally, now: Tally) {
+        let all = [
+            (&self.sent, before.sent, now.sent),
+            (&self.claimed, before.claimed, now.claimed),
+            (&self.taken_over, before.taken_over, now.taken_over),
+            (&self.committed, before.committed, now.committed),
+            (&self.lost, before.lost, now.lost),
+            (&self.released, before.released, now.released),
+            (&self.collided, before.collided, now.collided),
+            (&self.flushed, before.flushed, now.flushed),
+        ];
+        for (counter, before, now) in all {
+            counter.inc_by(now.saturating_sub(before));
+        }
+    }
+
+    /// Follows a runner's tally, which lives on its thread, for as long as that
+    /// thread runs.
+    pub async fn follow(self, tally: Rc<std::cell::Cell<Tally>>) {
+        let mut before = Tally::default();
+        loop {
+            let now = tally.get();
+            self.add(before, now);
+            before = now;
+            actix_rt::time::sleep(COUNT_EVERY).await;
+        }
+    }
+}
+
 /// Hands batch items to the dispatchers of this node.
 pub struct Executor {
     shared: Shared,
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -170,6 +170,11 @@
         }
     }
 
+    /// A job of this service was accepted here.
+    pub fn accepted(&self, service: Name) {
+        self.runner.tell(runner::Input::Accepted(service));
+    }
+
     /// Tells every runner that a job was cancelled, so that they stop before
     /// they look at its row.
     pub fn spread_cancel(&self, id: &crate::job::Id) {
--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -246,7 +246,12 @@
         if !config.services.contains_key(&submission.service) {
             return Outcome::NotRun(Refusal::new(Reason::UnknownService));
         }
+        let service = submission.service.clone();
         let accepted = self.jobs.submit(unix_millis(), submission).await;
+        if matches!(accepted, Outcome::Done(_)) {
+            // The other nodes find the job at their next look.
+            self.tell(move |control| control.accepted(service));
+        }
         accepted.map(|accepted| v1::SubmitJobResponse {
             job: accepted.job.to_string(),
             items: accepted.items,
@@ -288,17 +293,32 @@
 
     async fn cancel_job(&self, ask: v1::CancelJobRequest) -> Outcome<v1::CancelJobResponse> {
         match job::id(&ask.job) {
-            Ok(id) => self
-                .jobs
-                .cancel(&id)
-                .await
-                .map(|state| v1::CancelJobResponse {
+            Ok(id) => {
+                let cancelled = self.jobs.cancel(&id).await;
+                if matches!(cancelled, Outcome::Done(_)) {
+                    self.tell(move |control| control.spread_cancel(&id));
+                }
+                cancelled.map(|state| v1::CancelJobResponse {
                     state: job::state(state).into(),
-                }),
+                })
+            }
             Err(refusal) => Outcome::NotRun(refusal),
         }
     }
 
+    /// Tells the control thread without waiting: rows decide, this only hurries.
+    fn tell<F>(&self, what: F)
+    where
+        F: FnOnce(&Control) + Send + 'static,
+    {
+        let control = self.control.clone();
+        actix_rt::spawn(async move {
+            control
+                .call(move |control| async move { what(&control) })
+                .await;
+        });
+    }
+
     async fn list_jobs(&self, ask: v1::ListJobsRequest) -> Outcome<v1::ListJobsResponse> {
         let listing = self
             .jobs
