--- a/tests/job_budget.rs
+++ b/tests/job_budget.rs
@@ -155,7 +155,7 @@
         for seconds in [1, 2, 4, 8] {
             let mut worst = 0;
             for seed in 0..12 {
-                let mut fleet = Fleet::with(seed, 0, Duration::from_millis(1_000));
+                let mut fleet = Fleet::with(seed, 0, Duration::from_secs(1));
                 fleet.setting.flush = Duration::from_secs(seconds);
                 fleet.add();
                 let id = fleet.submit(&submission("menu", items(128))).await;
