Pack questions, carry the load with the first token, and ping only where nothing is heard

Ruled out: no pings on busy connections at all (the dispatcher could not tell a gateway that is gone). Change: Router::weigh and Router::loaded are called; Frame::Piece carries a Load with the first piece of a run; a connection is pinged after 500 ms without a frame and every 2 s at least; 8 KiB buffers.

--- a/benches/frame.rs
+++ b/benches/frame.rs
@@ -39,6 +39,7 @@
                 text: " token".repeat(tokens),
                 tokens: u32::try_from(tokens).unwrap_or(1),
             },
+            load: None,
         };
         let bytes = wire::encode(&frame).unwrap_or_default();
         println!("a piece of {tokens} tokens takes {} bytes", bytes.len());
--- a/benches/wire.rs
+++ b/benches/wire.rs
@@ -16,6 +16,7 @@
             tokens: 1,
             text: " screened".to_owned(),
         },
+        load: None,
     };
     let bytes = wire::encode(&frame).expect("a small frame can be written");
     let mut group = c.benchmark_group("wire");
--- a/src/dispatch/handle.rs
+++ b/src/dispatch/handle.rs
@@ -32,8 +32,9 @@
 /// What a dispatcher says of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
-    /// A part of the answer.
-    Piece(Piece),
+    /// A part of the answer; the first one of a run tells how busy the endpoint
+    /// is, long before the answer ends.
+    Piece(Piece, Option<Load>),
     /// The last word.
     End(Outcome<Answer>, Load),
 }
--- a/src/dispatch/run.rs
+++ b/src/dispatch/run.rs
@@ -1,12 +1,12 @@
 //! One run of a request at an endpoint.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
 use tokio::sync::mpsc;
 
-use super::End;
 use super::handle::Event;
+use super::{End, Load};
 use crate::config::{Document, Kind};
 use crate::endpoint::{Failure, Target, completion, plain};
 use crate::outcome::{Outcome, Reason, Refusal};
@@ -70,7 +70,7 @@
     tokens: F,
 ) -> (Outcome<Answer>, End)
 where
-    F: Fn(u32),
+    F: Fn(u32) -> Load,
 {
     let running = once(client, target, request, progress, reply, left, tokens);
     match tokio::time::timeout(left, running).await {
@@ -99,7 +99,7 @@
     tokens: F,
 ) -> Result<Answer, Failure>
 where
-    F: Fn(u32),
+    F: Fn(u32) -> Load,
 {
     let (prompt, max_tokens) = match &request.body {
         Body::Call { path, body } => {
@@ -119,12 +119,15 @@
         resume_text: &so_far.text,
     };
     let tokens = &tokens;
+    let first = Cell::new(true);
+    let first = &first;
     completion::run(client, target, &prompt, left, move |piece| async move {
         if progress.borrow_mut().take(&piece) {
-            tokens(piece.tokens);
+            let load = tokens(piece.tokens);
+            let load = first.replace(false).then_some(load);
             // A slow reader stops its own stream here, and so its own engine
             // connection.
-            let _ = reply.send(Event::Piece(piece)).await;
+            let _ = reply.send(Event::Piece(piece, load)).await;
         }
     })
     .await?;
--- a/src/dispatch/shell.rs
+++ b/src/dispatch/shell.rs
@@ -315,6 +315,9 @@
             let left = deadline.since(shell.clock.now());
             let tokens = |count| {
                 shell.feed(&name, shell.clock.now(), Input::Tokens { id, count });
+                let state = shell.state.borrow();
+                let stand = state.stands.get(&name);
+                stand.map(|stand| stand.queue.load()).unwrap_or_default()
             };
             let running = run::run(
                 &shell.client,
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -353,6 +353,10 @@
                 zone: endpoint.zone.clone(),
                 services: endpoint.services.clone(),
             }));
+        for service in config.services.values() {
+            let mut router = self.router.borrow_mut();
+            router.weigh(&service.name, service.latency_weight);
+        }
         let bounds = config.organisations.values().map(|organisation| {
             let bound = Bound {
                 rate: organisation.rate,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -81,8 +81,8 @@
                     let refusal = Refusal::new(Reason::LinkFailed);
                     break (Outcome::MayHaveRun(refusal), None);
                 }
-                Ok(Some(Event::Piece(piece))) => {
-                    flight.first_token();
+                Ok(Some(Event::Piece(piece, load))) => {
+                    flight.first_token(endpoint, load);
                     if !stream.take(&self.shared, request.class, piece).await {
                         let refusal = Refusal::new(Reason::EndpointFailed)
                             .because("the answer's pieces do not fit together");
--- a/src/gateway/guard.rs
+++ b/src/gateway/guard.rs
@@ -70,11 +70,14 @@
         }
     }
 
-    /// The first token came.
-    pub fn first_token(&self) {
+    /// A token came; with the first one of a run comes the endpoint's load.
+    pub fn first_token(&self, endpoint: &str, load: Option<Load>) {
         let now = self.gateway.shared.clock.now();
         let mut router = self.gateway.router.borrow_mut();
         router.first_token(now, self.id);
+        if let Some(load) = load {
+            router.loaded(now, endpoint, load);
+        }
     }
 
     /// The attempt ended.
--- a/src/link.rs
+++ b/src/link.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::{mpsc, oneshot};
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
@@ -34,14 +34,20 @@
 const ANSWER_PIECES: usize = 16 * 1_024;
 /// Most time to connect and greet.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// How often a connection on which something is open asks its peer for a sign
-/// of life. An idle one is not asked: with hundreds of peers that alone would
-/// be more than the control budget.
+/// Bytes of each of a connection's two buffers, which are taken at once: with
+/// the library's 128 KiB a node with a thousand connections would hold 256 MiB.
+const BUFFER: usize = 8 * 1_024;
+/// After this long without a frame a connection on which something is open asks
+/// its peer for a sign of life. An idle one is not asked: with hundreds of peers
+/// that alone would be more than the control budget.
 const PING_EVERY: Duration = Duration::from_millis(500);
 /// A peer that was silent for this long while something is open is taken for
 /// gone: it is paused, cut off or dead, and requests on it must be tried
 /// elsewhere.
 const SILENCE: Duration = Duration::from_secs(2);
+/// A peer that sends enough itself is still asked this often, because it takes a
+/// gateway that says nothing for longer than that for gone.
+const PING_AT_LEAST: Duration = Duration::from_secs(2);
 /// A connection on which nothing was open for this long is closed.
 const IDLE: Duration = Duration::from_secs(60);
 /// When to come back after a link failed.
@@ -59,6 +65,8 @@
     pending: RefCell<HashMap<u64, Pending>>,
     last_id: Cell<u64>,
     open: Cell<bool>,
+    /// When the last frame came.
+    heard: Cell<Instant>,
 }
 
 struct Pending {
@@ -146,6 +154,7 @@
             pending: RefCell::default(),
             last_id: Cell::new(0),
             open: Cell::new(true),
+            heard: Cell::new(Instant::now()),
         });
         self.peers
             .borrow_mut()
@@ -188,9 +197,9 @@
     }
 
     /// Passes on a piece; false when its reader is a whole answer behind.
-    fn piece(&self, id: u64, piece: Piece) -> bool {
+    fn piece(&self, id: u64, piece: Piece, load: Option<Load>) -> bool {
         match self.pending.borrow().get(&id).map(|pending| &pending.reply) {
-            Some(ReplyTo::Request(reply)) => reply.try_send(Event::Piece(piece)).is_ok(),
+            Some(ReplyTo::Request(reply)) => reply.try_send(Event::Piece(piece, load)).is_ok(),
             // Late pieces of a cancelled request.
             Some(ReplyTo::Query(_)) | None => true,
         }
@@ -224,6 +233,8 @@
 
 fn socket_config() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(BUFFER)
+        .write_buffer_size(BUFFER)
         .max_message_size(Some(wire::MAX_FRAME))
         .max_frame_size(Some(wire::MAX_FRAME))
 }
--- a/src/link/client.rs
+++ b/src/link/client.rs
@@ -12,7 +12,7 @@
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
-use super::{CONNECT_TIMEOUT, IDLE, PING_EVERY, Peer, SILENCE, socket_config};
+use super::{CONNECT_TIMEOUT, IDLE, PING_AT_LEAST, PING_EVERY, Peer, SILENCE, socket_config};
 use crate::dispatch::handle::Event;
 use crate::event;
 use crate::name::Name;
@@ -75,12 +75,20 @@
     // for a while, because every prompt is long, must still show that it lives.
     let mut ping = tokio::time::interval(PING_EVERY);
     let mut idle_since = Instant::now();
+    let mut pinged = idle_since;
     loop {
         let sent = tokio::select! {
             _ = ping.tick() => {
+                let now = Instant::now();
                 if !peer.pending.borrow().is_empty() {
-                    idle_since = Instant::now();
-                    sink.send(Message::Ping(bytes::Bytes::new())).await
+                    idle_since = now;
+                    let quiet = now - peer.heard.get() >= PING_EVERY;
+                    if quiet || now - pinged >= PING_AT_LEAST {
+                        pinged = now;
+                        sink.send(Message::Ping(bytes::Bytes::new())).await
+                    } else {
+                        Ok(())
+                    }
                 } else if idle_since.elapsed() >= IDLE {
                     return "idle".into();
                 } else {
@@ -129,16 +137,16 @@
 }
 
 async fn read(peer: &Peer, source: &mut Source) -> String {
-    let mut heard = Instant::now();
+    peer.heard.set(Instant::now());
     loop {
         match timeout(PING_EVERY, next(source)).await {
             Err(_) => {
                 if peer.pending.borrow().is_empty() {
-                    heard = Instant::now();
+                    peer.heard.set(Instant::now());
                 }
                 // Pings are answered, so a peer that lives is never silent
                 // this long.
-                if heard.elapsed() >= SILENCE {
+                if peer.heard.get().elapsed() >= SILENCE {
                     return "the peer is silent".into();
                 }
                 continue;
@@ -151,14 +159,14 @@
                 }
             }
         }
-        heard = Instant::now();
+        peer.heard.set(Instant::now());
     }
 }
 
 fn take(peer: &Peer, frame: Frame) -> Result<(), String> {
     match frame {
-        Frame::Piece { id, piece } => {
-            if !peer.piece(id, piece) {
+        Frame::Piece { id, piece, load } => {
+            if !peer.piece(id, piece, load) {
                 // The reader is a whole answer behind: its stream alone ends.
                 peer.pending.borrow_mut().remove(&id);
                 let _ = peer.frames.try_send(Frame::Cancel { id });
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -201,7 +201,7 @@
 ) {
     while let Some(event) = events.recv().await {
         let frame = match event {
-            Event::Piece(piece) => Frame::Piece { id, piece },
+            Event::Piece(piece, load) => Frame::Piece { id, piece, load },
             Event::End(outcome, load) => Frame::End { id, outcome, load },
         };
         let last = matches!(frame, Frame::End { .. });
--- a/src/wire/traffic.rs
+++ b/src/wire/traffic.rs
@@ -38,6 +38,9 @@
         id: u64,
         /// The part, with its offset.
         piece: Piece,
+        /// How busy the endpoint is, with the first part of a run.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        load: Option<Load>,
     },
     /// A question to the receiver's control thread.
     Query {
