Find the shared services by name in the kernel when a node starts

Change: node::services registers each shared service by name and node::shared finds them; expect_whole in the drills, with the same comparisons.

--- a/src/node.rs
+++ b/src/node.rs
@@ -22,7 +22,7 @@
 use crate::gateway::Shared;
 use crate::http;
 use crate::job::runner;
-use crate::kernel::Kernel;
+use crate::kernel::{Kernel, Missing};
 use crate::leave::{self, Action, Ending, Input, Leave, Phase, Times};
 use crate::member::shell::{Counts, Setup};
 use crate::member::tuning::Tuning;
@@ -63,6 +63,12 @@
     pub const DISPATCH: &str = "dispatch";
     /// [`crate::metric::Metrics`].
     pub const METRICS: &str = "metrics";
+    /// [`super::work::Work`] of callers' questions.
+    pub const QUESTIONS: &str = "questions";
+    /// [`super::work::Work`] that dispatchers hold.
+    pub const DISPATCHED: &str = "dispatched";
+    /// [`crate::snapshot::Cell`] of [`crate::leave::Phase`].
+    pub const PHASE: &str = "phase";
 }
 
 /// A node that runs.
@@ -174,7 +180,8 @@
     metrics.extend(|registry| batch_counts.register(registry));
     let threads = settings.traffic_threads;
     let (dispatch, desks) = Handle::new(threads);
-    let shared = shared(settings, &own, clock, dispatch, metrics);
+    let kernel = services(&own, dispatch, metrics);
+    let shared = shared(settings, &own, clock, &kernel)?;
     let (callers_stop, callers_stopped) = watch::channel(false);
     let (drain, drained) = watch::channel(false);
     let (queries_in, queries) = mpsc::channel(WAITING);
@@ -238,7 +245,6 @@
         settings.node.name,
         settings.node.zone,
     );
-    let kernel = register(&shared);
     shared.phase.publish(Phase::Serving);
     Ok(Running {
         callers,
@@ -258,13 +264,8 @@
     })
 }
 
-fn shared(
-    settings: &Settings,
-    own: &Member,
-    clock: Clock,
-    dispatch: Handle,
-    metrics: Metrics,
-) -> Shared {
+/// Makes the services that threads share and registers each by its name.
+fn services(own: &Member, dispatch: Handle, metrics: Metrics) -> Kernel {
     let view = View {
         members: vec![own.clone()],
     };
@@ -272,20 +273,38 @@
         document: Arc::default(),
         until: Time::ZERO,
     };
-    Shared {
+    let mut kernel = Kernel::default();
+    kernel.register(service::CONFIG, Arc::new(Cell::new(force)));
+    kernel.register(service::VIEW, Arc::new(Cell::new(view)));
+    kernel.register(service::DISPATCH, Arc::new(dispatch));
+    kernel.register(service::METRICS, Arc::new(metrics));
+    kernel.register(service::QUESTIONS, Arc::new(Work::default()));
+    kernel.register(service::DISPATCHED, Arc::new(Work::default()));
+    kernel.register(service::PHASE, Arc::new(Cell::new(Phase::Starting)));
+    kernel
+}
+
+/// Finds by name what every thread of a node works with, once, at start.
+fn shared(
+    settings: &Settings,
+    own: &Member,
+    clock: Clock,
+    kernel: &Kernel,
+) -> Result<Shared, Missing> {
+    Ok(Shared {
         node: own.name.clone(),
         zone: own.zone.clone(),
         clock,
-        force: Arc::new(Cell::new(force)),
-        view: Arc::new(Cell::new(view)),
-        dispatch,
-        metrics: Arc::new(metrics),
-        questions: Work::default(),
-        dispatched: Work::default(),
-        phase: Arc::new(Cell::new(Phase::Starting)),
+        force: kernel.find(service::CONFIG)?,
+        view: kernel.find(service::VIEW)?,
+        dispatch: Handle::clone(&*kernel.find(service::DISPATCH)?),
+        metrics: kernel.find(service::METRICS)?,
+        questions: Work::clone(&*kernel.find(service::QUESTIONS)?),
+        dispatched: Work::clone(&*kernel.find(service::DISPATCHED)?),
+        phase: kernel.find(service::PHASE)?,
         limits: settings.limits,
         timeouts: settings.timeouts,
-    }
+    })
 }
 
 /// The batch thread as the rest of the node knows it.
@@ -332,15 +351,6 @@
     })
 }
 
-fn register(shared: &Shared) -> Kernel {
-    let mut kernel = Kernel::default();
-    kernel.register(service::CONFIG, Arc::clone(&shared.force));
-    kernel.register(service::VIEW, Arc::clone(&shared.view));
-    kernel.register(service::DISPATCH, Arc::new(shared.dispatch.clone()));
-    kernel.register(service::METRICS, Arc::clone(&shared.metrics));
-    kernel
-}
-
 impl Running {
     /// Returns when an operator has drained this node.
     pub async fn drained(&mut self) {
--- a/tests/drill_online.rs
+++ b/tests/drill_online.rs
@@ -52,6 +52,19 @@
         .collect()
 }
 
+/// Expects that question n of these, in order, gets the whole answer that an
+/// undisturbed engine gives.
+fn expect_whole(asking: Vec<Asking>) {
+    let answers: Vec<_> = asking
+        .into_iter()
+        .map(|asking| asking.join().unwrap())
+        .collect();
+    let texts = expected(answers.len());
+    for (answer, text) in answers.into_iter().zip(texts) {
+        expect_that!(answer.map(|a| a["text"].clone()), ok(eq(&text)));
+    }
+}
+
 /// An endpoint's VM dies while it streams answers. Callers see their whole
 /// answer, with no word missing or doubled, from the other endpoint.
 #[gtest]
@@ -64,13 +77,7 @@
         (0..2).all(|engine| fleet.engine_counts(engine)["tokens"].as_u64() > Some(20))
     });
     fleet.engines[0].kill();
-    let answers: Vec<_> = asking
-        .into_iter()
-        .map(|asking| asking.join().unwrap())
-        .collect();
-    for (answer, text) in answers.into_iter().zip(expected(6)) {
-        expect_that!(answer.map(|a| a["text"].clone()), ok(eq(&text)));
-    }
+    expect_whole(asking);
 }
 
 /// An endpoint stops generating but still answers health checks. Its streams
@@ -85,13 +92,7 @@
         (0..2).all(|engine| fleet.engine_counts(engine)["tokens"].as_u64() > Some(10))
     });
     fleet.engine_fault(0, &json!({"stall": true}));
-    let answers: Vec<_> = asking
-        .into_iter()
-        .map(|asking| asking.join().unwrap())
-        .collect();
-    for (answer, text) in answers.into_iter().zip(expected(4)) {
-        expect_that!(answer.map(|a| a["text"].clone()), ok(eq(&text)));
-    }
+    expect_whole(asking);
 }
 
 /// The node that dispatches for an endpoint dies while answers stream through
@@ -110,13 +111,7 @@
         fleet.engine_counts(0)["tokens"].as_u64() > Some(20)
     });
     fleet.nodes[dead].kill();
-    let answers: Vec<_> = asking
-        .into_iter()
-        .map(|asking| asking.join().unwrap())
-        .collect();
-    for (answer, text) in answers.into_iter().zip(expected(4)) {
-        expect_that!(answer.map(|a| a["text"].clone()), ok(eq(&text)));
-    }
+    expect_whole(asking);
 }
 
 /// The node that dispatches is paused, as a VM that its host takes off the
