--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgMatches, Command, value_parser};
 use eyre::{Result, WrapErr};
 
 use super::remote::{self, Input};
@@ -54,12 +54,9 @@
                 .value_parser(value_parser!(u64))
                 .help("The version that the change was made from; the document's own by default"),
         )
-        .arg(
-            Arg::new("dry-run")
-                .long("dry-run")
-                .action(ArgAction::SetTrue)
-                .help("Check the document and print the difference only"),
-        );
+        .arg(remote::dry_run(
+            "Check the document and print the difference only",
+        ));
     remote::options(remote::change_options(command))
 }
 
--- a/src/cli/endpoint.rs
+++ b/src/cli/endpoint.rs
@@ -69,12 +69,7 @@
                 .action(ArgAction::SetTrue)
                 .help("Give it no new work"),
         )
-        .arg(
-            Arg::new("dry-run")
-                .long("dry-run")
-                .action(ArgAction::SetTrue)
-                .help("Check and compare only"),
-        );
+        .arg(remote::dry_run("Check and compare only"));
     remote::options(remote::change_options(command))
 }
 
--- a/src/cli/remote.rs
+++ b/src/cli/remote.rs
@@ -136,3 +136,11 @@
     text.parse()
         .map_err(|_| format!("`{text}` is no address; write ip:port, as in {SERVER}"))
 }
+
+/// The option that makes a change of the configuration only a trial.
+pub(super) fn dry_run(help: &'static str) -> Arg {
+    Arg::new("dry-run")
+        .long("dry-run")
+        .action(clap::ArgAction::SetTrue)
+        .help(help)
+}
--- a/src/cli/service.rs
+++ b/src/cli/service.rs
@@ -79,12 +79,7 @@
                 .default_value("50")
                 .help("0 favours batch throughput, 100 online tail latency"),
         )
-        .arg(
-            Arg::new("dry-run")
-                .long("dry-run")
-                .action(ArgAction::SetTrue)
-                .help("Check and compare only"),
-        );
+        .arg(remote::dry_run("Check and compare only"));
     remote::options(remote::change_options(command))
 }
 
