Give the table's traits a module of their own

Cause: src/platform/ is to hold only the translation to the users' pages, and the traits of table, store and roster stood there with the stand-in's protocol.

--- a/benches/job.rs
+++ b/benches/job.rs
@@ -13,8 +13,8 @@
 use auburnspoke::job::{Execute, Id, Item, Jobs, Setting, State, Submission, record};
 use auburnspoke::name::Name;
 use auburnspoke::outcome::Outcome;
-use auburnspoke::platform::memory::Platform;
 use auburnspoke::request::{Answer, Request};
+use auburnspoke::table::memory::Platform;
 use tokio::sync::oneshot;
 
 /// Length of a prompt in bytes.
--- a/src/cli/try_out/standin.rs
+++ b/src/cli/try_out/standin.rs
@@ -9,8 +9,8 @@
 
 use crate::embedded::{engine, platform};
 use crate::http;
-use crate::platform::memory::Platform;
 use crate::rpc::v1;
+use crate::table::memory::Platform;
 
 /// The availability zone of everything.
 pub(super) const ZONE: &str = "here";
--- a/src/config/commit.rs
+++ b/src/config/commit.rs
@@ -8,7 +8,7 @@
 use super::{Document, diff};
 use crate::member::{State, View};
 use crate::outcome::{Outcome, Reason, Refusal};
-use crate::platform::{Expect, Fault, Table, Transaction};
+use crate::table::{Expect, Fault, Table, Transaction};
 
 /// Tries to commit or to read back before the operator is told that the fate
 /// of the change is unknown.
--- a/src/config/follow.rs
+++ b/src/config/follow.rs
@@ -21,7 +21,7 @@
 use super::row::Pointer;
 use crate::clock::Time;
 use crate::name::Name;
-use crate::platform::Fault;
+use crate::table::Fault;
 
 mod message;
 
--- a/src/config/follow/message.rs
+++ b/src/config/follow/message.rs
@@ -9,7 +9,7 @@
 use super::super::row::Pointer;
 use crate::clock::Time;
 use crate::name::Name;
-use crate::platform::Fault;
+use crate::table::Fault;
 
 /// What a node tells a peer that asks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -4,8 +4,8 @@
 use super::commit::{self, Accepted, Announce, Error, Request};
 use super::row::{self, Change, HISTORY_PREFIX};
 use super::{Document, convert};
-use crate::platform::Table;
 use crate::rpc::v1;
+use crate::table::Table;
 
 /// Times that an edit is made again from a newer document when others change
 /// it meanwhile. Each loss of a race means that somebody else's change was
--- a/src/config/watch.rs
+++ b/src/config/watch.rs
@@ -16,8 +16,8 @@
 use crate::clock::Clock;
 use crate::event;
 use crate::name::Name;
-use crate::platform::{Fault, Table};
 use crate::snapshot::Cell;
+use crate::table::{Fault, Table};
 
 /// How often the decision is told that time has passed.
 const TICK: Duration = Duration::from_millis(500);
--- a/src/embedded/platform.rs
+++ b/src/embedded/platform.rs
@@ -14,10 +14,10 @@
 use tokio::sync::watch;
 
 use crate::http;
-use crate::platform::Fault;
-use crate::platform::fault::Command;
-use crate::platform::memory::Platform;
-use crate::platform::protocol::{
+use crate::table::Fault;
+use crate::table::fault::Command;
+use crate::table::memory::Platform;
+use crate::table::protocol::{
     Answer, CALL_PATH, COUNTS_PATH, Call, Exchange as _, FAULT_PATH, MAX_BODY,
 };
 
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -27,12 +27,12 @@
 use crate::node::work::Work;
 use crate::once::{self, Marks};
 use crate::outcome::{Outcome, Reason, Refusal};
-use crate::platform::http::Client;
 use crate::request::{Answer, Body, Piece, Request};
 use crate::retry::{self, Budget};
 use crate::route::{Router, Target};
 use crate::settings::{Limits, Timeouts};
 use crate::snapshot;
+use crate::table::http::Client;
 
 mod attempt;
 mod guard;
--- a/src/job/accept.rs
+++ b/src/job/accept.rs
@@ -10,7 +10,7 @@
 use super::record::{self, Item, Job, State};
 use crate::name::{self, Name};
 use crate::outcome::{Outcome, Reason, Refusal};
-use crate::platform::{Expect, Fault, Store, Table, Transaction};
+use crate::table::{Expect, Fault, Store, Table, Transaction};
 
 /// Most items of a job.
 pub const MAX_ITEMS: usize = 1_000_000;
--- a/src/job/cancel.rs
+++ b/src/job/cancel.rs
@@ -5,7 +5,7 @@
 use super::key::Id;
 use super::record::{self, Job, State};
 use crate::outcome::{Outcome, Reason, Refusal};
-use crate::platform::{Expect, Fault, Store, Table, Transaction};
+use crate::table::{Expect, Fault, Store, Table, Transaction};
 
 /// Times that a step is tried again at once after a lost answer or a collision.
 const TRIES: usize = 5;
--- a/src/job/change.rs
+++ b/src/job/change.rs
@@ -11,7 +11,7 @@
 use super::key;
 use super::lane::{Lane, Step};
 use super::record::{self, Job, State};
-use crate::platform::{Check, Expect, Fault, Row, Table, Transaction};
+use crate::table::{Check, Expect, Fault, Row, Table, Transaction};
 
 /// Times that a change is tried again at once, after a collision or a lost
 /// answer, before the caller is told to come back.
--- a/src/job/index.rs
+++ b/src/job/index.rs
@@ -11,7 +11,7 @@
 use super::lane::{Held, Lane};
 use super::record;
 use crate::name::Name;
-use crate::platform::{Page, Row};
+use crate::table::{Page, Row};
 
 /// Rows of one page, which costs one read.
 pub const PAGE: usize = 100;
--- a/src/job/read.rs
+++ b/src/job/read.rs
@@ -11,7 +11,7 @@
 use super::{End, Reply};
 use crate::name::Name;
 use crate::outcome::{Outcome, Reason, Refusal};
-use crate::platform::{Fault, Page, Store, Table};
+use crate::table::{Fault, Page, Store, Table};
 
 /// Rows of a page that costs one read.
 const PAGE: usize = 100;
--- a/src/job/runner.rs
+++ b/src/job/runner.rs
@@ -25,7 +25,7 @@
 use crate::clock::Time;
 use crate::event;
 use crate::name::Name;
-use crate::platform::{Fault, Store, Table};
+use crate::table::{Fault, Store, Table};
 
 mod claim;
 mod commit;
--- a/src/job/runner/claim.rs
+++ b/src/job/runner/claim.rs
@@ -20,7 +20,7 @@
 use crate::job::watch::Verdict;
 use crate::job::{Execute, key};
 use crate::name::Name;
-use crate::platform::{Check, Fault, Page, Store, Table};
+use crate::table::{Check, Fault, Page, Store, Table};
 
 /// Part of the polling period after which a failed claim is tried again.
 const RETRY_PART: u32 = 8;
--- a/src/job/runner/commit.rs
+++ b/src/job/runner/commit.rs
@@ -8,7 +8,7 @@
 use crate::job::change::{self, Change, Place};
 use crate::job::lane::Committed;
 use crate::job::{Execute, Reply, record};
-use crate::platform::{Store, Table};
+use crate::table::{Store, Table};
 
 /// What a commit came to.
 pub(super) struct Ended {
--- a/src/job/runner/drive.rs
+++ b/src/job/runner/drive.rs
@@ -13,7 +13,7 @@
 use crate::job::order::Ledger;
 use crate::job::{Execute, key};
 use crate::name::Name;
-use crate::platform::{Store, Table, Transaction};
+use crate::table::{Store, Table, Transaction};
 
 impl Search {
     fn new(service: Name, ledger: Ledger, scanned: Time) -> Self {
--- a/src/job/runner/flush.rs
+++ b/src/job/runner/flush.rs
@@ -4,7 +4,7 @@
 use crate::clock::Time;
 use crate::job::segment::{Attempt, Segment};
 use crate::job::{Execute, change, key, record};
-use crate::platform::{Store, Table};
+use crate::table::{Store, Table};
 
 /// The state of the log.
 #[derive(Debug, Default)]
--- a/src/job/runner/lease.rs
+++ b/src/job/runner/lease.rs
@@ -8,7 +8,7 @@
 use crate::job::key::Id;
 use crate::job::record::{self, Job, State};
 use crate::name::Name;
-use crate::platform::{Expect, Fault, Row, Store, Table, Transaction};
+use crate::table::{Expect, Fault, Row, Store, Table, Transaction};
 
 const PREFIX: &str = "session/";
 /// Rows of a page that costs one read.
--- a/src/job/runner/work.rs
+++ b/src/job/runner/work.rs
@@ -16,8 +16,8 @@
 use crate::job::{Execute, lane};
 use crate::name::Name;
 use crate::outcome::Outcome;
-use crate::platform::{Store, Table};
 use crate::request::{Answer, Body, Class, Request};
+use crate::table::{Store, Table};
 
 /// Longest that one item may take before the dispatcher gives up on it.
 const ITEM_TIME: Duration = Duration::from_secs(600);
--- a/src/job/segment.rs
+++ b/src/job/segment.rs
@@ -12,7 +12,7 @@
 use super::lane::Trail;
 use super::record;
 use crate::name::Name;
-use crate::platform::{Fault, Store};
+use crate::table::{Fault, Store};
 
 /// One object of a log.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -17,7 +17,7 @@
 
 use crate::clock::Time;
 use crate::config::row;
-use crate::platform::{Expect, Fault, Row, Transaction};
+use crate::table::{Expect, Fault, Row, Transaction};
 
 pub mod keep;
 mod message;
--- a/src/lease/keep.rs
+++ b/src/lease/keep.rs
@@ -7,7 +7,7 @@
 use super::{Action, Claim, Held, Input, Setting};
 use crate::clock::Clock;
 use crate::event;
-use crate::platform::Table;
+use crate::table::Table;
 
 /// How often the decision is told that time has passed.
 const TICK: Duration = Duration::from_millis(200);
--- a/src/lease/message.rs
+++ b/src/lease/message.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::Time;
 use crate::name::Name;
-use crate::platform::{Fault, Row, Transaction};
+use crate::table::{Fault, Row, Transaction};
 
 /// What a lease's row holds. The row is never removed, so that the epoch never
 /// starts anew.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,11 +31,12 @@
 pub mod order;
 pub mod outcome;
 pub mod placement;
-pub mod platform;
+
 pub mod request;
 pub mod retry;
 pub mod route;
 pub mod rpc;
 pub mod settings;
 pub mod snapshot;
+pub mod table;
 pub mod wire;
--- a/src/member/gossip.rs
+++ b/src/member/gossip.rs
@@ -16,7 +16,7 @@
 use super::{Member, State, View};
 use crate::clock::Time;
 use crate::name::Name;
-use crate::platform::Vm;
+use crate::table::Vm;
 use crate::wire::control::{Body, Frame, HEAD_ROOM, Head, MAX_DATAGRAM, Note, Update};
 
 mod learn;
--- a/src/member/shell.rs
+++ b/src/member/shell.rs
@@ -20,8 +20,8 @@
 use crate::clock::Clock;
 use crate::event;
 use crate::name::Name;
-use crate::platform::{Roster, Vm};
 use crate::snapshot::Cell;
+use crate::table::{Roster, Vm};
 use crate::wire::control::{Error, Frame, MAX_DATAGRAM, Note, decode, encode};
 
 /// How often the platform's list is read.
--- a/src/node.rs
+++ b/src/node.rs
@@ -28,9 +28,9 @@
 use crate::member::tuning::Tuning;
 use crate::member::{Member, State, View};
 use crate::metric::Metrics;
-use crate::platform::http::Client;
 use crate::settings::Settings;
 use crate::snapshot::Cell;
+use crate::table::http::Client;
 
 mod assign;
 mod batch;
--- a/src/node/batch.rs
+++ b/src/node/batch.rs
@@ -20,9 +20,9 @@
 use crate::job::{Execute, Setting};
 use crate::name::Name;
 use crate::outcome::{Outcome, Reason, Refusal};
-use crate::platform::http::Client;
 use crate::request::{Answer, Request};
 use crate::snapshot::Cell;
+use crate::table::http::Client;
 
 /// How often the counters follow the runner.
 const COUNT_EVERY: Duration = Duration::from_secs(1);
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -24,8 +24,8 @@
 use crate::name::Name;
 use crate::placement;
 use crate::placement::run::Site;
-use crate::platform::Vm;
-use crate::platform::http::Client;
+use crate::table::Vm;
+use crate::table::http::Client;
 use crate::wire::control::Note;
 use crate::wire::query::{Query, Reply};
 
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -11,9 +11,9 @@
 use crate::link::Pool;
 use crate::member::{State, View};
 use crate::name::Name;
-use crate::platform::http::Client;
-use crate::platform::{Fault, Roster, Vm};
 use crate::snapshot::Cell;
+use crate::table::http::Client;
+use crate::table::{Fault, Roster, Vm};
 use crate::wire::query::{Query, Reply};
 
 /// Longest wait for a peer's answer.
--- a/src/node/traffic.rs
+++ b/src/node/traffic.rs
@@ -17,8 +17,8 @@
 use crate::link::server::Asked;
 use crate::name::Name;
 use crate::node::PLATFORM_TIMEOUT;
-use crate::platform::http::Client;
 use crate::rpc::server::Server;
+use crate::table::http::Client;
 use crate::{http, link};
 
 /// What a traffic thread is started with.
--- a/src/once.rs
+++ b/src/once.rs
@@ -17,7 +17,7 @@
 use crate::job::key;
 use crate::name::{self, Name};
 use crate::outcome::{Reason, Refusal};
-use crate::platform::{Expect, Fault, Table, Transaction};
+use crate::table::{Expect, Fault, Table, Transaction};
 
 mod group;
 
--- a/src/once/group.rs
+++ b/src/once/group.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use crate::platform::Fault;
+use crate::table::Fault;
 
 /// Most marks of one transaction.
 pub const MAX_MARKS: usize = 64;
--- a/src/placement/run.rs
+++ b/src/placement/run.rs
@@ -19,8 +19,8 @@
 use crate::member::View;
 use crate::name::Name;
 use crate::order::{MAX_BODY, ORDER_PATH, Order, STATE_PATH, Stale, State};
-use crate::platform::{Fault, Table, Weight};
 use crate::snapshot::Cell;
+use crate::table::{Fault, Table, Weight};
 
 /// How often the decision is told that time has passed.
 const TICK: Duration = Duration::from_millis(500);
--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -26,8 +26,8 @@
 use crate::node::remote::Remote;
 use crate::node::work::Guard;
 use crate::outcome::{Outcome, Reason, Refusal};
-use crate::platform::http::Client;
 use crate::request::Class;
+use crate::table::http::Client;
 
 const CALLER: &str = "/auburnspoke.v1.Caller/";
 const OPERATOR: &str = "/auburnspoke.v1.Operator/";
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -4,8 +4,8 @@
 
 use auburnspoke::embedded;
 use auburnspoke::http;
-use auburnspoke::platform::fault::Command as Fault;
-use auburnspoke::platform::memory::Platform;
+use auburnspoke::table::fault::Command as Fault;
+use auburnspoke::table::memory::Platform;
 use clap::{Arg, ArgMatches, Command, value_parser};
 use eyre::{OptionExt as _, Result, WrapErr as _};
 use tokio::sync::watch;
--- a/tests/config_commit.rs
+++ b/tests/config_commit.rs
@@ -4,10 +4,10 @@
 use auburnspoke::config::operator::{Operator, Stamp};
 use auburnspoke::config::row;
 use auburnspoke::outcome::{Outcome, Reason};
-use auburnspoke::platform::fault::Command;
-use auburnspoke::platform::memory::Platform;
-use auburnspoke::platform::{Table as _, Transaction};
 use auburnspoke::rpc::v1;
+use auburnspoke::table::fault::Command;
+use auburnspoke::table::memory::Platform;
+use auburnspoke::table::{Table as _, Transaction};
 use googletest::prelude::*;
 
 /// Every node has acknowledged.
--- a/tests/config_follow.rs
+++ b/tests/config_follow.rs
@@ -4,7 +4,7 @@
 use auburnspoke::clock::Time;
 use auburnspoke::config::follow::{Action, Follower, Input};
 use auburnspoke::config::row::Pointer;
-use auburnspoke::platform::Fault;
+use auburnspoke::table::Fault;
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, any, proptest};
 use proptest::test_runner::RngSeed;
--- a/tests/config_follow/fleet.rs
+++ b/tests/config_follow/fleet.rs
@@ -10,7 +10,7 @@
 use auburnspoke::config::follow::{Action, FRESH, Follower, Input};
 use auburnspoke::config::row::Pointer;
 use auburnspoke::name::Name;
-use auburnspoke::platform::Fault;
+use auburnspoke::table::Fault;
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
--- a/tests/job_accept.rs
+++ b/tests/job_accept.rs
@@ -4,7 +4,7 @@
 
 use auburnspoke::job::{End, State};
 use auburnspoke::outcome::{Outcome, Reason};
-use auburnspoke::platform::fault::Command;
+use auburnspoke::table::fault::Command;
 use googletest::prelude::*;
 
 use crate::fleet::{Fleet, NOW_MS, assert_whole, items, run, submission};
--- a/tests/job_budget.rs
+++ b/tests/job_budget.rs
@@ -9,7 +9,7 @@
 use auburnspoke::job::chunk::Chunk;
 use auburnspoke::job::lane::Lane;
 use auburnspoke::job::{Id, Setting, State};
-use auburnspoke::platform::memory::Counts;
+use auburnspoke::table::memory::Counts;
 use googletest::prelude::*;
 
 use crate::fleet::{Fleet, items, run, submission};
--- a/tests/job_cancel.rs
+++ b/tests/job_cancel.rs
@@ -5,7 +5,7 @@
 use auburnspoke::job::runner::Input;
 use auburnspoke::job::{End, Id, State};
 use auburnspoke::outcome::{Outcome, Reason};
-use auburnspoke::platform::fault::Command;
+use auburnspoke::table::fault::Command;
 use googletest::prelude::*;
 
 use crate::fleet::{Fleet, items, run, submission};
--- a/tests/job_commit.rs
+++ b/tests/job_commit.rs
@@ -13,8 +13,8 @@
 use auburnspoke::job::record::{self, Counts, Job};
 use auburnspoke::job::{Jobs, State};
 use auburnspoke::outcome::Outcome;
-use auburnspoke::platform::memory::Platform;
-use auburnspoke::platform::{Expect, Store, Table, Transaction};
+use auburnspoke::table::memory::Platform;
+use auburnspoke::table::{Expect, Store, Table, Transaction};
 use googletest::prelude::*;
 use tokio::time::{Instant, sleep};
 
--- a/tests/job_exactly_once.rs
+++ b/tests/job_exactly_once.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use auburnspoke::job::{End, State};
-use auburnspoke::platform::fault::Command;
+use auburnspoke::table::fault::Command;
 use googletest::prelude::*;
 use proptest::prelude::*;
 
--- a/tests/job_lane.rs
+++ b/tests/job_lane.rs
@@ -12,9 +12,9 @@
 use auburnspoke::job::{End, State, key};
 use auburnspoke::name::Name;
 use auburnspoke::outcome::{Outcome, Reason, Refusal};
-use auburnspoke::platform::memory::Platform;
-use auburnspoke::platform::{Table, Transaction};
 use auburnspoke::request::Answer;
+use auburnspoke::table::memory::Platform;
+use auburnspoke::table::{Table, Transaction};
 use googletest::prelude::*;
 use proptest::prelude::*;
 
--- a/tests/placement_fleet.rs
+++ b/tests/placement_fleet.rs
@@ -4,8 +4,8 @@
 
 use auburnspoke::config::row;
 use auburnspoke::lease::Record;
-use auburnspoke::platform::Table as _;
-use auburnspoke::platform::http::Client;
+use auburnspoke::table::Table as _;
+use auburnspoke::table::http::Client;
 use googletest::prelude::*;
 use serde_json::{Value, json};
 
--- a/tests/placement_http.rs
+++ b/tests/placement_http.rs
@@ -17,9 +17,9 @@
 use auburnspoke::order::{Load, ORDER_PATH, Order, Role, State};
 use auburnspoke::placement::Failure;
 use auburnspoke::placement::run::{Placer, read, send};
-use auburnspoke::platform::memory::Platform;
 use auburnspoke::rpc::v1;
 use auburnspoke::snapshot::Cell;
+use auburnspoke::table::memory::Platform;
 use googletest::prelude::*;
 use tokio::sync::watch;
 
--- a/tests/placement_planner.rs
+++ b/tests/placement_planner.rs
@@ -8,7 +8,7 @@
 use auburnspoke::name::Name;
 use auburnspoke::order::State;
 use auburnspoke::placement::{Action, Failure, Input, Planner, SETTLE};
-use auburnspoke::platform::fault::Command;
+use auburnspoke::table::fault::Command;
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, any, proptest};
 use proptest::test_runner::RngSeed;
--- a/tests/platform_http.rs
+++ b/tests/platform_http.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use auburnspoke::platform::fault::Command;
-use auburnspoke::platform::http::Client;
-use auburnspoke::platform::memory::Platform;
-use auburnspoke::platform::{Fault, Row, Store, Table, Transaction};
+use auburnspoke::table::fault::Command;
+use auburnspoke::table::http::Client;
+use auburnspoke::table::memory::Platform;
+use auburnspoke::table::{Fault, Row, Store, Table, Transaction};
 use auburnspoke::{embedded, http};
 use bytes::Bytes;
 use googletest::prelude::*;
--- a/tests/platform_memory.rs
+++ b/tests/platform_memory.rs
@@ -4,11 +4,9 @@
 use std::time::Duration;
 
 use auburnspoke::clock::Time;
-use auburnspoke::platform::fault::Command;
-use auburnspoke::platform::memory::Platform;
-use auburnspoke::platform::{
-    Expect, Fault, Roster as _, Store, Table, Transaction, Vm, Weight as _,
-};
+use auburnspoke::table::fault::Command;
+use auburnspoke::table::memory::Platform;
+use auburnspoke::table::{Expect, Fault, Roster as _, Store, Table, Transaction, Vm, Weight as _};
 use bytes::Bytes;
 use futures_util::FutureExt as _;
 use googletest::prelude::*;
