Go on with a stream only behind a numbered event

Ruled out: a second answer on one connection; each exchange has its own. Change: an attempt that passed on anything without a number may not move. Feeds give a silent connection up after 1.4 s instead of 2.5 s.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -68,6 +68,8 @@
     begun: bool,
     /// The last event that the caller has.
     last: Option<u64>,
+    /// False while the caller has something behind which no run can go on.
+    placed: bool,
     /// When the caller's or the operator's time is up.
     deadline: Time,
 }
@@ -83,6 +85,7 @@
             not_run: 0,
             begun: false,
             last,
+            placed: true,
             deadline,
         }
     }
@@ -109,7 +112,12 @@
 
     /// True when a silent endpoint may be given up for another one.
     pub fn may_move(&self) -> bool {
-        self.repeat != Repeat::Never && self.runs < self.most
+        let possible = match self.repeat {
+            Repeat::Never => false,
+            Repeat::Whole => !self.begun,
+            Repeat::Resume => self.placed,
+        };
+        possible && self.runs < self.most
     }
 
     /// An endpoint is about to get the request.
@@ -122,8 +130,10 @@
         self.begun = true;
     }
 
-    /// The caller gets the events up to `last`.
+    /// The caller gets more, up to the event `last`. What carries no number
+    /// can't be gone on behind: the next run would repeat or skip it.
     pub fn passed(&mut self, last: Option<u64>) {
+        self.placed = last.is_some();
         self.last = last.or(self.last);
     }
 
--- a/src/edge/learn.rs
+++ b/src/edge/learn.rs
@@ -25,7 +25,7 @@
 
 /// How long a feed waits for a change. A connection that went silent is noticed
 /// one call's timeout after this.
-const FEED_WAIT: Duration = Duration::from_millis(1_000);
+const FEED_WAIT: Duration = Duration::from_millis(800);
 /// Pause after a failed call.
 const FAILED_PAUSE: Duration = Duration::from_millis(150);
 /// Least time between two readings of the endpoints' changes; far below the
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -309,7 +309,10 @@
             };
             first = false;
             let bytes = match &mut splitter {
-                None => bytes,
+                None => {
+                    self.attempt.passed(None);
+                    bytes
+                }
                 Some(splitter) => match splitter.push(&bytes) {
                     Ok(None) => continue,
                     Ok(Some(events)) => {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -30,6 +30,10 @@
 /// The store answers in some 5 ms and, when slow, in 60 times as long; after
 /// this the answer is taken for lost.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How much longer than it should wait a feed may take. A connection that went
+/// silent is found within this, so that a node learns of a leaving endpoint in
+/// time over a new one.
+const FEED_SLACK: Duration = Duration::from_millis(600);
 /// An object call takes 25 ms and its share of 80 MB a second.
 const OBJECT_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// A connection that was idle for longer may have gone silent; a new one costs
@@ -436,9 +440,8 @@
             escape(table),
             wait.as_millis()
         );
-        let limit = wait + CALL_TIMEOUT;
         let answer = self
-            .call(Method::GET, &path, Bytes::new(), limit)
+            .call(Method::GET, &path, Bytes::new(), wait + FEED_SLACK)
             .await
             .map_err(Lapse::Fault)?;
         match answer.status {
--- /dev/null
+++ b/tests/attempt_decide.rs
@@ -0,0 +1,167 @@
+//! What may be done with a request after an endpoint failed it.
+
+use std::time::Duration;
+
+use auburnspoke::attempt::{Attempt, Failure, Next, Repeat};
+use auburnspoke::clock::Time;
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+const START: Time = Time::from_millis(10_000);
+
+fn attempt(repeat: Repeat, most: u32) -> Attempt {
+    Attempt::new(repeat, most, START + Duration::from_secs(5), None)
+}
+
+/// An endpoint crashes after it sent events that carry no numbers. Nothing tells
+/// the next endpoint where to go on, so that its whole answer behind the first
+/// events would reach the caller as one answer that nobody gave.
+#[gtest]
+fn failed_events_without_numbers() {
+    let mut attempt = attempt(Repeat::Resume, 2);
+    attempt.sending();
+    attempt.begin();
+    attempt.passed(None);
+    expect_that!(attempt.may_move(), eq(false));
+    expect_that!(attempt.failed(START, Failure::Lost), eq(Next::Break));
+}
+
+/// An endpoint crashes midway through a stream whose events have numbers.
+#[gtest]
+fn failed_events_with_numbers() {
+    let mut attempt = attempt(Repeat::Resume, 2);
+    attempt.sending();
+    attempt.begin();
+    attempt.passed(Some(4));
+    expect_that!(attempt.failed(START, Failure::Lost), eq(Next::Again));
+    expect_that!(attempt.last(), some(eq(4)));
+    attempt.sending();
+    expect_that!(attempt.failed(START, Failure::Lost), eq(Next::Break));
+}
+
+/// A request that must not be repeated reached an endpoint which then broke
+/// off. To call it "not run", or to run it again, would double it.
+#[gtest]
+fn failed_once_lost() {
+    let mut attempt = attempt(Repeat::Never, 3);
+    attempt.sending();
+    expect_that!(attempt.failed(START, Failure::Lost), eq(Next::Fail));
+}
+
+#[gtest]
+fn failed_once_not_run() {
+    let mut attempt = attempt(Repeat::Never, 1);
+    attempt.sending();
+    expect_that!(attempt.failed(START, Failure::NotRun), eq(Next::Again));
+    expect_that!(attempt.is_unrun(), eq(true));
+}
+
+/// Endpoints are full one after the other; the caller should hear soon that
+/// the request has not run.
+#[gtest]
+fn failed_not_run_everywhere() {
+    let mut attempt = attempt(Repeat::Whole, 2);
+    let mut next = Next::Again;
+    let mut tries = 0;
+    while next == Next::Again {
+        attempt.sending();
+        next = attempt.failed(START, Failure::NotRun);
+        tries += 1;
+    }
+    expect_that!(next, eq(Next::Refuse));
+    expect_that!(tries, le(6));
+}
+
+#[gtest]
+fn failed_no_time_left() {
+    let mut attempt = attempt(Repeat::Whole, 3);
+    attempt.sending();
+    let late = START + Duration::from_millis(4_990);
+    expect_that!(attempt.failed(late, Failure::Lost), eq(Next::Fail));
+}
+
+#[gtest]
+fn failed_own_error_passed_on() {
+    let mut attempt = attempt(Repeat::Whole, 1);
+    attempt.sending();
+    expect_that!(attempt.failed(START, Failure::Answered), eq(Next::Pass));
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    NotRun,
+    Lost,
+    Answered,
+    Events(Option<u64>),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        Just(Step::NotRun),
+        Just(Step::Lost),
+        Just(Step::Answered),
+        proptest::option::of(1_u64..9).prop_map(Step::Events),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 4_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever endpoints do in whatever order: "not run" is said only if every
+    /// endpoint that got the request said so, no more endpoints run it than may,
+    /// and an answer that has begun is only gone on with behind a known event.
+    #[test]
+    fn failed_any_order(
+        kind in 0..3_usize,
+        most in 1_u32..4,
+        steps in proptest::collection::vec(step(), 1..12),
+    ) {
+        let repeat = [Repeat::Never, Repeat::Whole, Repeat::Resume][kind];
+        let mut attempt = attempt(repeat, most);
+        let mut ran = 0;
+        let mut begun = false;
+        let mut numbered = true;
+        attempt.sending();
+        ran += 1;
+        for step in steps {
+            let failure = match step {
+                Step::Events(last) => {
+                    begun = true;
+                    numbered = last.is_some();
+                    attempt.begin();
+                    attempt.passed(last);
+                    continue;
+                }
+                Step::NotRun if begun => Failure::Lost,
+                Step::NotRun => Failure::NotRun,
+                Step::Lost => Failure::Lost,
+                Step::Answered => Failure::Answered,
+            };
+            if failure == Failure::NotRun {
+                ran -= 1;
+            }
+            match attempt.failed(START, failure) {
+                Next::Again => {
+                    prop_assert!(ran == 0 || repeat != Repeat::Never);
+                    prop_assert!(!begun || (repeat == Repeat::Resume && numbered));
+                    attempt.sending();
+                    ran += 1;
+                    prop_assert!(ran <= most);
+                }
+                Next::Refuse => {
+                    prop_assert_eq!(ran, 0);
+                    prop_assert!(!begun);
+                    break;
+                }
+                Next::Break => {
+                    prop_assert!(begun);
+                    break;
+                }
+                Next::Fail | Next::Pass => {
+                    prop_assert!(!begun);
+                    break;
+                }
+            }
+        }
+    }
+}
