Keep a pool in each zone of a large service, and count slots as they change

Cause: one pool of 497 slots took 0.129 core of a small VM: every message counted all permits, and 79 nodes repeated eight batch asks each 300 ms. Asks went unanswered, gateways admitted by themselves and endpoints rejected 5,865 of 22,084 arrivals. Ruled out: the endpoints' speed; the same load is served in aim when placed. Change: counts change with each message and are swept each 100 ms; messages that wait together are decided once; above 200 slots a service has a pool a zone, on VMs of at least half the strongest's processor; a refused request tries a second pool; three batch asks a node, repeated each second.

--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -26,8 +26,9 @@
 /// How long an item waits after a failure, so that a fault that every endpoint
 /// shares does not turn into a storm.
 const PAUSE: Duration = Duration::from_millis(150);
-/// A batch item may wait for a place for as long as it is not given up.
-const PATIENCE: Duration = Duration::from_secs(3_600);
+/// How long a batch item waits at one pool before it tries another; where the
+/// service has one pool it keeps its turn by its due time anyway.
+const PATIENCE: Duration = Duration::from_millis(2_500);
 
 /// How a run ended.
 enum Ended {
--- a/src/batch/shell.rs
+++ b/src/batch/shell.rs
@@ -32,7 +32,7 @@
 
 /// Items that wait for a place at a time; a pool that has room grants one in
 /// a few milliseconds, so more would only repeat themselves to it.
-const ASKING: usize = 8;
+const ASKING: usize = 3;
 /// How often jobs without an owner are looked for.
 const TICK: Duration = Duration::from_millis(200);
 /// Least time between two readings of the jobs' changes: a job's rows change
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -195,6 +195,7 @@
         incarnation: unix_millis(),
         state: State::Alive,
         config_version: 0,
+        power: site.power,
     };
     let counts = Counts::default();
     let shared = Shared {
--- a/src/member.rs
+++ b/src/member.rs
@@ -46,6 +46,8 @@
     pub state: State,
     /// The configuration version that it has in force.
     pub config_version: u64,
+    /// Its processor, in thousandths of a core; 0 where it is not known.
+    pub power: u16,
 }
 
 /// An immutable list of members, sorted by name, this node among them.
--- a/src/member/record.rs
+++ b/src/member/record.rs
@@ -75,12 +75,12 @@
             &member.zone,
         ];
         let names: usize = text.iter().map(|name| name.len() + 3).sum();
-        names + 3 * 9 + 8
+        names + 3 * 9 + 8 + 3
     }
 }
 
 /// Number of elements of an encoded record.
-const FIELDS: usize = 9;
+const FIELDS: usize = 10;
 
 impl Serialize for Record {
     fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
@@ -97,6 +97,7 @@
         tuple.serialize_element(&rank(self.member.state))?;
         tuple.serialize_element(&self.member.config_version)?;
         tuple.serialize_element(&self.boot)?;
+        tuple.serialize_element(&self.member.power)?;
         tuple.end()
     }
 }
@@ -122,7 +123,7 @@
             seq.next_element()?
                 .ok_or_else(|| A::Error::invalid_length(at, &Fields))
         }
-        let member = Member {
+        let mut member = Member {
             name: next(&mut seq, 0)?,
             address: next(&mut seq, 1)?,
             link: next(&mut seq, 2)?,
@@ -137,8 +138,10 @@
                 other => return Err(A::Error::custom(format_args!("state {other} is unknown"))),
             },
             config_version: next(&mut seq, 7)?,
+            power: 0,
         };
         let boot = next(&mut seq, 8)?;
+        member.power = next(&mut seq, 9)?;
         Ok(Record { member, boot })
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -133,6 +133,7 @@
             incarnation: crate::clock::unix_millis(),
             state: State::Alive,
             config_version: 0,
+            power: 0,
         })
     }
 }
--- a/src/permit.rs
+++ b/src/permit.rs
@@ -25,6 +25,7 @@
 use crate::member::View;
 use crate::name::Name;
 use crate::pool::message::{Ask, Class, End, HOLDS, Hold, MAX_DATAGRAM, Question, Reply, Word};
+use crate::pool::shard;
 use crate::snapshot::Cell;
 use crate::wire;
 
@@ -39,14 +40,17 @@
 const SILENT: Duration = Duration::from_millis(1_500);
 /// How often a waiting question is repeated, by class.
 const AGAIN_ONLINE: Duration = Duration::from_millis(100);
-const AGAIN_BATCH: Duration = Duration::from_millis(300);
-/// How often held places are mentioned; the pool forgets after 1 s.
-const MENTION: Duration = Duration::from_millis(200);
+const AGAIN_BATCH: Duration = Duration::from_millis(1_000);
+/// How often held places are mentioned; the pool forgets after 1.7 s.
+const MENTION: Duration = Duration::from_millis(400);
 /// When to come back after no pool could be asked and no endpoint is known.
 const NO_ENDPOINT_RETRY: Duration = Duration::from_millis(300);
 
-/// Who is asked; rebuilt when the members change.
-type Owners = Vec<SocketAddr>;
+/// Members that a pool is looked for at, one after the other.
+const OWNERS: usize = 4;
+
+/// Who keeps each pool, best first, as of a view of the members.
+type Owners = (Option<Arc<View>>, HashMap<Name, Vec<SocketAddr>>);
 
 /// Why there is no permit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,6 +72,7 @@
 
 struct Waiting {
     want: Want,
+    pool: Name,
     reply: oneshot::Sender<Result<Granted, Refusal>>,
     since: Time,
     sent: Time,
@@ -83,7 +88,7 @@
 }
 
 struct Held {
-    service: Name,
+    pool: Name,
     hold: Hold,
     due: Time,
     stop: Rc<Notify>,
@@ -101,13 +106,14 @@
     waiting: RefCell<HashMap<u64, Waiting>>,
     held: RefCell<BTreeMap<u64, Held>>,
     silent: RefCell<HashMap<SocketAddr, Time>>,
+    owners: RefCell<Owners>,
 }
 
 /// The right to use one slot of an endpoint, until it is dropped.
 pub struct Permit {
     desk: Rc<Desk>,
     seq: u64,
-    service: Name,
+    pool: Name,
     end: End,
     stop: Rc<Notify>,
     /// The endpoint.
@@ -128,7 +134,7 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.desk.release(self.seq, &self.service, self.end);
+        self.desk.release(self.seq, &self.pool, self.end);
     }
 }
 
@@ -136,7 +142,7 @@
 struct Withdraw<'a> {
     desk: &'a Rc<Desk>,
     seq: u64,
-    service: Name,
+    pool: Name,
     done: bool,
 }
 
@@ -144,7 +150,7 @@
     fn drop(&mut self) {
         if !self.done {
             self.desk.waiting.borrow_mut().remove(&self.seq);
-            self.desk.release(self.seq, &self.service, End::Left);
+            self.desk.release(self.seq, &self.pool, End::Left);
         }
     }
 }
@@ -170,6 +176,7 @@
             waiting: RefCell::default(),
             held: RefCell::default(),
             silent: RefCell::default(),
+            owners: RefCell::default(),
         })
     }
 
@@ -178,15 +185,32 @@
     /// # Errors
     /// [`Refusal`] when it would take too long, or nothing is known.
     pub async fn acquire(self: &Rc<Self>, want: Want) -> Result<Permit, Refusal> {
+        let shards = shard::shards(&self.catalog.read(), &want.service);
+        let first = shard::choose(&shards, rand::random(), None).unwrap_or(want.service.clone());
+        let refused = match self.acquire_from(first.clone(), want.clone()).await {
+            Ok(permit) => return Ok(permit),
+            Err(refused) => refused,
+        };
+        // One zone may be full while another has room.
+        let Some(other) = shard::choose(&shards, rand::random(), Some(&first)) else {
+            return Err(refused);
+        };
+        if want.ask.class == Class::Batch {
+            return Err(refused);
+        }
+        self.acquire_from(other, want).await
+    }
+
+    async fn acquire_from(self: &Rc<Self>, pool: Name, want: Want) -> Result<Permit, Refusal> {
         let seq = self.next.get();
         self.next.set(seq + 1);
         let now = self.clock.now();
         let (reply, answer) = oneshot::channel();
-        let service = want.service.clone();
         let class = want.ask.class;
         let due = now + want.ask.due;
         let waiting = Waiting {
             want,
+            pool: pool.clone(),
             reply,
             since: now,
             sent: now,
@@ -198,7 +222,7 @@
         let mut withdraw = Withdraw {
             desk: self,
             seq,
-            service: service.clone(),
+            pool: pool.clone(),
             done: false,
         };
         // The sender is dropped only with the desk.
@@ -209,7 +233,7 @@
         withdraw.done = true;
         let stop = Rc::new(Notify::new());
         let held = Held {
-            service: service.clone(),
+            pool: pool.clone(),
             hold: Hold {
                 seq,
                 endpoint: granted.endpoint.id.clone(),
@@ -224,7 +248,7 @@
         Ok(Permit {
             desk: Rc::clone(self),
             seq,
-            service,
+            pool,
             end: End::Left,
             stop,
             endpoint: granted.endpoint,
@@ -294,14 +318,13 @@
         let Some(mut waiting) = self.waiting.borrow_mut().remove(&seq) else {
             // A grant that was sent twice is held already; else nobody wants it.
             if !self.held.borrow().contains_key(&seq) {
-                // The service does not matter to a pool that knows the number.
                 self.release_everywhere(seq, from);
             }
             return;
         };
         let Some(endpoint) = self.usable(now, id, &waiting.want.service, address) else {
             // This node knows better: the endpoint is leaving or gone.
-            self.send_release(from, seq, &waiting.want.service, End::Left);
+            self.send_release(from, seq, &waiting.pool, End::Left);
             waiting.want.ask.avoid.push(id.clone());
             waiting.sent = now;
             waiting.unanswered = 1;
@@ -311,7 +334,7 @@
         };
         let owner = Some(from);
         if waiting.reply.send(Ok(Granted { endpoint, owner })).is_err() {
-            self.send_release(from, seq, &waiting.want.service, End::Left);
+            self.send_release(from, seq, &waiting.pool, End::Left);
         }
     }
 
@@ -357,7 +380,7 @@
                 continue;
             }
             if waiting.unanswered >= TRIES {
-                if let Some(owner) = self.owner(now, &waiting.want.service) {
+                if let Some(owner) = self.owner(now, &waiting.pool) {
                     log::info!("{} silent={owner}", event::POOL_CHANGED);
                     self.silent.borrow_mut().insert(owner, now + SILENT);
                 }
@@ -416,22 +439,19 @@
     }
 
     fn mention(&self, now: Time) {
-        let mut by_service: BTreeMap<Name, Vec<Hold>> = BTreeMap::new();
+        let mut by_pool: BTreeMap<Name, Vec<Hold>> = BTreeMap::new();
         for held in self.held.borrow().values() {
             let mut hold = held.hold.clone();
             hold.due = held.due.since(now);
-            by_service
-                .entry(held.service.clone())
-                .or_default()
-                .push(hold);
+            by_pool.entry(held.pool.clone()).or_default().push(hold);
         }
-        for (service, holds) in by_service {
-            let Some(owner) = self.owner(now, &service) else {
+        for (pool, holds) in by_pool {
+            let Some(owner) = self.owner(now, &pool) else {
                 continue;
             };
             for some in holds.chunks(HOLDS) {
                 let question = Question::Holds {
-                    service: service.clone(),
+                    pool: pool.clone(),
                     holds: some.to_vec(),
                 };
                 self.send(owner, &question);
@@ -439,22 +459,22 @@
         }
     }
 
-    fn release(&self, seq: u64, service: &Name, end: End) {
+    fn release(&self, seq: u64, pool: &Name, end: End) {
         let owner = match self.held.borrow_mut().remove(&seq) {
             Some(held) => held.owner,
             None => None,
         };
         let now = self.clock.now();
-        let current = self.owner(now, service);
+        let current = self.owner(now, pool);
         for owner in owner
             .into_iter()
             .chain(current.filter(|it| Some(*it) != owner))
         {
-            self.send_release(owner, seq, service, end);
+            self.send_release(owner, seq, pool, end);
         }
     }
 
-    /// Gives back what nobody here wants, at whichever service it is.
+    /// Gives back what nobody here wants, at whichever pool it is.
     fn release_everywhere(&self, seq: u64, owner: SocketAddr) {
         let catalog = self.catalog.read();
         let mut services: Vec<&Name> = catalog
@@ -465,25 +485,27 @@
         services.sort();
         services.dedup();
         for service in services {
-            self.send_release(owner, seq, service, End::Left);
+            for shard in shard::shards(&catalog, service) {
+                self.send_release(owner, seq, &shard.pool, End::Left);
+            }
         }
     }
 
-    fn send_release(&self, owner: SocketAddr, seq: u64, service: &Name, end: End) {
-        let service = service.clone();
-        self.send(owner, &Question::Release { service, seq, end });
+    fn send_release(&self, owner: SocketAddr, seq: u64, pool: &Name, end: End) {
+        let pool = pool.clone();
+        self.send(owner, &Question::Release { pool, seq, end });
     }
 
     fn send_ask(&self, now: Time, seq: u64, waiting: &Waiting) {
-        let Some(owner) = self.owner(now, &waiting.want.service) else {
+        let Some(owner) = self.owner(now, &waiting.pool) else {
             return;
         };
         let waited = now.since(waiting.since);
         let mut ask = waiting.want.ask.clone();
         ask.patience = ask.patience.saturating_sub(waited);
         ask.due = ask.due.saturating_sub(waited);
-        let service = waiting.want.service.clone();
-        self.send(owner, &Question::Ask { service, seq, ask });
+        let pool = waiting.pool.clone();
+        self.send(owner, &Question::Ask { pool, seq, ask });
     }
 
     fn send(&self, owner: SocketAddr, question: &Question) {
@@ -495,9 +517,21 @@
         }
     }
 
-    /// The member that keeps the pool of `service`, as far as this node knows.
-    fn owner(&self, now: Time, service: &Name) -> Option<SocketAddr> {
-        let owners = self.owners(service);
+    /// The member that keeps a pool, as far as this node knows.
+    fn owner(&self, now: Time, pool: &Name) -> Option<SocketAddr> {
+        let view = self.view.take();
+        let mut owners = self.owners.borrow_mut();
+        if owners
+            .0
+            .as_ref()
+            .is_none_or(|seen| !Arc::ptr_eq(seen, &view))
+        {
+            *owners = (Some(Arc::clone(&view)), HashMap::new());
+        }
+        let owners = owners
+            .1
+            .entry(pool.clone())
+            .or_insert_with(|| self.rank_owners(&view, pool));
         let silent = self.silent.borrow();
         owners
             .iter()
@@ -506,26 +540,32 @@
             .copied()
     }
 
-    fn owners(&self, service: &Name) -> Owners {
-        let view = self.view.read();
-        let mut ranked: Vec<(u64, SocketAddr)> = view
+    /// The members that may keep a pool, best first: strong VMs, in the pool's
+    /// own zone where it has one.
+    fn rank_owners(&self, view: &View, pool: &Name) -> Vec<SocketAddr> {
+        let strongest = view.usable().map(|member| member.power).max().unwrap_or(0);
+        let zone = shard::zone(pool);
+        let mut ranked: Vec<_> = view
             .usable()
             .filter_map(|member| {
                 let control: SocketAddr = member.control.parse().ok()?;
                 let owner = SocketAddr::new(control.ip(), self.pool_port);
-                Some((rank(service, &owner), owner))
+                let strong = u32::from(member.power) * 2 >= u32::from(strongest);
+                let near = zone.is_none_or(|zone| *member.zone == *zone);
+                Some((strong, near, rank(pool, &owner), owner))
             })
             .collect();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
-        ranked.truncate(4);
-        ranked.into_iter().map(|(_, owner)| owner).collect()
+        ranked.dedup_by_key(|(_, _, _, owner)| *owner);
+        ranked.truncate(OWNERS);
+        ranked.into_iter().map(|(_, _, _, owner)| owner).collect()
     }
 }
 
-/// How strongly rendezvous hashing favours `owner` for `service`.
-fn rank(service: &Name, owner: &SocketAddr) -> u64 {
+/// How strongly rendezvous hashing favours `owner` for `pool`.
+fn rank(pool: &Name, owner: &SocketAddr) -> u64 {
     let mut hasher = Xxh3::new();
-    service.hash(&mut hasher);
+    pool.hash(&mut hasher);
     owner.hash(&mut hasher);
     hasher.finish()
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -29,6 +29,7 @@
     #[serde(default)]
     seeds: Vec<SocketAddr>,
     listen: Addresses,
+    limits: Limits,
     bounds: Figures,
     platform: Platform,
 }
@@ -41,6 +42,12 @@
     directory: SocketAddr,
 }
 
+#[derive(Deserialize)]
+struct Limits {
+    /// The part of a core that the process gets.
+    cpu_share: f64,
+}
+
 #[derive(Deserialize)]
 struct Figures {
     grace_s: f64,
@@ -103,6 +110,7 @@
         node: file.node,
         zone: file.zone,
         region: file.region,
+        power: thousandths(file.limits.cpu_share)?,
         zones: file.zones,
         listen: Listen {
             callers: file.listen.front,
@@ -131,3 +139,13 @@
     Duration::try_from_secs_f64(value)
         .map_err(|_| eyre!("{key} = {value} is no length of time; write seconds from 0 up"))
 }
+
+fn thousandths(share: f64) -> Result<u16> {
+    if !(0.0..=60.0).contains(&share) {
+        bail!("limits.cpu_share = {share} is no part of a core; write a number above 0");
+    }
+    // Within the bounds just checked.
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let thousandths = (share * 1_000.0) as u16;
+    Ok(thousandths)
+}
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -23,15 +23,24 @@
 pub mod message;
 mod place;
 pub mod serve;
+pub mod shard;
 
 use message::{Ask, Class, End, Hold};
 use place::Place;
 
 /// A permit that its gateway does not mention for so long is free again: the
-/// gateway is gone. Gateways mention what they hold every 200 ms.
-const FORGET_PERMIT: Duration = Duration::from_millis(1_000);
-/// A gateway that still wants a place asks again every 100 to 300 ms.
-const FORGET_ASK: Duration = Duration::from_millis(1_000);
+/// gateway is gone. Gateways mention what they hold every 400 ms.
+const FORGET_PERMIT: Duration = Duration::from_millis(1_700);
+/// A gateway that still wants a place for an online request asks again every
+/// 100 ms.
+const FORGET_ONLINE: Duration = Duration::from_millis(600);
+/// The same for batch items, every second.
+const FORGET_BATCH: Duration = Duration::from_millis(3_000);
+/// How often what nobody mentions is looked for. In between the slots in use
+/// are counted as they change: a pool of 500 slots decides on some 1,000
+/// messages a second, and to count them all each time took most of a small
+/// VM's processor.
+const SWEEP: Duration = Duration::from_millis(100);
 /// A stop is sent again until it is obeyed: datagrams get lost.
 const STOP_AGAIN: Duration = Duration::from_millis(25);
 /// A stopped run ends within a few milliseconds; after this the slot is taken
@@ -106,6 +115,9 @@
     hold: Duration,
     /// Spreads the return of refused requests.
     refused: u32,
+    swept: Time,
+    /// Asks that came since the last step.
+    fresh: Vec<Key>,
 }
 
 impl Default for Pool {
@@ -118,6 +130,8 @@
             batch: Vec::new(),
             hold: FIRST_HOLD,
             refused: 0,
+            swept: Time::ZERO,
+            fresh: Vec::new(),
         }
     }
 }
@@ -172,6 +186,7 @@
             due,
             ask,
         };
+        self.fresh.push(key);
         let at = match waiting.ask.class {
             // In order of arrival within a priority.
             Class::Online => {
@@ -186,29 +201,49 @@
     /// A gateway mentions what it holds.
     pub fn hold(&mut self, now: Time, key: Key, hold: &Hold, actions: &mut Vec<Action>) {
         self.started.get_or_insert(now);
-        let permit = self.permits.entry(key).or_insert_with(|| Permit {
+        if let Some(permit) = self.permits.get_mut(&key)
+            && permit.endpoint == hold.endpoint
+        {
+            permit.mentioned = now;
+            if permit.stopping.is_some() {
+                actions.push(Action::Stop(key));
+            }
+            return;
+        }
+        // This pool has just begun, or the gateway found the endpoint by itself.
+        self.online.retain(|(other, _)| *other != key);
+        self.batch.retain(|(other, _)| *other != key);
+        self.remove_permit(key);
+        let permit = Permit {
             endpoint: hold.endpoint.clone(),
             class: hold.class,
             due: now + hold.due,
             granted: now,
             mentioned: now,
             stopping: None,
-        });
-        permit.mentioned = now;
-        // A gateway that found another endpoint by itself goes before.
-        permit.endpoint = hold.endpoint.clone();
-        self.online.retain(|(other, _)| *other != key);
-        self.batch.retain(|(other, _)| *other != key);
-        if permit.stopping.is_some() {
-            actions.push(Action::Stop(key));
+        };
+        if let Some(place) = self.places.get_mut(&permit.endpoint) {
+            place.add(permit.class);
         }
+        self.permits.insert(key, permit);
+    }
+
+    /// Takes a permit out, and out of its endpoint's count.
+    fn remove_permit(&mut self, key: Key) -> Option<Permit> {
+        let permit = self.permits.remove(&key)?;
+        if permit.stopping.is_none()
+            && let Some(place) = self.places.get_mut(&permit.endpoint)
+        {
+            place.take(permit.class);
+        }
+        Some(permit)
     }
 
     /// A gateway gives a place back, or no longer wants one.
     pub fn release(&mut self, now: Time, key: Key, end: End) {
-        self.online.retain(|(other, _)| *other != key);
-        self.batch.retain(|(other, _)| *other != key);
-        let Some(permit) = self.permits.remove(&key) else {
+        let Some(permit) = self.remove_permit(key) else {
+            self.online.retain(|(other, _)| *other != key);
+            self.batch.retain(|(other, _)| *other != key);
             return;
         };
         let Some(place) = self.places.get_mut(&permit.endpoint) else {
@@ -231,11 +266,25 @@
 
     /// Decides all that can be decided at `now`.
     pub fn step(&mut self, now: Time, actions: &mut Vec<Action>) {
-        self.expire(now);
-        self.count(now);
+        if now.since(self.swept) >= SWEEP {
+            self.swept = now;
+            self.expire(now);
+            self.count(now);
+            self.repeat_stops(now, actions);
+        }
         self.serve_online(now, actions);
         self.serve_batch(now, actions);
-        self.repeat_stops(now, actions);
+        self.confirm(actions);
+    }
+
+    /// Tells those whose asks now wait that they are known.
+    fn confirm(&mut self, actions: &mut Vec<Action>) {
+        for key in std::mem::take(&mut self.fresh) {
+            let waits = |queue: &[(Key, Waiting)]| queue.iter().any(|(other, _)| *other == key);
+            if waits(&self.online) || waits(&self.batch) {
+                actions.push(Action::Queued(key));
+            }
+        }
     }
 
     /// When [`Self::step`] is needed next though nothing arrives.
@@ -256,9 +305,10 @@
     fn expire(&mut self, now: Time) {
         self.permits
             .retain(|_, permit| now.since(permit.mentioned) < FORGET_PERMIT);
-        let heard = |(_, waiting): &(Key, Waiting)| now.since(waiting.heard) < FORGET_ASK;
-        self.online.retain(heard);
-        self.batch.retain(heard);
+        self.online
+            .retain(|(_, waiting)| now.since(waiting.heard) < FORGET_ONLINE);
+        self.batch
+            .retain(|(_, waiting)| now.since(waiting.heard) < FORGET_BATCH);
     }
 
     fn count(&mut self, now: Time) {
@@ -280,15 +330,17 @@
     }
 
     fn serve_online(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if self.online.is_empty() {
+            return;
+        }
         let waiting = std::mem::take(&mut self.online);
-        let slots: u32 = self.places.values().map(|place| place.slots()).sum();
+        let slots: u32 = self.places.values().map(Place::slots).sum();
         let mut ahead = 0_u32;
         for (key, waiting) in waiting {
-            if let Some(id) = self.best(now, &waiting.ask) {
-                self.grant(now, key, &waiting, &id, actions);
-                continue;
-            }
-            if let Some(id) = self.stop_one(now, &waiting.ask, actions) {
+            let place = self
+                .best(now, &waiting.ask)
+                .or_else(|| self.stop_one(now, &waiting.ask, actions));
+            if let Some(id) = place {
                 self.grant(now, key, &waiting, &id, actions);
                 continue;
             }
@@ -302,9 +354,6 @@
                 ahead -= 1;
                 continue;
             }
-            if waiting.arrived == now {
-                actions.push(Action::Queued(key));
-            }
             self.online.push((key, waiting));
         }
     }
@@ -319,24 +368,38 @@
     }
 
     fn serve_batch(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if self.batch.is_empty() {
+            return;
+        }
         let learning = self
             .started
             .is_none_or(|started| now.since(started) < LEARN);
-        let slots: u32 = self.places.values().map(|place| place.slots()).sum();
+        let slots: u32 = self.places.values().map(Place::slots).sum();
         let reserve = slots.div_ceil(RESERVE_ONE_IN);
-        let mut free: u32 = self.places.values().map(|place| place.free(now)).sum();
+        let free: u32 = self.places.values().map(|place| place.free(now)).sum();
+        let mut room = if learning {
+            0
+        } else {
+            free.saturating_sub(reserve)
+        };
+        let impatient =
+            |(_, waiting): &(Key, Waiting)| now.since(waiting.arrived) > waiting.ask.patience;
+        if room == 0 && !self.batch.iter().any(impatient) {
+            return;
+        }
         let waiting = std::mem::take(&mut self.batch);
         for (key, waiting) in waiting {
-            if !learning
-                && free > reserve
+            if room > 0
                 && let Some(id) = self.best(now, &waiting.ask)
             {
                 self.grant(now, key, &waiting, &id, actions);
-                free -= 1;
+                room -= 1;
                 continue;
             }
-            if waiting.arrived == now {
-                actions.push(Action::Queued(key));
+            if now.since(waiting.arrived) > waiting.ask.patience {
+                // Another pool of the service may have room.
+                actions.push(Action::Refuse(key, RETRY_MIN));
+                continue;
             }
             self.batch.push((key, waiting));
         }
@@ -353,10 +416,7 @@
         let Some(place) = self.places.get_mut(id) else {
             return;
         };
-        match waiting.ask.class {
-            Class::Online => place.online += 1,
-            Class::Batch => place.batch += 1,
-        }
+        place.add(waiting.ask.class);
         place.granted(now, waiting.ask.prefix);
         actions.push(Action::Grant(key, Arc::clone(&place.endpoint)));
         let permit = Permit {
@@ -398,7 +458,7 @@
         actions.push(Action::Stop(*key));
         let id = permit.endpoint.clone();
         if let Some(place) = self.places.get_mut(&id) {
-            place.batch = place.batch.saturating_sub(1);
+            place.take(Class::Batch);
         }
         Some(id)
     }
--- a/src/pool/message.rs
+++ b/src/pool/message.rs
@@ -95,9 +95,9 @@
     /// It wants a place, or still wants it.
     #[serde(rename = "a")]
     Ask {
-        /// The service.
+        /// The pool.
         #[serde(rename = "v")]
-        service: Name,
+        pool: Name,
         /// Its number of the request.
         #[serde(rename = "s")]
         seq: u64,
@@ -108,9 +108,9 @@
     /// It holds these.
     #[serde(rename = "h")]
     Holds {
-        /// The service.
+        /// The pool.
         #[serde(rename = "v")]
-        service: Name,
+        pool: Name,
         /// The places.
         #[serde(rename = "l")]
         holds: Vec<Hold>,
@@ -118,9 +118,9 @@
     /// It gives one back, or wants none any more.
     #[serde(rename = "r")]
     Release {
-        /// The service.
+        /// The pool.
         #[serde(rename = "v")]
-        service: Name,
+        pool: Name,
         /// Its number of the request.
         #[serde(rename = "s")]
         seq: u64,
@@ -130,6 +130,15 @@
     },
 }
 
+impl Question {
+    /// The pool that it is for.
+    pub fn pool(&self) -> &Name {
+        match self {
+            Self::Ask { pool, .. } | Self::Holds { pool, .. } | Self::Release { pool, .. } => pool,
+        }
+    }
+}
+
 /// What a pool tells a gateway of one request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reply {
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -56,6 +56,21 @@
         }
     }
 
+    pub(super) fn add(&mut self, class: Class) {
+        match class {
+            Class::Online => self.online += 1,
+            Class::Batch => self.batch += 1,
+        }
+    }
+
+    pub(super) fn take(&mut self, class: Class) {
+        let held = match class {
+            Class::Online => &mut self.online,
+            Class::Batch => &mut self.batch,
+        };
+        *held = held.saturating_sub(1);
+    }
+
     pub(super) fn is_open(&self, now: Time) -> bool {
         self.endpoint.ready && now >= self.closed_until
     }
--- a/src/pool/serve.rs
+++ b/src/pool/serve.rs
@@ -9,8 +9,8 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::message::{MAX_DATAGRAM, Question, Reply, Word};
-use super::{Action, Key, Pool};
-use crate::catalog::Catalog;
+use super::{Action, Key, Pool, shard};
+use crate::catalog::{Catalog, Endpoint};
 use crate::clock::{Clock, Time};
 use crate::event;
 use crate::name::Name;
@@ -20,11 +20,17 @@
 /// How often waiting requests and stops are looked at though nothing arrives.
 const TICK: Duration = Duration::from_millis(25);
 
+/// Datagrams that are taken before deciding; a burst must not hold up answers
+/// for more than some milliseconds.
+const MOST_AT_ONCE: usize = 64;
+
 struct Pools {
     socket: UdpSocket,
     clock: Clock,
     catalog: Arc<Cell<Catalog>>,
     pools: BTreeMap<Name, Pool>,
+    /// The endpoints that each pool was last given.
+    seen: BTreeMap<Name, Arc<BTreeMap<Name, Arc<Endpoint>>>>,
 }
 
 /// Answers gateways for as long as the thread lives.
@@ -34,6 +40,7 @@
         clock,
         catalog,
         pools: BTreeMap::new(),
+        seen: BTreeMap::new(),
     };
     let mut buffer = [0; MAX_DATAGRAM];
     let mut tick = interval(TICK);
@@ -41,7 +48,7 @@
     loop {
         tokio::select! {
             received = pools.socket.recv_from(&mut buffer) => match received {
-                Ok((len, from)) => pools.receive(from, &buffer[..len]),
+                Ok((len, from)) => pools.receive_all(from, len, &mut buffer),
                 // A gateway that is gone shows as a refused datagram.
                 Err(error) => log::debug!("{} why=\"{error}\"", event::DATAGRAM_REFUSED),
             },
@@ -51,8 +58,30 @@
 }
 
 impl Pools {
-    fn receive(&mut self, from: SocketAddr, bytes: &[u8]) {
+    /// Takes the datagram in `buffer` and all that wait behind it, and then
+    /// decides once: at a peak many arrive together.
+    fn receive_all(&mut self, from: SocketAddr, len: usize, buffer: &mut [u8]) {
         let now = self.clock.now();
+        let mut actions = BTreeMap::new();
+        self.receive(now, from, &buffer[..len], &mut actions);
+        for _ in 0..MOST_AT_ONCE {
+            let Ok((len, from)) = self.socket.try_recv_from(buffer) else {
+                break;
+            };
+            self.receive(now, from, &buffer[..len], &mut actions);
+        }
+        for (pool, actions) in actions {
+            self.step(now, &pool, actions);
+        }
+    }
+
+    fn receive(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        bytes: &[u8],
+        actions: &mut BTreeMap<Name, Vec<Action>>,
+    ) {
         let question: Question = match wire::decode(bytes) {
             Ok(question) => question,
             Err(error) => {
@@ -61,27 +90,18 @@
             }
         };
         let key = |seq| Key { gateway: from, seq };
-        let mut actions = Vec::new();
-        let service = match question {
-            Question::Ask { service, seq, ask } => {
-                let pool = self.pools.entry(service.clone()).or_default();
-                pool.ask(now, key(seq), ask, &mut actions);
-                service
-            }
-            Question::Holds { service, holds } => {
-                let pool = self.pools.entry(service.clone()).or_default();
+        let name = question.pool().clone();
+        let pool = self.pools.entry(name.clone()).or_default();
+        let actions = actions.entry(name).or_default();
+        match question {
+            Question::Ask { seq, ask, .. } => pool.ask(now, key(seq), ask, actions),
+            Question::Holds { holds, .. } => {
                 for hold in &holds {
-                    pool.hold(now, key(hold.seq), hold, &mut actions);
+                    pool.hold(now, key(hold.seq), hold, actions);
                 }
-                service
-            }
-            Question::Release { service, seq, end } => {
-                let pool = self.pools.entry(service.clone()).or_default();
-                pool.release(now, key(seq), end);
-                service
             }
-        };
-        self.step(now, &service, actions);
+            Question::Release { seq, end, .. } => pool.release(now, key(seq), end),
+        }
     }
 
     fn tick(&mut self) {
@@ -97,13 +117,18 @@
         }
     }
 
-    fn step(&mut self, now: Time, service: &Name, mut actions: Vec<Action>) {
-        let catalog = self.catalog.read();
-        let Some(pool) = self.pools.get_mut(service) else {
+    fn step(&mut self, now: Time, name: &Name, mut actions: Vec<Action>) {
+        let catalog = self.catalog.take();
+        let Some(pool) = self.pools.get_mut(name) else {
             return;
         };
-        let endpoints = catalog.endpoints.values();
-        pool.set_endpoints(endpoints.filter(|endpoint| endpoint.service == *service));
+        let seen = self.seen.get(name);
+        if seen.is_none_or(|seen| !Arc::ptr_eq(seen, &catalog.endpoints)) {
+            let endpoints = catalog.endpoints.values();
+            pool.set_endpoints(endpoints.filter(|endpoint| shard::has(name, endpoint)));
+            self.seen
+                .insert(name.clone(), Arc::clone(&catalog.endpoints));
+        }
         pool.step(now, &mut actions);
         for action in actions {
             self.act(action);
--- a/src/site.rs
+++ b/src/site.rs
@@ -18,6 +18,8 @@
     pub region: Name,
     /// The region of each availability zone.
     pub zones: BTreeMap<Name, Name>,
+    /// The VM's processor, in thousandths of a core.
+    pub power: u16,
     /// Where the node listens.
     pub listen: Listen,
     /// Control addresses of some nodes, which may be down.
--- a/tests/member/net.rs
+++ b/tests/member/net.rs
@@ -38,6 +38,7 @@
         incarnation: 1,
         state: State::Alive,
         config_version: 0,
+        power: 0,
     }
 }
 
