--- a/benches/frame.rs
+++ b/benches/frame.rs
@@ -26,6 +26,7 @@
         incarnation: 1,
         state: State::Alive,
         config_version: 7,
+        power: 0,
     }
 }
 
--- a/benches/route.rs
+++ b/benches/route.rs
@@ -81,6 +81,7 @@
             incarnation: 1,
             state: State::Alive,
             config_version: 1,
+            power: 0,
         });
         let view = View {
             members: members.collect(),
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -151,6 +151,7 @@
                 Err(_) => return self.end("deadline", RETRY).await,
             };
             let endpoint = permit.endpoint.id.clone();
+            self.log_granted(&endpoint);
             let (next, why) = match self.exchange(&permit).await {
                 Ended::Whole => {
                     permit.finish(End::Done);
@@ -428,6 +429,20 @@
         }
     }
 
+    fn log_granted(&self, endpoint: &Name) {
+        let now = self.node.clock.now();
+        let catalog = self.node.catalog.read();
+        log::info!(
+            "{} id={} endpoint={endpoint} waited_ms={} behind={:?} known_ms={} config={}",
+            event::REQUEST_GRANTED,
+            self.call.forward.id,
+            now.since(self.call.arrived).as_millis(),
+            self.attempt.last(),
+            now.since(catalog.confirmed).as_millis(),
+            catalog.config.as_ref().map_or(0, |config| config.version),
+        );
+    }
+
     fn log_done(&self, endpoint: &Name) {
         let took = self.node.clock.now().since(self.call.arrived);
         log::info!(
--- a/src/event.rs
+++ b/src/event.rs
@@ -73,7 +73,6 @@
     510 POOL_CHANGED "pool_changed";
     520 REQUEST_DONE "request_done";
     521 REQUEST_GRANTED "request_granted";
-    522 REQUEST_RESUMED "request_resumed";
     523 REQUEST_ENDED "request_ended";
     530 JOB_ACCEPTED "job_accepted";
     531 JOB_REFUSED "job_refused";
--- a/standin/src/members.rs
+++ b/standin/src/members.rs
@@ -205,6 +205,7 @@
         incarnation: 1,
         state: State::Alive,
         config_version: 0,
+        power: 0,
     }
 }
 
--- a/tests/locate_answer.rs
+++ b/tests/locate_answer.rs
@@ -30,6 +30,7 @@
         incarnation: 1,
         state: State::Alive,
         config_version: 0,
+        power: 0,
         name: name.into(),
     }
 }
--- a/tests/member_shell.rs
+++ b/tests/member_shell.rs
@@ -55,6 +55,7 @@
         incarnation: 1,
         state: State::Alive,
         config_version: 0,
+        power: 0,
     };
     let setup = Setup {
         me,
--- a/tests/route_dispatcher.rs
+++ b/tests/route_dispatcher.rs
@@ -22,6 +22,7 @@
         incarnation: 1,
         state: State::Alive,
         config_version: 1,
+        power: 0,
     }
 }
 
--- a/tests/wire_control.rs
+++ b/tests/wire_control.rs
@@ -19,6 +19,7 @@
         incarnation: u64::from(u32::MAX) * 8,
         state,
         config_version: u64::MAX,
+        power: 0,
     };
     let boot = u64::MAX;
     Record { member, boot }
