Stand-ins of the users' platform, and a fault soak over real processes

Change: standin serves the users' store (rows, feed, objects), replicas with slots, resume and a register of runs, and a proxy that harms connections; standin soak draws faults by seed and checks answers, runs and batch jobs.

--- a/src/batch/accept.rs
+++ b/src/batch/accept.rs
@@ -25,7 +25,7 @@
 /// When to come back while the store can't be reached.
 const STORE_RETRY: Duration = Duration::from_millis(500);
 /// When to come back while too much waits: about as long as a few items take.
-const QUOTA_RETRY: Duration = Duration::from_millis(1_000);
+const QUOTA_RETRY: Duration = Duration::from_secs(1);
 
 /// What became of a submission.
 enum Accepted {
@@ -203,9 +203,8 @@
                 Err(Fault::Conflict { key: failed, .. }) if failed == key => {
                     return self.found(job, items).await;
                 }
-                Err(Fault::Conflict { .. }) => {}
                 Err(Fault::Refused { .. }) if !doubtful => return Accepted::Refused,
-                Err(Fault::Refused { .. }) => {}
+                Err(Fault::Conflict { .. } | Fault::Refused { .. }) => {}
                 Err(Fault::Unknown) => doubtful = true,
             }
             sleep(PAUSE).await;
--- a/src/batch/read.rs
+++ b/src/batch/read.rs
@@ -32,7 +32,7 @@
 /// When to come back while the store can't be read.
 const RETRY: Duration = Duration::from_millis(300);
 /// Longest time that ending a job is tried.
-const END_LIMIT: Duration = Duration::from_millis(3_000);
+const END_LIMIT: Duration = Duration::from_secs(3);
 /// Pause between two tries of it.
 const END_PAUSE: Duration = Duration::from_millis(100);
 
--- a/src/batch/release.rs
+++ b/src/batch/release.rs
@@ -25,7 +25,7 @@
 
 impl Jobs {
     /// Gives every job of this node to whoever takes it.
-    pub(super) async fn release(self: &Rc<Self>) {
+    pub(super) fn release(self: &Rc<Self>) {
         let works: Vec<Rc<Work>> = self.works.borrow().values().cloned().collect();
         for work in &works {
             // Ends the runs; what they brought stays in the partials.
--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -22,7 +22,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// An endpoint that sends nothing for so long is given up; events come every
 /// 20 ms, and every 100 ms at one that is five times as slow.
-const SILENCE: Duration = Duration::from_millis(1_000);
+const SILENCE: Duration = Duration::from_secs(1);
 /// How long an item waits after a failure, so that a fault that every endpoint
 /// shares does not turn into a storm.
 const PAUSE: Duration = Duration::from_millis(150);
@@ -83,7 +83,7 @@
         () = permit.stopped() => Ended::Stopped,
         ended = exchange(&work, item, &forward, &permit) => ended,
     };
-    finish(&jobs, &work, item, attempts, permit, ended);
+    finish(&jobs, &work, item, attempts, permit, &ended);
 }
 
 fn prepare(jobs: &Jobs, work: &Work, item: usize) -> Option<(crate::name::Name, Forward, u32)> {
@@ -185,7 +185,7 @@
     item: usize,
     attempts: u32,
     permit: Permit,
-    ended: Ended,
+    ended: &Ended,
 ) {
     match ended {
         Ended::Done => {
@@ -210,7 +210,7 @@
             }
         }
         Ended::Broken(end, why) => {
-            permit.finish(end);
+            permit.finish(*end);
             back(jobs, work, item, why);
         }
         Ended::Stopped => {
--- a/src/batch/shell.rs
+++ b/src/batch/shell.rs
@@ -110,7 +110,7 @@
             sleep(TICK).await;
             if !released && !matches!(**self.setup.phase.read(), Phase::Starting | Phase::Serving) {
                 released = true;
-                self.release().await;
+                self.release();
             }
             orphan::adopt(&self);
             self.expire();
@@ -146,12 +146,11 @@
 
     pub(super) fn learn_changes(self: &Rc<Self>, changes: Changes) {
         for change in changes.changes {
-            match change.value {
-                Some(value) => self.learn_row(&change.key.into(), change.version, &value),
-                None => {
-                    let mut ledger = self.ledger.borrow_mut();
-                    ledger.remove(&change.key, change.version);
-                }
+            if let Some(value) = change.value {
+                self.learn_row(&change.key.into(), change.version, &value);
+            } else {
+                let mut ledger = self.ledger.borrow_mut();
+                ledger.remove(&change.key, change.version);
             }
         }
         let now = self.now();
@@ -250,7 +249,8 @@
                 item,
                 Asking(Rc::clone(self)),
             );
-            work.set(item, Slot::Busy(Guard(actix_rt::spawn(run))));
+            let guard = Guard(actix_rt::spawn(run));
+            work.set(item, Slot::Busy { guard });
         }
     }
 
--- a/src/batch/work.rs
+++ b/src/batch/work.rs
@@ -14,7 +14,10 @@
     /// It may be run from this time on.
     Ready(Time),
     /// It asks for a place, or runs; the task ends with the guard.
-    Busy(Guard),
+    Busy {
+        #[expect(dead_code, reason = "dropping it is its use")]
+        guard: Guard,
+    },
     /// It has an outcome that is not stored yet.
     Fresh,
     /// Its outcome is stored.
@@ -97,7 +100,7 @@
     /// Ends all its runs; what they brought can be gone on with.
     pub(super) fn pause(&self) {
         for slot in self.slots.borrow_mut().iter_mut() {
-            if matches!(slot, Slot::Busy(_)) {
+            if matches!(slot, Slot::Busy { .. }) {
                 *slot = Slot::Ready(Time::ZERO);
             }
         }
@@ -124,13 +127,4 @@
         self.set(item, Slot::Fresh);
         self.fresh.borrow_mut().push((item, outcome));
     }
-
-    /// Items that run or ask for a place.
-    pub(super) fn busy(&self) -> usize {
-        let slots = self.slots.borrow();
-        slots
-            .iter()
-            .filter(|slot| matches!(slot, Slot::Busy(_)))
-            .count()
-    }
 }
--- a/src/catalog/book.rs
+++ b/src/catalog/book.rs
@@ -15,7 +15,7 @@
 
 /// How long after the store's return an endpoint may take to register again;
 /// the platform promises about two seconds.
-const RETURN_GRACE: Duration = Duration::from_millis(2_000);
+const RETURN_GRACE: Duration = Duration::from_secs(2);
 
 /// What the store said of one endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -42,7 +42,7 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long callers keep the directory's answer. Some keep it three times as
 /// long, and a node that leaves serves them meanwhile.
-const DIRECTORY_TTL: Duration = Duration::from_millis(2_000);
+const DIRECTORY_TTL: Duration = Duration::from_secs(2);
 /// Most addresses in one answer of the directory.
 const MAX_ADDRESSES: usize = 64;
 /// When to come back to a node that knows no configuration yet or is leaving.
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -221,9 +221,8 @@
         let endpoint = &permit.endpoint;
         self.attempt.sending();
         let opened = connect::open(endpoint.address, CONNECT_TIMEOUT).await;
-        let mut conn = match opened {
-            Ok(conn) => conn,
-            Err(_) => return Ended::Failed(Failure::NotRun, End::Failed, "connect"),
+        let Ok(mut conn) = opened else {
+            return Ended::Failed(Failure::NotRun, End::Failed, "connect");
         };
         let left = deadline.since(self.node.clock.now());
         let last = self.attempt.last();
--- a/src/permit.rs
+++ b/src/permit.rs
@@ -40,7 +40,7 @@
 const SILENT: Duration = Duration::from_millis(1_500);
 /// How often a waiting question is repeated, by class.
 const AGAIN_ONLINE: Duration = Duration::from_millis(100);
-const AGAIN_BATCH: Duration = Duration::from_millis(1_000);
+const AGAIN_BATCH: Duration = Duration::from_secs(1);
 /// How often held places are mentioned; the pool forgets after 1.7 s.
 const MENTION: Duration = Duration::from_millis(400);
 /// When to come back after no pool could be asked and no endpoint is known.
--- a/src/platform/job.rs
+++ b/src/platform/job.rs
@@ -47,8 +47,10 @@
     }
     let mut ids: Vec<&Name> = entries.iter().map(|entry| &entry.id).collect();
     ids.sort();
-    if let Some(pair) = ids.windows(2).find(|pair| pair[0] == pair[1]) {
-        return Err(format!("two items have the id {}", pair[0]));
+    let count = ids.len();
+    ids.dedup();
+    if ids.len() < count {
+        return Err("two items have the same id; each needs its own".into());
     }
     entries.into_iter().map(item).collect()
 }
@@ -67,7 +69,7 @@
 }
 
 #[derive(Serialize)]
-struct Results<'a> {
+struct Page<'a> {
     /// The number of items.
     total: usize,
     /// The position behind the last result of this answer.
@@ -105,12 +107,12 @@
             output: result.output,
         })
         .collect();
-    let results = Results {
+    let page = Page {
         total,
         next: after + results.len(),
         results: entered,
     };
-    call::json(StatusCode::OK, &results)
+    call::json(StatusCode::OK, &page)
 }
 
 /// "The job is kept."
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -50,20 +50,22 @@
 
 #[derive(Deserialize)]
 struct Figures {
-    grace_s: f64,
-    #[serde(default = "default_status_s")]
-    status_s: f64,
-    #[serde(default = "default_ttl_s")]
-    ttl_max_s: f64,
+    #[serde(rename = "grace_s")]
+    grace: f64,
+    /// For how long results are kept.
+    #[serde(rename = "status_s", default = "default_results")]
+    results: f64,
+    #[serde(rename = "ttl_max_s", default = "default_ttl")]
+    directory_ttl: f64,
 }
 
 /// Deployments without batch jobs don't say for how long results are kept.
-fn default_status_s() -> f64 {
+fn default_results() -> f64 {
     120.0
 }
 
 /// Deployments that set no bound leave it to the directory.
-fn default_ttl_s() -> f64 {
+fn default_ttl() -> f64 {
     5.0
 }
 
@@ -128,9 +130,9 @@
             object_bytes: file.platform.blob_bytes,
         },
         bounds: Bounds {
-            grace: seconds("bounds.grace_s", file.bounds.grace_s)?,
-            results: seconds("bounds.status_s", file.bounds.status_s)?,
-            directory_ttl: seconds("bounds.ttl_max_s", file.bounds.ttl_max_s)?,
+            grace: seconds("bounds.grace_s", file.bounds.grace)?,
+            results: seconds("bounds.status_s", file.bounds.results)?,
+            directory_ttl: seconds("bounds.ttl_max_s", file.bounds.directory_ttl)?,
         },
     })
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -35,7 +35,7 @@
 /// time over a new one.
 const FEED_SLACK: Duration = Duration::from_millis(600);
 /// An object call takes 25 ms and its share of 80 MB a second.
-const OBJECT_TIMEOUT: Duration = Duration::from_millis(3_000);
+const OBJECT_TIMEOUT: Duration = Duration::from_secs(3);
 /// A connection that was idle for longer may have gone silent; a new one costs
 /// less than a call that hangs.
 const IDLE: Duration = Duration::from_secs(4);
@@ -214,10 +214,13 @@
 
     /// Reads one page of a table's rows from the key `from` on.
     async fn rows(&self, table: &str, from: &str, limit: usize) -> Result<RowsAnswer, Fault> {
-        let mut path = format!("/-/rows-get?table={}&part=&limit={limit}", escape(table));
-        if !from.is_empty() {
-            path += &format!("&from={}", escape(from));
-        }
+        let from = if from.is_empty() {
+            String::new()
+        } else {
+            format!("&from={}", escape(from))
+        };
+        let table = escape(table);
+        let path = format!("/-/rows-get?table={table}&part=&limit={limit}{from}");
         let answer = self
             .call(Method::GET, &path, Bytes::new(), CALL_TIMEOUT)
             .await?;
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -35,7 +35,7 @@
 /// 100 ms.
 const FORGET_ONLINE: Duration = Duration::from_millis(600);
 /// The same for batch items, every second.
-const FORGET_BATCH: Duration = Duration::from_millis(3_000);
+const FORGET_BATCH: Duration = Duration::from_secs(3);
 /// How often what nobody mentions is looked for. In between the slots in use
 /// are counted as they change: a pool of 500 slots decides on some 1,000
 /// messages a second, and to count them all each time took most of a small
@@ -60,7 +60,7 @@
 const MAX_WAITING: usize = 4_096;
 /// Shortest and longest time after which a refused request should come back.
 const RETRY_MIN: Duration = Duration::from_millis(100);
-const RETRY_MAX: Duration = Duration::from_millis(2_000);
+const RETRY_MAX: Duration = Duration::from_secs(2);
 
 /// Who asks: a gateway's socket and its number of the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -295,7 +295,7 @@
     /// What the metrics show: slots, permits held, online and batch waiting.
     pub fn gauge(&self) -> Gauge {
         Gauge {
-            slots: self.places.values().map(|place| place.slots()).sum(),
+            slots: self.places.values().map(Place::slots).sum(),
             held: self.permits.len(),
             online_waiting: self.online.len(),
             batch_waiting: self.batch.len(),
--- a/src/pool/serve.rs
+++ b/src/pool/serve.rs
@@ -28,7 +28,7 @@
     socket: UdpSocket,
     clock: Clock,
     catalog: Arc<Cell<Catalog>>,
-    pools: BTreeMap<Name, Pool>,
+    by_name: BTreeMap<Name, Pool>,
     /// The endpoints that each pool was last given.
     seen: BTreeMap<Name, Arc<BTreeMap<Name, Arc<Endpoint>>>>,
 }
@@ -39,7 +39,7 @@
         socket,
         clock,
         catalog,
-        pools: BTreeMap::new(),
+        by_name: BTreeMap::new(),
         seen: BTreeMap::new(),
     };
     let mut buffer = [0; MAX_DATAGRAM];
@@ -91,7 +91,7 @@
         };
         let key = |seq| Key { gateway: from, seq };
         let name = question.pool().clone();
-        let pool = self.pools.entry(name.clone()).or_default();
+        let pool = self.by_name.entry(name.clone()).or_default();
         let actions = actions.entry(name).or_default();
         match question {
             Question::Ask { seq, ask, .. } => pool.ask(now, key(seq), ask, actions),
@@ -107,7 +107,7 @@
     fn tick(&mut self) {
         let now = self.clock.now();
         let busy: Vec<Name> = self
-            .pools
+            .by_name
             .iter()
             .filter(|(_, pool)| !pool.is_idle())
             .map(|(service, _)| service.clone())
@@ -119,7 +119,7 @@
 
     fn step(&mut self, now: Time, name: &Name, mut actions: Vec<Action>) {
         let catalog = self.catalog.take();
-        let Some(pool) = self.pools.get_mut(name) else {
+        let Some(pool) = self.by_name.get_mut(name) else {
             return;
         };
         let seen = self.seen.get(name);
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -22,6 +22,7 @@
         .subcommand(standin::policy::cli::command())
         .subcommand(members::command())
         .subcommand(overhead::command())
+        .subcommand(standin::soak::command())
         .get_matches();
     let result = match matches.subcommand() {
         Some(("platform", arguments)) => platform::run(arguments),
@@ -30,6 +31,7 @@
         Some(("policy", arguments)) => standin::policy::cli::run(arguments),
         Some(("members", arguments)) => members::run(arguments),
         Some(("overhead", arguments)) => overhead::run(arguments),
+        Some(("soak", arguments)) => standin::soak::run(arguments),
         _ => Ok(()),
     };
     match result {
--- /dev/null
+++ b/standin/src/soak/check.rs
@@ -0,0 +1,166 @@
+//! What was seen, and which promises it breaks.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::{Duration, Instant};
+
+use crate::site::replica::{Register, events, text};
+
+/// How a request of a caller ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum End {
+    /// A whole answer.
+    Whole,
+    /// "Not run".
+    Refused,
+    /// An error that promises nothing, or a connection that broke.
+    Broken,
+}
+
+/// One request of a caller.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    /// Its id.
+    pub id: String,
+    /// It may be repeated.
+    pub repeatable: bool,
+    /// How it ended.
+    pub end: End,
+}
+
+/// One batch job of a caller.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Its id.
+    pub id: String,
+    /// Each item's id, path and tokens.
+    pub items: Vec<(String, String, u64)>,
+    /// When it was accepted; none if it never was.
+    pub accepted: Option<Instant>,
+    /// Every submission was answered "not run".
+    pub refused: bool,
+    /// When its end was acknowledged.
+    pub ended: Option<Instant>,
+    /// What stood at each position, as first read.
+    pub results: BTreeMap<usize, (String, String, String)>,
+}
+
+/// What a run came to.
+#[derive(Debug, Default)]
+pub struct Report {
+    /// The seed.
+    pub seed: u64,
+    /// Requests by how they ended.
+    pub ends: BTreeMap<End, usize>,
+    /// Jobs accepted.
+    pub jobs: usize,
+    /// Items listed with their output.
+    pub items: usize,
+    /// Faults injected.
+    pub faults: usize,
+    /// Calls to the store.
+    pub calls: u64,
+    /// Promises that were broken.
+    pub broken: Vec<String>,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "seed {}: {} faults, requests {:?}, {} jobs, {} items, {} store calls",
+            self.seed, self.faults, self.ends, self.jobs, self.items, self.calls
+        )?;
+        if self.broken.is_empty() {
+            return f.write_str(": kept");
+        }
+        for broken in &self.broken {
+            write!(f, "\n  BROKEN {broken}")?;
+        }
+        Ok(())
+    }
+}
+
+/// The whole text that a request for `path` and `tokens` must bring.
+pub fn whole_stream(path: &str, tokens: u64) -> String {
+    (1..=events(tokens))
+        .map(|number| format!("id: {number}\ndata: {}\n\n", text(path, number)))
+        .collect()
+}
+
+/// The output that an item must have.
+pub fn whole_output(path: &str, tokens: u64) -> String {
+    let texts: Vec<String> = (1..=events(tokens))
+        .map(|number| text(path, number))
+        .collect();
+    texts.join("\n")
+}
+
+impl Report {
+    /// Notes a broken promise.
+    pub fn broke(&mut self, what: String) {
+        self.broken.push(what);
+    }
+
+    /// Checks the requests against what replicas ran.
+    pub fn check_requests(&mut self, asked: &[Asked], register: &Register) {
+        let register = register.borrow();
+        for request in asked {
+            *self.ends.entry(request.end).or_default() += 1;
+            let runs = register.get(&request.id).map_or(0, Vec::len);
+            if request.end == End::Refused && runs > 0 {
+                self.broke(format!(
+                    "{} was called not run and ran {runs} times",
+                    request.id
+                ));
+            }
+            if !request.repeatable && runs > 1 {
+                self.broke(format!("{} may run once and ran {runs} times", request.id));
+            }
+        }
+    }
+
+    /// Checks the jobs, once everything has had time to end.
+    pub fn check_jobs(&mut self, jobs: &[Job], register: &Register) {
+        /// After this nothing of an ended job may begin.
+        const CANCEL: Duration = Duration::from_secs(3);
+        let register = register.borrow();
+        for job in jobs {
+            self.jobs += usize::from(job.accepted.is_some());
+            let first = |id: &str| register.get(id).and_then(|runs| runs.last()).cloned();
+            for (id, path, tokens) in &job.items {
+                let last = first(id);
+                if job.refused && last.is_some() {
+                    self.broke(format!("item {id} of refused job {} ran", job.id));
+                }
+                if let (Some(ended), Some(run)) = (job.ended, &last)
+                    && run.began > ended + CANCEL
+                {
+                    self.broke(format!("item {id} of ended job {} ran late", job.id));
+                }
+                let listed: Vec<_> = job
+                    .results
+                    .values()
+                    .filter(|(other, _, _)| other == id)
+                    .collect();
+                if listed.len() > 1 {
+                    self.broke(format!("item {id} of job {} is listed twice", job.id));
+                }
+                if job.accepted.is_none() || job.ended.is_some() {
+                    continue;
+                }
+                match listed.first() {
+                    None => self.broke(format!("item {id} of job {} was lost", job.id)),
+                    Some((_, state, output)) if state == "complete" => {
+                        self.items += 1;
+                        if *output != whole_output(path, *tokens) {
+                            self.broke(format!("item {id} of job {} has a wrong text", job.id));
+                        }
+                    }
+                    Some(_) if path.contains("never") || path.contains("fails") => {}
+                    Some(_) => self.broke(format!("item {id} of job {} failed", job.id)),
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/catalog_book.rs
@@ -0,0 +1,122 @@
+//! Which endpoints a node takes for present, out of late and lost news.
+
+use std::net::SocketAddr;
+
+use auburnspoke::catalog::Endpoint;
+use auburnspoke::catalog::book::{Book, Entry};
+use auburnspoke::clock::Time;
+use googletest::prelude::*;
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(10_000 + millis)
+}
+
+fn entry(id: &str, version: u64, ready: bool) -> Entry {
+    Entry {
+        id: id.into(),
+        version,
+        endpoint: Some(Endpoint {
+            id: id.into(),
+            service: "s".into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 9)),
+            zone: "a".into(),
+            slots: 8,
+            ready,
+        }),
+    }
+}
+
+fn removed(id: &str, version: u64) -> Entry {
+    Entry {
+        id: id.into(),
+        version,
+        endpoint: None,
+    }
+}
+
+fn ids(book: &Book) -> Vec<String> {
+    book.endpoints().keys().map(ToString::to_string).collect()
+}
+
+#[gtest]
+fn apply_new_and_removed() {
+    let mut book = Book::default();
+    expect_that!(book.apply(at(0), entry("a", 3, true)), eq(true));
+    expect_that!(book.apply(at(1), removed("a", 4)), eq(true));
+    expect_that!(ids(&book), is_empty());
+}
+
+/// A copy of the store that is behind tells of an endpoint which has left. A
+/// request sent there would be cut short or refused.
+#[gtest]
+fn apply_older_news() {
+    let mut book = Book::default();
+    book.apply(at(0), entry("a", 3, true));
+    book.apply(at(1), entry("a", 5, false));
+    expect_that!(book.apply(at(2), entry("a", 3, true)), eq(false));
+    expect_that!(book.endpoints()["a"].ready, eq(false));
+    book.apply(at(3), removed("a", 6));
+    expect_that!(book.apply(at(4), entry("a", 5, true)), eq(false));
+    expect_that!(ids(&book), is_empty());
+}
+
+/// The store is away for longer than endpoints' entries live. When it is back
+/// all entries are gone for a moment; a node that believed it would refuse every
+/// request although every endpoint works.
+#[gtest]
+fn replace_lapsed_while_store_away() {
+    let mut book = Book::default();
+    book.apply(at(0), entry("a", 3, true));
+    book.apply(at(0), entry("b", 4, true));
+    book.store_failed(at(5_000));
+    book.replace(at(5_100), Vec::new(), 9);
+    expect_that!(ids(&book), elements_are![eq("a"), eq("b")]);
+    book.apply(at(6_000), entry("a", 10, true));
+    expect_that!(book.expire(at(7_001)), eq(true));
+    expect_that!(ids(&book), elements_are![eq("a")]);
+}
+
+/// An endpoint says that it leaves, and its entry goes while the store is
+/// shaky. It must not be kept as if it might come back.
+#[gtest]
+fn replace_leaving_while_store_away() {
+    let mut book = Book::default();
+    book.apply(at(0), entry("a", 3, false));
+    book.store_failed(at(5_000));
+    book.replace(at(5_100), Vec::new(), 9);
+    expect_that!(ids(&book), is_empty());
+}
+
+/// Nothing was wrong with the store, so an entry that goes is gone at once.
+#[gtest]
+fn replace_removed_calm() {
+    let mut book = Book::default();
+    book.apply(at(0), entry("a", 3, true));
+    book.replace(at(100), Vec::new(), 9);
+    expect_that!(ids(&book), is_empty());
+}
+
+/// A whole reading that began before an endpoint registered must not remove it.
+#[gtest]
+fn replace_older_than_entry() {
+    let mut book = Book::default();
+    book.apply(at(0), entry("a", 12, true));
+    book.replace(at(1), Vec::new(), 9);
+    expect_that!(ids(&book), elements_are![eq("a")]);
+}
+
+/// What one node tells another that can't reach the store is taken by version,
+/// whatever the order.
+#[gtest]
+fn entries_to_peer() {
+    let mut book = Book::default();
+    book.apply(at(0), entry("a", 3, true));
+    book.apply(at(0), entry("b", 4, true));
+    book.apply(at(1), removed("b", 7));
+    let mut peer = Book::default();
+    peer.apply(at(0), entry("b", 4, true));
+    for entry in book.entries() {
+        peer.apply(at(2), entry);
+    }
+    expect_that!(ids(&peer), elements_are![eq("a")]);
+}
--- /dev/null
+++ b/tests/pool_admission.rs
@@ -0,0 +1,382 @@
+//! Admission to the endpoints of a service: who gets a place, who waits, who is
+//! told to come back, and which batch run gives way.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use auburnspoke::catalog::Endpoint;
+use auburnspoke::clock::Time;
+use auburnspoke::name::Name;
+use auburnspoke::pool::message::{Ask, Class, End, Hold};
+use auburnspoke::pool::{Action, Key, Pool};
+use googletest::prelude::*;
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+
+const SLOTS: u32 = 8;
+
+fn endpoint(at: usize) -> Arc<Endpoint> {
+    Arc::new(Endpoint {
+        id: format!("e{at}").into(),
+        service: "s".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        zone: ["a", "b", "c"][at % 3].into(),
+        slots: SLOTS,
+        ready: true,
+    })
+}
+
+fn key(seq: u64) -> Key {
+    let gateway = SocketAddr::from(([127, 0, 0, 1], 7));
+    Key { gateway, seq }
+}
+
+fn ask(class: Class, due_ms: u64) -> Ask {
+    Ask {
+        class,
+        priority: 0,
+        zone: "a".into(),
+        patience: Duration::from_millis(230),
+        due: Duration::from_millis(due_ms),
+        prefix: 0,
+        avoid: Vec::new(),
+    }
+}
+
+fn pool(endpoints: usize) -> Pool {
+    let mut pool = Pool::default();
+    let all: Vec<_> = (0..endpoints).map(endpoint).collect();
+    pool.set_endpoints(all.iter());
+    pool
+}
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(10_000 + millis)
+}
+
+/// Asks at `now` and returns what the pool does.
+fn decide(pool: &mut Pool, now: Time, seq: u64, ask: Ask) -> Vec<Action> {
+    let mut actions = Vec::new();
+    pool.ask(now, key(seq), ask, &mut actions);
+    pool.step(now, &mut actions);
+    actions
+}
+
+fn granted(actions: &[Action]) -> Option<Name> {
+    actions.iter().find_map(|action| match action {
+        Action::Grant(_, endpoint) => Some(endpoint.id.clone()),
+        _ => None,
+    })
+}
+
+/// Fills every slot that batch work may take, as it does in a valley.
+fn fill_with_batch(pool: &mut Pool) -> u64 {
+    decide(pool, at(0), 1, ask(Class::Batch, 1_000));
+    let mut seq = 2;
+    while granted(&decide(pool, at(500), seq, ask(Class::Batch, 1_000 + seq))).is_some() {
+        seq += 1;
+    }
+    seq
+}
+
+#[gtest]
+fn ask_free_slot() {
+    let mut pool = pool(1);
+    expect_that!(
+        granted(&decide(&mut pool, at(0), 1, ask(Class::Online, 5_000))),
+        some(eq("e0"))
+    );
+}
+
+/// A burst of questions arrives while batch work holds the slots. Each question
+/// must start at once and not behind a batch item, which runs for seconds.
+#[gtest]
+fn ask_online_stops_batch() {
+    let mut pool = pool(2);
+    let mut next = fill_with_batch(&mut pool) + 1;
+    let mut stopped = 0;
+    for _ in 0..2 * SLOTS {
+        let actions = decide(&mut pool, at(510), next, ask(Class::Online, 5_000));
+        expect_that!(granted(&actions), some(anything()));
+        stopped += actions
+            .iter()
+            .filter(|action| matches!(action, Action::Stop(_)))
+            .count();
+        next += 1;
+    }
+    // One slot was kept free of batch work.
+    expect_that!(stopped, eq(usize::try_from(2 * SLOTS - 1).unwrap()));
+}
+
+/// The run that is due last can wait longest, so it gives way first.
+#[gtest]
+fn stop_latest_due() {
+    let mut pool = pool(1);
+    let last = fill_with_batch(&mut pool) - 1;
+    decide(&mut pool, at(510), 900, ask(Class::Online, 5_000));
+    let actions = decide(&mut pool, at(510), 901, ask(Class::Online, 5_000));
+    expect_that!(actions, contains(eq(&Action::Stop(key(last)))));
+}
+
+/// The datagram with a stop gets lost. The batch run would hold a slot that is
+/// counted as free, and a question would wait at the endpoint behind it.
+#[gtest]
+fn stop_repeated_until_obeyed() {
+    let mut pool = pool(1);
+    let last = fill_with_batch(&mut pool) - 1;
+    decide(&mut pool, at(510), 900, ask(Class::Online, 5_000));
+    decide(&mut pool, at(510), 901, ask(Class::Online, 5_000));
+    let mut actions = Vec::new();
+    pool.step(at(700), &mut actions);
+    expect_that!(actions, contains(eq(&Action::Stop(key(last)))));
+    pool.release(at(701), key(last), End::Stopped);
+    let mut actions = Vec::new();
+    pool.step(at(900), &mut actions);
+    expect_that!(actions, not(contains(eq(&Action::Stop(key(last))))));
+}
+
+/// Every slot holds a question and more come than can start in their time. Each
+/// further one is told at once when to come back, spread over time, so that they
+/// don't return together.
+#[gtest]
+fn ask_overload_refused_at_once() {
+    let mut pool = pool(1);
+    let mut refused = Vec::new();
+    for seq in 0..60 {
+        for action in decide(&mut pool, at(0), seq, ask(Class::Online, 5_000)) {
+            if let Action::Refuse(_, after) = action {
+                refused.push(after);
+            }
+        }
+    }
+    // Eight run; in 230 ms two or three more slots get free.
+    expect_that!(refused.len(), ge(48));
+    let mut distinct = refused.clone();
+    distinct.sort();
+    distinct.dedup();
+    expect_that!(distinct.len(), ge(8));
+    expect_that!(refused, each(le(Duration::from_secs(2))));
+}
+
+/// A request that can't start in its time is refused when that becomes known,
+/// not when its time has passed.
+#[gtest]
+fn ask_patience_over() {
+    let mut pool = pool(1);
+    for seq in 0..9 {
+        decide(&mut pool, at(0), seq, ask(Class::Online, 5_000));
+    }
+    let mut actions = Vec::new();
+    pool.step(at(150), &mut actions);
+    expect_that!(
+        actions,
+        contains(matches_pattern!(Action::Refuse(eq(&key(8)), anything())))
+    );
+}
+
+/// A gateway dies with what it holds. Its slots must not stay taken for good.
+#[gtest]
+fn expire_gateway_gone() {
+    let mut pool = pool(1);
+    for seq in 0..8 {
+        decide(&mut pool, at(0), seq, ask(Class::Online, 5_000));
+    }
+    let actions = decide(&mut pool, at(1_800), 100, ask(Class::Online, 5_000));
+    expect_that!(granted(&actions), some(eq("e0")));
+}
+
+/// The pool's node dies and another one begins without knowing who holds what.
+/// It learns that from the gateways before it gives batch work anything, so that
+/// no endpoint gets more requests than it has slots.
+#[gtest]
+fn hold_new_pool_learns() {
+    let mut pool = pool(1);
+    let mut actions = Vec::new();
+    for seq in 0..8 {
+        let hold = Hold {
+            seq,
+            endpoint: "e0".into(),
+            class: Class::Batch,
+            due: Duration::from_secs(9),
+        };
+        pool.hold(at(0), key(seq), &hold, &mut actions);
+    }
+    let actions = decide(&mut pool, at(450), 100, ask(Class::Batch, 5_000));
+    expect_that!(granted(&actions), none());
+}
+
+#[gtest]
+fn ask_batch_while_learning() {
+    let mut pool = pool(1);
+    expect_that!(
+        granted(&decide(&mut pool, at(0), 1, ask(Class::Batch, 5_000))),
+        none()
+    );
+}
+
+/// The datagram with a grant gets lost and the gateway asks again; it must get
+/// the same place and not a second one.
+#[gtest]
+fn ask_grant_lost() {
+    let mut pool = pool(1);
+    decide(&mut pool, at(0), 1, ask(Class::Online, 5_000));
+    decide(&mut pool, at(25), 1, ask(Class::Online, 5_000));
+    expect_that!(pool.gauge().held, eq(1));
+}
+
+/// An endpoint crashed. While it is down each try costs a caller time, so it is
+/// left out for a while and then tried with one request.
+#[gtest]
+fn release_failed_endpoint_left_out() {
+    let mut pool = pool(2);
+    let mut avoided = ask(Class::Online, 5_000);
+    avoided.avoid = vec!["e1".into()];
+    decide(&mut pool, at(0), 1, avoided);
+    pool.release(at(1), key(1), End::Failed);
+    for seq in 2..10 {
+        let actions = decide(&mut pool, at(2), seq, ask(Class::Online, 5_000));
+        expect_that!(granted(&actions), some(eq("e1")));
+    }
+    let actions = decide(&mut pool, at(600), 10, ask(Class::Online, 5_000));
+    expect_that!(granted(&actions), some(eq("e0")));
+    let actions = decide(&mut pool, at(600), 11, ask(Class::Online, 5_000));
+    expect_that!(granted(&actions), none());
+}
+
+/// An endpoint that is leaving must get nothing more.
+#[gtest]
+fn set_endpoints_leaving() {
+    let mut pool = pool(1);
+    let leaving = Arc::new(Endpoint {
+        ready: false,
+        ..Endpoint::clone(&endpoint(0))
+    });
+    pool.set_endpoints([leaving].iter());
+    expect_that!(
+        granted(&decide(&mut pool, at(0), 1, ask(Class::Online, 5_000))),
+        none()
+    );
+}
+
+/// What a replayed load came to.
+#[derive(Debug, Default)]
+struct Served {
+    online: u32,
+    in_aim: u32,
+    /// Seconds of slots that batch work had.
+    batch: f64,
+}
+
+/// Replays peaks of 1.85 times the mean for 2.2 s and valleys of 0.38 times for
+/// 3 s, as payment runs bring them, with batch work always waiting, on 9
+/// endpoints of 8 slots. Questions take 0.7 s, batch items 4.8 s. A stopped run
+/// frees its slot after 4 ms.
+fn replay(seed: u64, mean_per_s: f64) -> Served {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut pool = pool(9);
+    let mut served = Served::default();
+    let mut ends: BTreeMap<(u64, u64), (u64, End)> = BTreeMap::new();
+    let mut running: BTreeMap<u64, (Class, u64, Name)> = BTreeMap::new();
+    let mut asked: BTreeMap<u64, (Class, u64)> = BTreeMap::new();
+    let mut seq = 0;
+    for now in 0..30_000_u64 {
+        let mut actions = Vec::new();
+        let rate = if now % 5_200 < 3_000 { 0.378 } else { 1.85 } * mean_per_s;
+        if random.random_bool(rate / 1_000.0) {
+            seq += 1;
+            served.online += 1;
+            asked.insert(seq, (Class::Online, now));
+            pool.ask(at(now), key(seq), ask(Class::Online, 5_000), &mut actions);
+        }
+        let waiting = asked
+            .values()
+            .filter(|(class, _)| *class == Class::Batch)
+            .count();
+        for _ in waiting..24 {
+            seq += 1;
+            asked.insert(seq, (Class::Batch, now));
+            let patient = Ask {
+                patience: Duration::from_secs(60),
+                ..ask(Class::Batch, 18_000)
+            };
+            pool.ask(at(now), key(seq), patient, &mut actions);
+        }
+        while let Some((&(when, id), &(seq, end))) = ends.iter().next()
+            && when <= now
+        {
+            ends.remove(&(when, id));
+            if let Some((class, began, _)) = running.remove(&seq) {
+                if class == Class::Batch {
+                    let ran = u32::try_from(now - began).unwrap();
+                    served.batch += f64::from(ran) / 1_000.0;
+                }
+                pool.release(at(now), key(seq), end);
+            }
+        }
+        if now % 200 == 0 {
+            for (seq, (class, _, endpoint)) in &running {
+                let hold = Hold {
+                    seq: *seq,
+                    endpoint: endpoint.clone(),
+                    class: *class,
+                    due: Duration::from_secs(18),
+                };
+                pool.hold(at(now), key(*seq), &hold, &mut actions);
+            }
+            for (seq, (class, _)) in &asked {
+                pool.ask(at(now), key(*seq), ask(*class, 5_000), &mut actions);
+            }
+        }
+        pool.step(at(now), &mut actions);
+        for action in actions {
+            match action {
+                Action::Grant(Key { seq, .. }, endpoint) => {
+                    let Some((class, since)) = asked.remove(&seq) else {
+                        continue;
+                    };
+                    let takes = match class {
+                        Class::Online => 700,
+                        Class::Batch => 4_800,
+                    };
+                    if class == Class::Online && now - since <= 230 {
+                        served.in_aim += 1;
+                    }
+                    running.insert(seq, (class, now, endpoint.id.clone()));
+                    ends.insert((now + takes, seq), (seq, End::Done));
+                }
+                Action::Stop(Key { seq, .. }) => {
+                    ends.insert((now + 4, seq), (seq, End::Stopped));
+                }
+                Action::Refuse(Key { seq, .. }, _) => {
+                    asked.remove(&seq);
+                }
+                Action::Queued(_) => {}
+            }
+        }
+    }
+    served
+}
+
+/// At the usual load nobody waits behind batch work, and batch has most of what
+/// the questions leave free: 72 slots for 30 s less 42 x 0.7 s x 30 s.
+#[gtest]
+fn replay_peaks_usual() {
+    for seed in 0..5 {
+        let served = replay(seed, 42.0);
+        expect_that!(served.in_aim, ge(served.online * 99 / 100), "{served:?}");
+        let left = 72.0 * 30.0 - f64::from(served.online) * 0.7;
+        expect_that!(served.batch / left, ge(0.85), "{served:?}");
+    }
+}
+
+/// At twice the usual load the peaks are above what the slots can take; what is
+/// served at all is served in its aim, and the slots stay full.
+#[gtest]
+fn replay_peaks_double() {
+    for seed in 0..5 {
+        let served = replay(seed, 84.0);
+        expect_that!(served.in_aim, ge(served.online * 80 / 100), "{served:?}");
+    }
+}
--- /dev/null
+++ b/tests/split_events.rs
@@ -0,0 +1,91 @@
+//! Streams of events cut at the boundaries of their events.
+
+use auburnspoke::split::{Splitter, TooLong, data};
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+#[gtest]
+fn push_whole_event() {
+    let mut splitter = Splitter::default();
+    let events = splitter.push(b"id: 4\ndata: x\n\n").unwrap().unwrap();
+    expect_that!(events.last, some(eq(4)));
+    expect_that!(events.first, some(eq(4)));
+    expect_that!(&events.bytes[..], eq(b"id: 4\ndata: x\n\n"));
+    expect_that!(splitter.rest().is_empty(), eq(true));
+}
+
+/// An endpoint breaks off in the middle of an event. Its half must not reach the
+/// caller, because the next endpoint sends the event whole.
+#[gtest]
+fn push_torn_event() {
+    let mut splitter = Splitter::default();
+    let events = splitter.push(b"id:1\ndata:a\n\nid:2\nda").unwrap().unwrap();
+    expect_that!(&events.bytes[..], eq(b"id:1\ndata:a\n\n"));
+    expect_that!(events.last, some(eq(1)));
+    expect_that!(&splitter.rest()[..], eq(b"id:2\nda"));
+}
+
+#[gtest]
+fn push_carriage_returns() {
+    let mut splitter = Splitter::default();
+    let events = splitter.push(b"id: 7\r\ndata: x\r\n\r\n").unwrap().unwrap();
+    expect_that!(events.last, some(eq(7)));
+}
+
+#[gtest]
+fn push_without_number() {
+    let mut splitter = Splitter::default();
+    let events = splitter.push(b"data: x\n\n").unwrap().unwrap();
+    expect_that!(events.last, none());
+}
+
+/// An endpoint sends megabytes without a boundary. They must not fill the
+/// node's memory.
+#[gtest]
+fn push_endless_event() {
+    let mut splitter = Splitter::default();
+    let chunk = vec![b'x'; 256 * 1024];
+    let mut result = Ok(None);
+    for _ in 0..5 {
+        result = splitter.push(&chunk);
+    }
+    expect_that!(result, err(eq(&TooLong)));
+}
+
+#[gtest]
+fn data_lines_joined() {
+    let events = b"id: 1\ndata: a\ndata: b\n\nevent: x\ndata:c\n\n: note\n\n";
+    expect_that!(data(events), eq(&vec![b"a\nb".to_vec(), b"c".to_vec()]));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// However the network cuts a stream, the events are the same and nothing
+    /// is lost, doubled or torn.
+    #[test]
+    fn push_any_cuts(cuts in proptest::collection::vec(1_usize..40, 1..60), crlf: bool) {
+        let end = if crlf { "\r\n" } else { "\n" };
+        let stream: String = (1..20)
+            .map(|number| format!("id: {number}{end}data: {}{end}{end}", "y".repeat(number % 7)))
+            .collect();
+        let mut splitter = Splitter::default();
+        let mut out = Vec::new();
+        let mut last = None;
+        let mut rest = stream.as_bytes();
+        let mut cuts = cuts.into_iter().cycle();
+        while !rest.is_empty() {
+            let cut = cuts.next().unwrap().min(rest.len());
+            let (now, later) = rest.split_at(cut);
+            rest = later;
+            if let Some(events) = splitter.push(now).unwrap() {
+                prop_assert!(events.first > last);
+                prop_assert!(events.bytes.ends_with(format!("{end}{end}").as_bytes()));
+                last = events.last;
+                out.extend_from_slice(&events.bytes);
+            }
+        }
+        prop_assert_eq!(last, Some(19));
+        prop_assert_eq!(out, stream.into_bytes());
+    }
+}
