--- a/src/wire/control.rs
+++ b/src/wire/control.rs
@@ -21,7 +21,7 @@
 /// So many news items at once are a special event; see [`Update::sends`].
 const MANY: usize = 24;
 /// First byte of every datagram.
-const VERSION: u8 = 2;
+const VERSION: u8 = 1;
 /// Room that a head and any body take at most, with the longest names.
 pub const HEAD_ROOM: usize = 400;
 
