Take the store's answer for lost after eight times the usual time

Cause: while a share of answers is lost, each lost one cost 1.5 s; jobs must be accepted within 0.5 s, and results wait for the transaction before them. Ruled out: fewer calls; each result is one transaction already. Change: row calls wait eight times their usual time, 0.12 to 1.5 s; a lost answer raises the usual time, so that a slow store is waited for again.

--- a/src/member/gossip/sync.rs
+++ b/src/member/gossip/sync.rs
@@ -63,7 +63,11 @@
     /// would nodes that all restart while the platform's list is down.
     pub(super) fn reconnect(&mut self, now: Time, actions: &mut Vec<Action>) {
         let alone = self.peers().next().is_none();
-        let wait = if alone { self.tuning.alone } else { self.tuning.reconnect };
+        let wait = if alone {
+            self.tuning.alone
+        } else {
+            self.tuning.reconnect
+        };
         self.due.reconnect = now + wait;
         let living: Vec<SocketAddr> = self.peers().map(|entry| entry.control).collect();
         let own = self.me.member.control.parse().ok();
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -3,7 +3,7 @@
 //! A key of the product, `table/rest`, is the row `rest` of the table `table`.
 //! All rows lie in one part, so that any of them may change together.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,8 +28,19 @@
 /// accepts a connection within a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The store answers in some 5 ms and, when slow, in 60 times as long; after
-/// this the answer is taken for lost.
+/// this the answer is taken for lost, however slow the store was before.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// An answer is taken for lost after so many times the usual time. A job is to
+/// be accepted within 500 ms, which leaves time for another try only if a lost
+/// answer is noticed early; every call may be repeated or is read back.
+const PATIENCE: u32 = 8;
+/// The least of that; a pause of this process must not look like a lost answer.
+const LEAST_PATIENCE: Duration = Duration::from_millis(120);
+/// The usual time before any answer came.
+const FIRST_USUAL: Duration = Duration::from_millis(20);
+/// By so many tenths a lost answer raises the usual time, in case the store is
+/// slow and not lossy.
+const RAISED: u32 = 16;
 /// How much longer than it should wait a feed may take. A connection that went
 /// silent is found within this, so that a node learns of a leaving endpoint in
 /// time over a new one.
@@ -64,6 +75,8 @@
 struct Inner {
     address: SocketAddr,
     idle: RefCell<Vec<(Instant, Conn)>>,
+    /// How long an answer usually takes.
+    usual: Cell<Duration>,
 }
 
 #[derive(Serialize)]
@@ -133,7 +146,11 @@
     pub fn new(address: SocketAddr) -> Self {
         let idle = RefCell::default();
         Self {
-            inner: Rc::new(Inner { address, idle }),
+            inner: Rc::new(Inner {
+                address,
+                idle,
+                usual: Cell::new(FIRST_USUAL),
+            }),
         }
     }
 
@@ -221,15 +238,30 @@
         };
         let table = escape(table);
         let path = format!("/-/rows-get?table={table}&part=&limit={limit}{from}");
-        let answer = self
-            .call(Method::GET, &path, Bytes::new(), CALL_TIMEOUT)
-            .await?;
+        let answer = self.quick(Method::GET, &path, Bytes::new()).await?;
         match answer.status {
             StatusCode::OK => parse(&path, &answer.body),
             status => Err(unexpected(&path, status)),
         }
     }
 
+    /// A call on rows, which takes about as long each time.
+    async fn quick(&self, method: Method, path: &str, body: Bytes) -> Result<Answer, Fault> {
+        let usual = self.inner.usual.get();
+        let limit = (usual * PATIENCE).clamp(LEAST_PATIENCE, CALL_TIMEOUT);
+        let began = Instant::now();
+        let answer = self.call(method, path, body, limit).await;
+        match &answer {
+            Ok(_) => self.inner.usual.set((usual * 3 + began.elapsed()) / 4),
+            Err(Fault::Unknown) => {
+                let raised = usual * RAISED / 10;
+                self.inner.usual.set(raised.min(CALL_TIMEOUT / PATIENCE));
+            }
+            Err(_) => {}
+        }
+        answer
+    }
+
     async fn object(&self, method: Method, path: String, body: Bytes) -> Result<Answer, Fault> {
         self.call(method, &path, body, OBJECT_TIMEOUT).await
     }
@@ -335,9 +367,7 @@
             }
         }
         let body = serde_json::to_vec(&call).map_err(|_| Fault::Unknown)?;
-        let answer = self
-            .call(Method::POST, PATH, body.into(), CALL_TIMEOUT)
-            .await?;
+        let answer = self.quick(Method::POST, PATH, body.into()).await?;
         match answer.status {
             StatusCode::OK => parse::<RowsAnswer>(PATH, &answer.body).map(|answer| answer.ver),
             StatusCode::PRECONDITION_FAILED => {
