Let batch items that can't be on time give way to those that can

Cause: after a burst of jobs every item was started in the order of due times and ended just after its own. Ruled out: more room for batch; the slots were full of it. Change: an item whose learned run time does not fit before its due time is ranked by its lifetime; of one job those further along go first.

--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -58,7 +58,7 @@
             priority: u8::MAX,
             zone: jobs.setup.zone.clone(),
             patience: PATIENCE,
-            due: work.urgency(now).since(now),
+            due: work.urgency(now, item, &jobs.pace).since(now),
             prefix: 0,
             avoid: Vec::new(),
         },
@@ -77,12 +77,19 @@
         permit.endpoint.id,
         work.partials.borrow()[item].last,
     );
+    let began = jobs.now();
+    let is_first = work.partials.borrow()[item].last.is_none();
     let ended = tokio::select! {
         // A slot that is wanted back goes first.
         biased;
         () = permit.stopped() => Ended::Stopped,
         ended = exchange(&work, item, &forward, &permit) => ended,
     };
+    let took = jobs.now().since(began);
+    work.ran.borrow_mut()[item] += took;
+    if is_first && matches!(ended, Ended::Done) {
+        jobs.pace.learn(work.items[item].tokens, took);
+    }
     finish(&jobs, &work, item, attempts, permit, &ended);
 }
 
--- a/src/batch/shell.rs
+++ b/src/batch/shell.rs
@@ -14,7 +14,7 @@
 use super::ledger::{Entry, Ledger};
 use super::read::Cache;
 use super::record::{self, Record};
-use super::work::{Slot, Work};
+use super::work::{Pace, Slot, Work};
 use super::{orphan, run};
 use crate::catalog::{Catalog, Config, Kind, Route, Terms};
 use crate::clock::{Clock, Time};
@@ -76,6 +76,7 @@
     /// Told at each change of the ledger.
     pub(super) changed: Notify,
     pub(super) started: Time,
+    pub(super) pace: Pace,
     asking: Flag<usize>,
 }
 
@@ -92,6 +93,7 @@
             taking: RefCell::default(),
             changed: Notify::new(),
             started,
+            pace: Pace::default(),
             asking: Flag::new(0),
         })
     }
@@ -235,9 +237,9 @@
             let works = self.works.borrow();
             let next = works
                 .values()
-                .filter_map(|work| Some((work.urgency(now), work, work.next_ready(now)?)))
-                .min_by_key(|(urgency, _, _)| *urgency)
-                .map(|(_, work, item)| (Rc::clone(work), item));
+                .filter_map(|work| Some((work.next(now, &self.pace)?, work)))
+                .min_by_key(|((urgency, _), _)| *urgency)
+                .map(|((_, item), work)| (Rc::clone(work), item));
             drop(works);
             let Some((work, item)) = next else {
                 return;
--- a/src/batch/work.rs
+++ b/src/batch/work.rs
@@ -1,6 +1,8 @@
 //! A job that this node runs.
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
+use std::time::Duration;
 
 use super::item::{Item, Outcome, Partial, State};
 use super::ledger::Entry;
@@ -8,6 +10,43 @@
 use crate::edge::body::Guard;
 use crate::name::Name;
 
+/// How long items take, learned from those that ran without a stop.
+#[derive(Debug)]
+pub(super) struct Pace {
+    /// Seconds a token of prompt and longest output.
+    per_token: Cell<f64>,
+}
+
+/// Seconds a token before any item has run: 1,800 tokens took some 5 s.
+const FIRST_PER_TOKEN: f64 = 0.002_7;
+/// Weight of the newest item in the mean.
+const PACE_WEIGHT: f64 = 0.1;
+/// An item that is nearly done still needs a place and its last events.
+const LEAST_LEFT: Duration = Duration::from_millis(300);
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self {
+            per_token: Cell::new(FIRST_PER_TOKEN),
+        }
+    }
+}
+
+impl Pace {
+    /// An item of `tokens` ran for `took` from its first event to its last.
+    pub(super) fn learn(&self, tokens: u32, took: Duration) {
+        let new = took.as_secs_f64() / f64::from(tokens.max(1));
+        let mean = self.per_token.get();
+        self.per_token.set(mean + PACE_WEIGHT * (new - mean));
+    }
+
+    /// How long an item still needs that ran for `ran`.
+    fn left(&self, tokens: u32, ran: Duration) -> Duration {
+        let whole = Duration::from_secs_f64(self.per_token.get() * f64::from(tokens));
+        whole.saturating_sub(ran).max(LEAST_LEFT)
+    }
+}
+
 /// Where an item stands.
 #[derive(Debug)]
 pub(super) enum Slot {
@@ -33,6 +72,8 @@
     pub(super) entry: RefCell<Entry>,
     pub(super) slots: RefCell<Vec<Slot>>,
     pub(super) partials: RefCell<Vec<Partial>>,
+    /// How long items have run so far, in runs that are gone on with.
+    pub(super) ran: RefCell<Vec<Duration>>,
     /// Answers of 500 so far, by item.
     pub(super) failures: RefCell<Vec<u32>>,
     /// Outcomes that are not stored yet.
@@ -61,6 +102,7 @@
             entry: RefCell::new(entry),
             slots: RefCell::new(slots),
             partials: RefCell::new(vec![Partial::default(); count]),
+            ran: RefCell::new(vec![Duration::ZERO; count]),
             failures: RefCell::new(vec![0; count]),
             fresh: RefCell::default(),
             committing: Cell::new(false),
@@ -81,10 +123,30 @@
             .position(|slot| matches!(slot, Slot::Ready(from) if *from <= now))
     }
 
-    /// When its items should be started relative to others': what is due first
-    /// goes first, and what is late already gives way to what can be on time.
-    pub(super) fn urgency(&self, now: Time) -> Time {
-        if now > self.due {
+    /// The item that should be run next, and how urgent it is relative to
+    /// other jobs': what is due first goes first. Many jobs at once are more
+    /// than can be done in time; what can't be on time any more gives way to
+    /// what can, or every item would end just after its due time. Of one job's
+    /// items those that are further along go first.
+    pub(super) fn next(&self, now: Time, pace: &Pace) -> Option<(Time, usize)> {
+        if self.stopped.get() {
+            return None;
+        }
+        let slots = self.slots.borrow();
+        let ready = slots
+            .iter()
+            .enumerate()
+            .filter(|(_, slot)| matches!(slot, Slot::Ready(from) if *from <= now));
+        let ran = self.ran.borrow();
+        ready
+            .map(|(item, _)| (self.urgency(now, item, pace), item))
+            .min_by_key(|(urgency, item)| (*urgency, Reverse(ran[*item])))
+    }
+
+    /// When an item is due, or when it is given up if it can't be on time.
+    pub(super) fn urgency(&self, now: Time, item: usize, pace: &Pace) -> Time {
+        let left = pace.left(self.items[item].tokens, self.ran.borrow()[item]);
+        if now + left > self.due {
             self.expires
         } else {
             self.due
