--- a/src/batch.rs
+++ b/src/batch.rs
@@ -16,6 +16,7 @@
 mod orphan;
 mod read;
 mod release;
+mod retire;
 mod run;
 mod shell;
 mod work;
--- a/src/batch/orphan.rs
+++ b/src/batch/orphan.rs
@@ -86,7 +86,7 @@
 }
 
 /// How many members go before this one for a job.
-fn rank(job: &Name, me: &Name, view: &View) -> u32 {
+pub(super) fn rank(job: &Name, me: &Name, view: &View) -> u32 {
     let score =
         |name: &Name| xxh3_64_with_seed(name.as_bytes(), xxh3_64_with_seed(job.as_bytes(), 0));
     let own = score(me);
--- a/src/batch/shell.rs
+++ b/src/batch/shell.rs
@@ -15,7 +15,7 @@
 use super::read::Cache;
 use super::record::{self, Record};
 use super::work::{Pace, Slot, Work};
-use super::{orphan, run};
+use super::{orphan, retire, run};
 use crate::catalog::{Catalog, Config, Kind, Route, Terms};
 use crate::clock::{Clock, Time};
 use crate::edge::body::Guard;
@@ -35,6 +35,8 @@
 const ASKING: usize = 3;
 /// How often jobs without an owner are looked for.
 const TICK: Duration = Duration::from_millis(200);
+/// How often jobs that may be removed are looked for.
+const RETIRE: Duration = Duration::from_secs(30);
 /// Least time between two readings of the jobs' changes: a job's rows change
 /// with each result, and readers are told within a second.
 const FEED_GAP: Duration = Duration::from_millis(200);
@@ -51,6 +53,8 @@
     pub store: Client,
     /// Largest value of a row, in bytes.
     pub row_bytes: usize,
+    /// For how long results stay readable.
+    pub results: Duration,
     /// Admission.
     pub desk: Rc<Desk>,
     /// Configuration and endpoints.
@@ -107,6 +111,13 @@
             FEED_GAP,
             move |news| learner.learn(news),
         ));
+        let retiring = Rc::clone(&self);
+        actix_rt::spawn(async move {
+            loop {
+                sleep(RETIRE).await;
+                retire::retire(&retiring).await;
+            }
+        });
         let mut released = false;
         loop {
             sleep(TICK).await;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -21,6 +21,7 @@
 mod serve;
 mod service;
 mod status;
+pub mod trace;
 mod try_out;
 
 pub use exit::Exit;
@@ -54,6 +55,7 @@
     Entry::new(OPERATOR, endpoint::command, endpoint::run),
     Entry::new(OPERATOR, member::command, member::run),
     Entry::new(OPERATOR, drain::command, drain::run),
+    Entry::new(OPERATOR, trace::command, trace::run),
     Entry::new(SHELL, completion::command, completion::run),
 ];
 
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -410,6 +410,7 @@
             clock: shared.clock,
             store: Client::new(shared.site.store.address),
             row_bytes: shared.site.store.row_bytes,
+            results: shared.site.bounds.results,
             desk: Rc::clone(&desk),
             catalog: Arc::clone(&shared.catalog),
             view: Arc::clone(&shared.view),
--- a/standin/src/site/proxy.rs
+++ b/standin/src/site/proxy.rs
@@ -53,7 +53,7 @@
                 let mode = Rc::clone(&modes);
                 let task = actix_rt::spawn(async move {
                     if let Ok(far) = TcpStream::connect(server).await {
-                        carry(near, far, mode).await;
+                        Box::pin(carry(near, far, mode)).await;
                     }
                 });
                 let mut tasks = tasks.borrow_mut();
--- a/standin/src/site/replica.rs
+++ b/standin/src/site/replica.rs
@@ -178,7 +178,7 @@
         let total = events(out.unwrap_or(0));
         let (pieces, body) = mpsc::channel(4);
         let step = self.step * fault.slow;
-        let stop = if rand::rng().random_bool(fault.break_off) {
+        let break_at = if rand::rng().random_bool(fault.break_off) {
             rand::rng().random_range(last..=total)
         } else {
             total + 1
@@ -187,7 +187,7 @@
             let _running = running;
             for number in last + 1..=total {
                 sleep(step).await;
-                if number > stop {
+                if number > break_at {
                     // Breaks off in the middle of an event.
                     let _ = pieces.send(Err(Lost)).await;
                     return;
--- a/standin/src/site/rows.rs
+++ b/standin/src/site/rows.rs
@@ -34,7 +34,7 @@
 /// All rows.
 #[derive(Debug, Default)]
 pub struct Rows {
-    rows: BTreeMap<Id, (String, u64)>,
+    present: BTreeMap<Id, (String, u64)>,
     history: VecDeque<Entry>,
     /// Changes up to this version were dropped.
     dropped: u64,
@@ -52,7 +52,7 @@
     /// # Errors
     /// The rows when a condition does not hold.
     pub fn transact(&mut self, change: Change) -> Result<u64, Vec<Entry>> {
-        let version_of = |id: &Id| self.rows.get(id).map_or(0, |(_, version)| *version);
+        let version_of = |id: &Id| self.present.get(id).map_or(0, |(_, version)| *version);
         if change
             .expect
             .iter()
@@ -64,11 +64,11 @@
         self.version += 1;
         let version = self.version;
         for (id, value) in change.set {
-            self.rows.insert(id.clone(), (value.clone(), version));
+            self.present.insert(id.clone(), (value.clone(), version));
             self.log(id, Some(value));
         }
         for id in change.remove {
-            if self.rows.remove(&id).is_some() {
+            if self.present.remove(&id).is_some() {
                 self.log(id, None);
             }
         }
@@ -81,7 +81,7 @@
     }
 
     fn entry(&self, id: &Id) -> Option<Entry> {
-        let (value, version) = self.rows.get(id)?;
+        let (value, version) = self.present.get(id)?;
         Some(Entry {
             id: id.clone(),
             value: Some(value.clone()),
@@ -93,7 +93,7 @@
     pub fn get(&self, table: &str, from: &str, limit: usize) -> (Vec<Entry>, bool) {
         let start = (table.to_owned(), String::new(), from.to_owned());
         let mut rows = self
-            .rows
+            .present
             .range(start..)
             .take_while(|((name, _, _), _)| name == table)
             .filter_map(|(id, _)| self.entry(id));
--- a/standin/src/soak/caller.rs
+++ b/standin/src/soak/caller.rs
@@ -2,6 +2,7 @@
 //! long as these work, and remember what they were told.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -43,7 +44,7 @@
     let mut kept: Option<(SocketAddr, Conn)> = None;
     while world.open.get() {
         sleep(Duration::from_millis(10 + 7 * at as u64)).await;
-        let repeatable = world.fresh() % 4 != 0;
+        let repeatable = !world.fresh().is_multiple_of(4);
         let number = world.fresh();
         let path = format!("/{}/{number}", if repeatable { "q" } else { "v" });
         let id = format!("a{number:x}");
@@ -181,14 +182,14 @@
         let items: Vec<(String, String, u64)> = (0..count)
             .map(|_| {
                 let number = world.fresh();
-                let word = match draw(&world, 40) {
+                let sort = match draw(&world, 40) {
                     0 => "never",
                     1 => "fails",
                     _ => "item",
                 };
                 (
                     format!("t{number:x}"),
-                    format!("/n/{word}/{number}"),
+                    format!("/n/{sort}/{number}"),
                     ITEM_TOKENS,
                 )
             })
@@ -199,7 +200,7 @@
             accepted: None,
             refused: false,
             ended: None,
-            results: Default::default(),
+            results: BTreeMap::new(),
         }));
         world.jobs.borrow_mut().push(Rc::clone(&job));
         send(&world, &job).await;
@@ -284,10 +285,10 @@
         let target = format!("/-/lots/{id}?after={after}");
         match call_any(world, "GET", &target, headers, "").await {
             Some((StatusCode::OK, body)) => take(world, job, after, total, &body),
-            Some((StatusCode::NOT_FOUND, _)) => {
-                if accepted.is_some_and(|at| at.elapsed() > SETTLE) {
-                    world.broke(format!("job {id} is accepted and was not found"));
-                }
+            Some((StatusCode::NOT_FOUND, _))
+                if accepted.is_some_and(|at| at.elapsed() > SETTLE) =>
+            {
+                world.broke(format!("job {id} is accepted and was not found"));
             }
             _ => {}
         }
--- a/standin/src/soak/check.rs
+++ b/standin/src/soak/check.rs
@@ -83,9 +83,10 @@
 
 /// The whole text that a request for `path` and `tokens` must bring.
 pub fn whole_stream(path: &str, tokens: u64) -> String {
-    (1..=events(tokens))
+    let all: Vec<String> = (1..=events(tokens))
         .map(|number| format!("id: {number}\ndata: {}\n\n", text(path, number)))
-        .collect()
+        .collect();
+    all.concat()
 }
 
 /// The output that an item must have.
--- a/standin/src/soak/fault.rs
+++ b/standin/src/soak/fault.rs
@@ -281,7 +281,7 @@
 ///
 /// # Errors
 /// When a process can't be started.
-pub async fn heal(world: &World) -> Result<()> {
+pub fn heal(world: &World) -> Result<()> {
     world.store.treatment.borrow_mut().clear();
     for node in &world.nodes {
         node.store.set(Mode::Pass);
--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -242,7 +242,7 @@
         callers.push(actix_rt::spawn(caller::submit(Rc::clone(&world))));
     }
     fault::inject(&world).await?;
-    fault::heal(&world).await?;
+    fault::heal(&world)?;
     // What was served before is served again.
     sleep(Duration::from_secs(3)).await;
     world.open.set(false);
--- a/tests/pool_admission.rs
+++ b/tests/pool_admission.rs
@@ -64,9 +64,9 @@
     actions
 }
 
-fn granted(actions: &[Action]) -> Option<Name> {
+fn granted(actions: &[Action]) -> Option<String> {
     actions.iter().find_map(|action| match action {
-        Action::Grant(_, endpoint) => Some(endpoint.id.clone()),
+        Action::Grant(_, endpoint) => Some(endpoint.id.to_string()),
         _ => None,
     })
 }
@@ -95,16 +95,15 @@
 #[gtest]
 fn ask_online_stops_batch() {
     let mut pool = pool(2);
-    let mut next = fill_with_batch(&mut pool) + 1;
+    let next = fill_with_batch(&mut pool) + 1;
     let mut stopped = 0;
-    for _ in 0..2 * SLOTS {
-        let actions = decide(&mut pool, at(510), next, ask(Class::Online, 5_000));
+    for seq in next..next + u64::from(2 * SLOTS) {
+        let actions = decide(&mut pool, at(510), seq, ask(Class::Online, 5_000));
         expect_that!(granted(&actions), some(anything()));
         stopped += actions
             .iter()
             .filter(|action| matches!(action, Action::Stop(_)))
             .count();
-        next += 1;
     }
     // One slot was kept free of batch work.
     expect_that!(stopped, eq(usize::try_from(2 * SLOTS - 1).unwrap()));
@@ -157,7 +156,7 @@
     distinct.sort();
     distinct.dedup();
     expect_that!(distinct.len(), ge(8));
-    expect_that!(refused, each(le(Duration::from_secs(2))));
+    expect_that!(refused, each(le(&Duration::from_secs(2))));
 }
 
 /// A request that can't start in its time is refused when that becomes known,
@@ -264,6 +263,8 @@
 #[derive(Debug, Default)]
 struct Served {
     online: u32,
+    /// Of these, in peaks.
+    peak: u32,
     in_aim: u32,
     /// Seconds of slots that batch work had.
     batch: f64,
@@ -287,6 +288,7 @@
         if random.random_bool(rate / 1_000.0) {
             seq += 1;
             served.online += 1;
+            served.peak += u32::from(now % 5_200 >= 3_000);
             asked.insert(seq, (Class::Online, now));
             pool.ask(at(now), key(seq), ask(Class::Online, 5_000), &mut actions);
         }
@@ -371,12 +373,16 @@
     }
 }
 
-/// At twice the usual load the peaks are above what the slots can take; what is
-/// served at all is served in its aim, and the slots stay full.
+/// At twice the usual load the peaks are above what the slots can take. Nothing
+/// can serve more in its aim than 72 slots start within a peak and the 230 ms
+/// behind it, beside all of the valleys; at least 95 in 100 of that are served.
 #[gtest]
 fn replay_peaks_double() {
     for seed in 0..5 {
         let served = replay(seed, 84.0);
-        expect_that!(served.in_aim, ge(served.online * 80 / 100), "{served:?}");
+        let peaks = 30.0 / 5.2;
+        let most = f64::from(served.peak).min(72.0 * 2.43 / 0.7 * peaks);
+        let bound = most + f64::from(served.online - served.peak);
+        expect_that!(f64::from(served.in_aim), ge(0.95 * bound), "{served:?}");
     }
 }
--- a/tests/split_events.rs
+++ b/tests/split_events.rs
@@ -66,9 +66,10 @@
     #[test]
     fn push_any_cuts(cuts in proptest::collection::vec(1_usize..40, 1..60), crlf: bool) {
         let end = if crlf { "\r\n" } else { "\n" };
-        let stream: String = (1..20)
+        let stream: Vec<String> = (1..20)
             .map(|number| format!("id: {number}{end}data: {}{end}{end}", "y".repeat(number % 7)))
             .collect();
+        let stream = stream.concat();
         let mut splitter = Splitter::default();
         let mut out = Vec::new();
         let mut last = None;
@@ -80,7 +81,8 @@
             rest = later;
             if let Some(events) = splitter.push(now).unwrap() {
                 prop_assert!(events.first > last);
-                prop_assert!(events.bytes.ends_with(format!("{end}{end}").as_bytes()));
+                let blank = [end, end].concat();
+                prop_assert!(events.bytes.ends_with(blank.as_bytes()));
                 last = events.last;
                 out.extend_from_slice(&events.bytes);
             }
