--- a/src/table.rs
+++ b/src/table.rs
@@ -4,7 +4,7 @@
 //! Every change may suffer the same three fates: it took effect, it certainly
 //! did not, or its answer was lost after it may have taken effect. The error
 //! type keeps the last two apart, because exactly-once rests on it; see
-//! docs/design/platform.md.
+//! docs/design/table.md.
 
 use std::fmt;
 use std::time::Duration;
@@ -238,7 +238,7 @@
 }
 
 /// Following a table, so that a node learns of changes without reading it over
-/// and over. docs/design/platform.md tells how gaps and stale answers are met.
+/// and over. docs/design/table.md tells how gaps and stale answers are met.
 pub trait Feed {
     /// Reads the whole table.
     ///
--- a/src/table/http.rs
+++ b/src/table/http.rs
@@ -3,7 +3,7 @@
 //! The client tells a call that surely had no effect (the connection was
 //! refused, or the platform answered so) from one whose answer was lost. To
 //! take the second for the first would run work twice; see
-//! docs/design/platform.md.
+//! docs/design/table.md.
 
 use std::net::SocketAddr;
 use std::time::Duration;
