--- a/src/catalog/book.rs
+++ b/src/catalog/book.rs
@@ -17,6 +17,11 @@
 /// the platform promises about two seconds.
 const RETURN_GRACE: Duration = Duration::from_secs(2);
 
+/// Removed endpoints that are remembered, so that late news of them is known
+/// for late. Identities are never used again; without a bound the memory of a
+/// node would grow with each restart of an endpoint.
+const MOST_REMOVED: usize = 4_096;
+
 /// What the store said of one endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
@@ -106,6 +111,13 @@
             self.known.remove(id);
         }
         self.removed.insert(id.clone(), version);
+        if self.removed.len() > MOST_REMOVED {
+            // News of the longest gone is the least likely still to come.
+            let oldest = self.removed.iter().min_by_key(|(_, version)| **version);
+            if let Some(id) = oldest.map(|(id, _)| id.clone()) {
+                self.removed.remove(&id);
+            }
+        }
     }
 
     /// Drops what did not come back in time; true when something changed.
--- a/src/cli/trace.rs
+++ b/src/cli/trace.rs
@@ -67,7 +67,8 @@
             }
         }
     }
-    lines.sort();
+    // Lines of the same millisecond keep the order in which they were written.
+    lines.sort_by(|a, b| a.time.cmp(&b.time));
     lines
 }
 
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -312,7 +312,7 @@
     });
     actix_rt::spawn(answer(asked, Rc::clone(&learner)));
     let store = Client::new(address);
-    actix_rt::spawn(register(store.clone(), vm(&setup.me)));
+    actix_rt::spawn(register(store.clone(), setup.me.vm()));
     let socket = tokio::net::UdpSocket::from_std(control)?;
     let (members, mut events) = crate::member::shell::start(setup, socket, Registered(store));
     // Nothing here depends on notes; the channel must not fill up.
@@ -337,17 +337,6 @@
     }
 }
 
-fn vm(me: &Member) -> Vm {
-    Vm {
-        name: me.name.clone(),
-        link: me.link.clone(),
-        control: me.control.clone(),
-        address: me.address.clone(),
-        zone: me.zone.clone(),
-        leaving: false,
-    }
-}
-
 /// The row of a node; a later process at the same address replaces it.
 fn node_key(control: &str) -> String {
     format!("{NODES}/{}", control.replace(':', "-"))
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -267,7 +267,8 @@
         Ended::Failed(Failure::Lost, End::Failed, why)
     }
 
-    /// Reads an error whole, to pass it on if nothing better comes.
+    /// Reads an error whole, to pass it on if nothing better comes. The
+    /// connection is lent so that it stays open meanwhile.
     async fn whole(&mut self, response: Response<Incoming>, _conn: &Conn) -> Ended {
         let head = forward::head(&response);
         let left = self.attempt.deadline().since(self.node.clock.now());
@@ -278,6 +279,8 @@
         }
     }
 
+    /// Passes an answer on as it comes. The connection closes at the end, which
+    /// tells an endpoint that is not done to stop.
     async fn answer(&mut self, response: Response<Incoming>, _conn: Conn) -> Ended {
         let mut head = forward::head(&response);
         let stream = forward::is_stream(head.headers()) && response.status().is_success();
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -400,7 +400,10 @@
 }
 
 /// Fills in the service's own bounds where the caller named none.
-fn complete(config: &Document, request: &mut Request) -> Result<(), Refusal> {
+///
+/// # Errors
+/// When the service is unknown, or of another kind than the body.
+pub fn complete(config: &Document, request: &mut Request) -> Result<(), Refusal> {
     let Some(service) = config.services.get(&request.service) else {
         return Err(Refusal::new(Reason::UnknownService).because(format!(
             "there is no service `{}`; `auburnspoke service list` names them",
--- a/src/member.rs
+++ b/src/member.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::name::Name;
+use crate::table::Vm;
 
 pub mod gossip;
 pub mod probe;
@@ -50,6 +51,20 @@
     pub power: u16,
 }
 
+impl Member {
+    /// What the list of VMs says of it.
+    pub fn vm(&self) -> Vm {
+        Vm {
+            name: self.name.clone(),
+            link: self.link.clone(),
+            control: self.control.clone(),
+            address: self.address.clone(),
+            zone: self.zone.clone(),
+            leaving: false,
+        }
+    }
+}
+
 /// An immutable list of members, sorted by name, this node among them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct View {
--- a/src/node/batch.rs
+++ b/src/node/batch.rs
@@ -15,7 +15,8 @@
 use super::PLATFORM_TIMEOUT;
 use super::assign::{Assignment, Own};
 use crate::dispatch::handle::Event;
-use crate::gateway::Shared;
+use crate::event;
+use crate::gateway::{Shared, complete};
 use crate::job::runner::{self, Runner, Tally};
 use crate::job::{Execute, Setting};
 use crate::name::Name;
@@ -191,7 +192,15 @@
         self.assignment.read().keys().cloned().collect()
     }
 
-    async fn execute(&self, request: Request) -> Outcome<Answer> {
+    async fn execute(&self, mut request: Request) -> Outcome<Answer> {
+        // An item without a bound of its own has the service's, as a question
+        // does; the endpoint would refuse it and every item of its job. What
+        // else is wrong with it the endpoint says.
+        if let Ok(config) = self.shared.config()
+            && let Err(refusal) = complete(&config, &mut request)
+        {
+            log::debug!("{} {refusal}", event::REQUEST_REFUSED);
+        }
         let Some(endpoint) = self.choose(&request.service) else {
             return Outcome::NotRun(Refusal::new(Reason::NoEndpoint));
         };
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -76,7 +76,7 @@
 /// Starts the control services on this thread.
 pub fn start(start: Start) -> Rc<Control> {
     let shared = start.shared;
-    actix_rt::spawn(register(start.client.clone(), vm(&start.setup)));
+    actix_rt::spawn(register(start.client.clone(), start.setup.me.vm()));
     let roster = Remembered::new(start.client.clone());
     let (members, events) = shell::start(start.setup, start.socket, roster.clone());
     let net = Net {
@@ -128,18 +128,6 @@
     placement::run::start(site, client.clone());
 }
 
-fn vm(setup: &Setup) -> Vm {
-    let me = &setup.me;
-    Vm {
-        name: me.name.clone(),
-        link: me.link.clone(),
-        control: me.control.clone(),
-        address: me.address.clone(),
-        zone: me.zone.clone(),
-        leaving: false,
-    }
-}
-
 /// Tells the stand-in platform that this VM runs; a real platform knows.
 async fn register(client: Client, vm: Vm) {
     while client.register(vm.clone()).await.is_err() {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -73,7 +73,6 @@
 struct Platform {
     address: SocketAddr,
     row_bytes: usize,
-    blob_bytes: usize,
 }
 
 /// The path of the settings file, from the environment.
@@ -127,7 +126,6 @@
         store: Store {
             address: file.platform.address,
             row_bytes: file.platform.row_bytes,
-            object_bytes: file.platform.blob_bytes,
         },
         bounds: Bounds {
             grace: seconds("bounds.grace_s", file.bounds.grace)?,
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -58,8 +58,10 @@
 const RESERVE_ONE_IN: u32 = 32;
 /// Most asks that may wait; above it each further one is refused.
 const MAX_WAITING: usize = 4_096;
-/// Shortest and longest time after which a refused request should come back.
+/// Shortest time after which a refused request should come back: less than a
+/// seventh of the time that a slot is held frees next to nothing.
 const RETRY_MIN: Duration = Duration::from_millis(100);
+/// Longest time after which it should: about the length of a peak.
 const RETRY_MAX: Duration = Duration::from_secs(2);
 
 /// Who asks: a gateway's socket and its number of the request.
@@ -292,7 +294,7 @@
         self.online.is_empty() && self.batch.is_empty() && self.permits.is_empty()
     }
 
-    /// What the metrics show: slots, permits held, online and batch waiting.
+    /// What the tests and a status page look at: slots, permits held, online and batch waiting.
     pub fn gauge(&self) -> Gauge {
         Gauge {
             slots: self.places.values().map(Place::slots).sum(),
@@ -417,7 +419,7 @@
             return;
         };
         place.add(waiting.ask.class);
-        place.granted(now, waiting.ask.prefix);
+        place.granted(waiting.ask.prefix);
         actions.push(Action::Grant(key, Arc::clone(&place.endpoint)));
         let permit = Permit {
             endpoint: id.clone(),
@@ -435,7 +437,7 @@
         self.places
             .iter()
             .filter(|(id, place)| place.free(now) > 0 && !ask.avoid.contains(*id))
-            .min_by(|(_, a), (_, b)| a.score(now, ask).total_cmp(&b.score(now, ask)))
+            .min_by(|(_, a), (_, b)| a.score(ask).total_cmp(&b.score(ask)))
             .map(|(id, _)| id.clone())
     }
 
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -85,7 +85,7 @@
     }
 
     /// Less is better.
-    pub(super) fn score(&self, _now: Time, ask: &Ask) -> f64 {
+    pub(super) fn score(&self, ask: &Ask) -> f64 {
         let load = f64::from(self.online + self.batch) / f64::from(self.slots().max(1));
         let mut score = load + f64::from(self.strikes);
         if ask.class == Class::Online && self.prefixes.contains(&ask.prefix) {
@@ -97,7 +97,7 @@
         score
     }
 
-    pub(super) fn granted(&mut self, _now: Time, prefix: u64) {
+    pub(super) fn granted(&mut self, prefix: u64) {
         if prefix == 0 || self.prefixes.contains(&prefix) {
             return;
         }
--- a/src/site.rs
+++ b/src/site.rs
@@ -63,8 +63,6 @@
     pub address: SocketAddr,
     /// Largest value of a row, in bytes.
     pub row_bytes: usize,
-    /// Largest object, in bytes.
-    pub object_bytes: usize,
 }
 
 /// Bounds on the system's behaviour.
--- a/tests/catalog_book.rs
+++ b/tests/catalog_book.rs
@@ -120,3 +120,17 @@
     }
     expect_that!(ids(&peer), elements_are![eq("a")]);
 }
+
+/// Endpoints restart all day, each time with a new identity. What is remembered
+/// of the gone ones must not grow without end.
+#[gtest]
+fn apply_many_removed() {
+    let mut book = Book::default();
+    for number in 0..5_000 {
+        book.apply(at(0), entry(&format!("e{number}"), number * 2 + 1, true));
+        book.apply(at(0), removed(&format!("e{number}"), number * 2 + 2));
+    }
+    expect_that!(book.entries().len(), le(4_096));
+    // Late news of a recent one is still known for late.
+    expect_that!(book.apply(at(1), entry("e4999", 9_999, true)), eq(false));
+}
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -41,6 +41,29 @@
     expect_that!(fleet.plain_counts(0)["arrived"], eq(&json!(2)));
 }
 
+/// A planner submits items in the form that the help shows, with no bound on
+/// their output. Every one of them would end as failed.
+#[gtest]
+fn job_items_without_bound() {
+    let mut fleet = env::Fleet::new();
+    fleet.engine(&["--faster", "20"]);
+    fleet.node("zone-0");
+    fleet.settle(1);
+    fleet.configure();
+    let items = json!([{"key": "k", "prompt": "p"}]);
+    let job = json!({"service": "recipes", "key": "unbounded", "items": items});
+    let accepted = fleet.caller(0, "SubmitJob", &job).unwrap();
+    let name = json!({"job": accepted["job"]});
+    env::until("the job ends", || {
+        fleet.caller(0, "JobStatus", &name).unwrap()["state"] == "JOB_STATE_ENDED"
+    });
+    let results = fleet.caller(0, "JobResults", &name).unwrap();
+    expect_that!(
+        results["results"][0]["state"],
+        eq(&json!("ITEM_STATE_DONE"))
+    );
+}
+
 #[gtest]
 fn job_results_whole() {
     // Twenty items go in at one node and their results are read at another.
--- a/tests/trace_verdict.rs
+++ b/tests/trace_verdict.rs
@@ -37,6 +37,16 @@
     );
 }
 
+/// A retry and its refusal were written within one millisecond; sorted by their
+/// text the refusal would come before its cause.
+#[gtest]
+fn gather_same_millisecond() {
+    let log = "T1 INFO  E302 request_retried id=a why=broken next=Refuse\n\
+               T1 INFO  E301 request_refused id=a why=broken answer=Refuse\n";
+    let lines = gather("a", &[("n.log".into(), log.into())]);
+    expect_that!(lines[0].text, contains_substring("E302"));
+}
+
 #[gtest]
 fn gather_refused_request() {
     let lines = gather("a2", &files());
