--- a/tests/path.rs
+++ b/tests/path.rs
@@ -51,7 +51,8 @@
     fleet.settle(1);
     fleet.configure();
     let items = json!([{"key": "k", "prompt": "p"}]);
-    let job = json!({"service": "recipes", "key": "unbounded", "items": items});
+    let job =
+        json!({"service": "recipes", "organisation": "trust", "key": "unbounded", "items": items});
     let accepted = fleet.caller(0, "SubmitJob", &job).unwrap();
     let name = json!({"job": accepted["job"]});
     env::until("the job ends", || {
