Go on to the next address when a node takes no calls

Cause: the client tried another address only where it could not connect. A node that stops or has just started answers "not ready, not run", and that ended the command though other nodes were named and would have answered. Ruled out: going on after anything else; only "not run" with this reason says nothing about the other nodes and leaves no run behind. Change: calls and questions go through one loop over the addresses, which passes over unreachable and not-ready nodes. For streams the first piece is awaited, because a refusal comes inside the stream. The rolling stop of three nodes under load was not run again.

--- a/src/cli/remote.rs
+++ b/src/cli/remote.rs
@@ -42,7 +42,9 @@
                 .default_value(SERVER)
                 .value_delimiter(',')
                 .value_parser(address)
-                .help("The node to ask; further ones after commas are tried when it can't be connected to"),
+                .help(
+                    "The node to ask; further ones after commas are tried when it takes no calls",
+                ),
         )
         .arg(
             Arg::new("timeout")
--- a/src/rpc/client.rs
+++ b/src/rpc/client.rs
@@ -72,6 +72,17 @@
 
 impl std::error::Error for Error {}
 
+impl Error {
+    /// True when a node that starts or stops sent the request away unrun, which
+    /// says nothing of the other nodes.
+    fn is_not_ready(&self) -> bool {
+        match self {
+            Self::Refused(refusal) => refusal.not_run && refusal.reason() == v1::Reason::NotReady,
+            Self::Unreachable { .. } | Self::Lost(_) => false,
+        }
+    }
+}
+
 /// How long a client waits.
 #[derive(Clone, Copy, Debug)]
 pub struct Timeouts {
@@ -89,7 +100,7 @@
 }
 
 impl Client {
-    /// A client that uses the first of `servers` that it can connect to.
+    /// A client that uses the first of `servers` that takes its calls.
     pub fn new(servers: Vec<SocketAddr>, timeouts: Timeouts) -> Self {
         let connector = awc::Connector::new().timeout(timeouts.connect);
         let http = awc::Client::builder()
@@ -102,8 +113,9 @@
 
     /// Calls a unary method once.
     ///
-    /// Another address is tried only when the one before could not be
-    /// connected to: after that the request may have run.
+    /// Another address is tried only when the one before surely did not run it:
+    /// it could not be connected to, or its node said that it takes no calls
+    /// now. After anything else the request may have run.
     ///
     /// # Errors
     /// [`Error`].
@@ -112,20 +124,28 @@
         C: Call,
     {
         let body = Bytes::from(request.encode_to_vec());
-        let mut answer = self.post(C::PATH, "application/proto", body).await?;
+        let body = self
+            .first_ready(|server| self.call_at(server, C::PATH, body.clone()))
+            .await?;
+        C::Answer::decode(body).map_err(|e| Error::Lost(format!("the answer can't be read: {e}")))
+    }
+
+    async fn call_at(&self, server: SocketAddr, path: &str, body: Bytes) -> Result<Bytes, Error> {
+        let mut answer = self.post(server, path, "application/proto", body).await?;
         let status = answer.status();
         let body = answer
             .body()
             .limit(MAX_ANSWER)
             .await
             .map_err(|e| Error::Lost(e.to_string()))?;
-        if status != StatusCode::OK {
-            return Err(refusal(status, &body));
+        match status {
+            StatusCode::OK => Ok(body),
+            status => Err(refusal(status, &body)),
         }
-        C::Answer::decode(body).map_err(|e| Error::Lost(format!("the answer can't be read: {e}")))
     }
 
-    /// Asks a question whose answer arrives in pieces.
+    /// Asks a question whose answer arrives in pieces. Addresses are tried as
+    /// by [`Self::call`], until a first piece is there.
     ///
     /// # Errors
     /// [`Error`] when no stream begins.
@@ -134,8 +154,17 @@
         request: &v1::AskRequest,
     ) -> Result<Answer<impl Stream<Item = Result<Bytes, String>> + use<>>, Error> {
         let envelope = codec::envelope(0, &request.encode_to_vec());
+        self.first_ready(|server| self.ask_at(server, envelope.clone()))
+            .await
+    }
+
+    async fn ask_at(
+        &self,
+        server: SocketAddr,
+        envelope: Bytes,
+    ) -> Result<Answer<impl Stream<Item = Result<Bytes, String>> + use<>>, Error> {
         let mut answer = self
-            .post(ASK_STREAM, "application/connect+proto", envelope)
+            .post(server, ASK_STREAM, "application/connect+proto", envelope)
             .await?;
         let status = answer.status();
         if status != StatusCode::OK {
@@ -146,12 +175,39 @@
                 .map_err(|e| Error::Lost(e.to_string()))?;
             return Err(refusal(status, &body));
         }
-        let parts = answer.map(|part| part.map_err(|e| e.to_string()));
-        Ok(Answer::new(parts))
+        let mut answer = Answer::new(answer.map(|part| part.map_err(|e| e.to_string())));
+        // A stream's refusal comes inside it.
+        answer.refused_elsewhere().await?;
+        Ok(answer)
+    }
+
+    /// Makes an attempt at one address after the other, until one is neither
+    /// unreachable nor taking no calls. During a rolling restart a caller with
+    /// all addresses would otherwise be refused by the node that stops, though
+    /// every other one could answer.
+    async fn first_ready<T, F, A>(&self, mut attempt: A) -> Result<T, Error>
+    where
+        A: FnMut(SocketAddr) -> F,
+        F: Future<Output = Result<T, Error>>,
+    {
+        let mut not_ready = None;
+        let mut last = String::from("no address was given");
+        for server in &self.servers {
+            match attempt(*server).await {
+                Err(Error::Unreachable { cause, .. }) => last = cause,
+                Err(error) if error.is_not_ready() => not_ready = Some(error),
+                ended => return ended,
+            }
+        }
+        Err(not_ready.unwrap_or_else(|| Error::Unreachable {
+            tried: self.servers.clone(),
+            cause: last,
+        }))
     }
 
     async fn post(
         &self,
+        server: SocketAddr,
         path: &str,
         media: &str,
         body: Bytes,
@@ -159,25 +215,19 @@
         awc::ClientResponse<impl Stream<Item = Result<Bytes, awc::error::PayloadError>> + use<>>,
         Error,
     > {
-        let mut cause = String::from("no address was given");
-        for server in &self.servers {
-            let sent = self
-                .http
-                .post(format!("http://{server}{path}"))
-                .insert_header(("content-type", media))
-                .insert_header(("connect-protocol-version", "1"))
-                .send_body(body.clone())
-                .await;
-            match sent {
-                Ok(answer) => return Ok(answer),
-                Err(SendRequestError::Connect(e)) => cause = e.to_string(),
-                Err(e) => return Err(Error::Lost(e.to_string())),
-            }
-        }
-        Err(Error::Unreachable {
-            tried: self.servers.clone(),
-            cause,
-        })
+        self.http
+            .post(format!("http://{server}{path}"))
+            .insert_header(("content-type", media))
+            .insert_header(("connect-protocol-version", "1"))
+            .send_body(body)
+            .await
+            .map_err(|error| match error {
+                SendRequestError::Connect(error) => Error::Unreachable {
+                    tried: vec![server],
+                    cause: error.to_string(),
+                },
+                error => Error::Lost(error.to_string()),
+            })
     }
 }
 
@@ -218,13 +268,32 @@
             if self.closed {
                 return Ok(None);
             }
-            match self.parts.next().await {
-                Some(Ok(part)) => self.buffer.extend_from_slice(&part),
-                Some(Err(e)) => self.fail(Error::Lost(e)),
-                None => self.fail(Error::Lost("the answer broke off before its end".into())),
-            }
-            self.unpack();
+            self.receive().await;
+        }
+    }
+
+    /// Waits for the first piece, and takes it out if it says that the node
+    /// takes no calls now.
+    async fn refused_elsewhere(&mut self) -> Result<(), Error> {
+        while self.ready.is_empty() && !self.closed {
+            self.receive().await;
+        }
+        if let Some(Err(error)) = self.ready.front()
+            && error.is_not_ready()
+            && let Some(Err(error)) = self.ready.pop_front()
+        {
+            return Err(error);
+        }
+        Ok(())
+    }
+
+    async fn receive(&mut self) {
+        match self.parts.next().await {
+            Some(Ok(part)) => self.buffer.extend_from_slice(&part),
+            Some(Err(e)) => self.fail(Error::Lost(e)),
+            None => self.fail(Error::Lost("the answer broke off before its end".into())),
         }
+        self.unpack();
     }
 
     /// Pieces that came before the failure are still handed out first.
--- a/tests/cli_remote.rs
+++ b/tests/cli_remote.rs
@@ -170,6 +170,84 @@
     expect_that!(asked.code, eq(0));
 }
 
+fn leaving() -> Refusal {
+    Refusal::new(Reason::NotReady).because("the node stops; use another address")
+}
+
+fn both(first: &Node, second: &Node) -> String {
+    format!("{},{}", first.address, second.address)
+}
+
+/// Nodes are restarted one after the other under load. The one that stops sends
+/// a question away unrun; without going on to the next address, the clerk sees
+/// a refusal though two other nodes would have answered.
+#[gtest]
+fn ask_next_server_not_ready() {
+    let stopping = Node::start(|_, _| Reply::Refusal(true, leaving()));
+    let serving = Node::start(|_, _| Reply::Stream(vec![text(0, "Yes"), last(), end("{}")]));
+    let servers = both(&stopping, &serving);
+    let asked = env::run(&[&ASK[..], &["--server", &servers]].concat(), "");
+    expect_that!(asked.stdout, eq("Yes\n"));
+    expect_that!(asked.code, eq(0));
+}
+
+/// The same where the refusal comes inside the stream, as a node's does.
+#[gtest]
+fn ask_next_server_not_ready_in_stream() {
+    let stopping = Node::start(|_, _| {
+        let error = error::body(true, &leaving());
+        Reply::Stream(vec![
+            end(&serde_json::json!({ "error": error }).to_string()),
+        ])
+    });
+    let serving = Node::start(|_, _| Reply::Stream(vec![last(), end("{}")]));
+    let servers = both(&stopping, &serving);
+    let asked = env::run(&[&ASK[..], &["--server", &servers]].concat(), "");
+    expect_that!(asked.code, eq(0));
+    expect_that!(stopping.calls().len(), eq(1));
+}
+
+/// A node that stops can't tell whether what it had begun has run. Sending the
+/// question on would run it a second time.
+#[gtest]
+fn ask_next_server_may_have_run() {
+    let stopping = Node::start(|_, _| Reply::Refusal(false, leaving()));
+    let serving = Node::start(|_, _| Reply::Stream(vec![last(), end("{}")]));
+    let servers = both(&stopping, &serving);
+    let asked = env::run(&[&ASK[..], &["--server", &servers]].concat(), "");
+    expect_that!(asked.code, eq(5));
+    expect_that!(serving.calls().len(), eq(0));
+}
+
+/// No node takes calls. The user hears what the nodes said, and not that the one
+/// which is down could not be reached.
+#[gtest]
+fn ask_no_server_ready() {
+    let stopping = Node::start(|_, _| Reply::Refusal(true, leaving()));
+    let servers = format!("{},127.0.0.1:9", stopping.address);
+    let asked = env::run(&[&ASK[..], &["--server", &servers]].concat(), "");
+    expect_that!(asked.code, eq(4));
+    expect_that!(asked.stderr, contains_substring("not_ready"));
+}
+
+/// A job is sent to a node that has just started and knows no configuration
+/// yet. The planner would have to find out that another node takes it.
+#[gtest]
+fn submit_next_server_not_ready() {
+    let starting = Node::start(|_, _| Reply::Refusal(true, Refusal::new(Reason::NotReady)));
+    let serving = Node::start(|_, _| {
+        Reply::message(&v1::SubmitJobResponse {
+            job: "j1".into(),
+            items: 1,
+            resent: false,
+        })
+    });
+    let servers = both(&starting, &serving);
+    let args = ["job", "submit", "--service", "s", "--server", &servers, "-"];
+    let sent = env::run(&args, "{\"prompt\": \"x\"}\n");
+    expect_that!(sent.code, eq(0));
+}
+
 #[gtest]
 fn submit_lost_answer() {
     // The answer to a submission is lost after the job was accepted. The
