Order acceptances under a small bound; wait before a route is taken for gone

A node accepted a job without ordering it against other nodes while less than half of the bound waited. With a bound of a few jobs several nodes asked at once would together exceed it. And a node that took a job over before it heard of the job's route listed the items as failed. Ruled out: ordering every acceptance: a reading more for each job where the bound is far. A route must be missing for 8 s before items are given up (batch::absence).

--- a/src/batch.rs
+++ b/src/batch.rs
@@ -7,8 +7,10 @@
 //! add anything once another has taken over. docs/design/jobs.md weighs the
 //! ways.
 
+pub mod absence;
 pub mod item;
 pub mod ledger;
+pub mod quota;
 pub mod record;
 
 mod accept;
--- a/src/batch/accept.rs
+++ b/src/batch/accept.rs
@@ -9,6 +9,7 @@
 
 use super::item::Item;
 use super::ledger::Entry;
+use super::quota::Quota;
 use super::record::{self, Record};
 use super::shell::{Jobs, terms};
 use crate::catalog::Route;
@@ -105,7 +106,7 @@
     ) -> Accepted {
         let tokens: Vec<u32> = items.iter().map(|item| item.tokens).collect();
         let total: u64 = tokens.iter().map(|tokens| u64::from(*tokens)).sum();
-        if !self.fits(route, total) {
+        if !self.quota(route).fits(total) {
             // A job that was accepted a moment ago elsewhere comes again.
             return match self.reload(job).await {
                 Ok(Some(_)) => Accepted::Yes,
@@ -148,29 +149,14 @@
         result
     }
 
-    fn fits(&self, route: &Route, tokens: u64) -> bool {
-        let Some(most) = terms(route).and_then(|terms| terms.waiting_tokens) else {
-            return true;
-        };
-        let waiting = self
-            .ledger
-            .borrow()
-            .waiting_tokens(&route.host, &route.prefix);
-        waiting + tokens <= most
-    }
-
-    /// True when acceptances on the route must be ordered: below half of the
-    /// bound, what other nodes accept within the second that this node's
-    /// knowledge may be old can't exceed it.
-    fn must_order(&self, route: &Route, tokens: u64) -> bool {
-        let Some(most) = terms(route).and_then(|terms| terms.waiting_tokens) else {
-            return false;
-        };
-        let waiting = self
-            .ledger
-            .borrow()
-            .waiting_tokens(&route.host, &route.prefix);
-        waiting + tokens > most / 2
+    /// The bound on the route, and what waits there as this node knows it.
+    fn quota(&self, route: &Route) -> Quota {
+        let most = terms(route).and_then(|terms| terms.waiting_tokens);
+        let ledger = self.ledger.borrow();
+        Quota {
+            most,
+            waiting: ledger.waiting_tokens(&route.host, &route.prefix),
+        }
     }
 
     async fn register(
@@ -182,23 +168,23 @@
         tokens: u64,
     ) -> Accepted {
         let key = record::key(job);
-        let quota = record::quota(&route.host, &route.prefix);
+        let order = record::quota(&route.host, &route.prefix);
         let mut doubtful = false;
         for _ in 0..TRIES {
             let mut transaction = Transaction::default()
                 .check(key.clone(), Expect::Absent)
                 .put(key.clone(), record.encode());
-            if self.must_order(route, tokens) {
-                match self.order(&quota).await {
+            if self.quota(route).must_order(tokens) {
+                match self.order(&order).await {
                     Ok(expect) => {
                         transaction = transaction
-                            .check(quota.clone(), expect)
-                            .put(quota.clone(), record::encode(&record.accepted));
+                            .check(order.clone(), expect)
+                            .put(order.clone(), record::encode(&record.accepted));
                     }
                     Err(_) if doubtful => return Accepted::Unknown,
                     Err(_) => return Accepted::Refused,
                 }
-                if !self.fits(route, tokens) {
+                if !self.quota(route).fits(tokens) {
                     return if doubtful {
                         Accepted::Unknown
                     } else {
@@ -231,8 +217,8 @@
 
     /// The version that the ordering row must still have, once everything that
     /// was accepted before it is known.
-    async fn order(self: &Rc<Self>, quota: &str) -> Result<Expect, Fault> {
-        let row = self.setup.store.get_row(quota).await?;
+    async fn order(self: &Rc<Self>, key: &str) -> Result<Expect, Fault> {
+        let row = self.setup.store.get_row(key).await?;
         let expect = row
             .as_ref()
             .map_or(Expect::Absent, |row| Expect::Version(row.version));
--- a/src/batch/shell.rs
+++ b/src/batch/shell.rs
@@ -37,6 +37,12 @@
 const TICK: Duration = Duration::from_millis(200);
 /// How often jobs that may be removed are looked for.
 const RETIRE: Duration = Duration::from_secs(30);
+/// How long a job's route may be unknown before its items are given up. A node
+/// that has just started, or reads from a copy of the store that is behind, may
+/// take a job over before it hears of a route that is newer: it would list
+/// items as failed that can be done. A configuration is in force everywhere
+/// within 3 s, and copies are up to 5 s behind.
+const ROUTE_GRACE: Duration = Duration::from_secs(8);
 /// Least time between two readings of the jobs' changes: a job's rows change
 /// with each result, and readers are told within a second.
 const FEED_GAP: Duration = Duration::from_millis(200);
@@ -272,10 +278,13 @@
         let now = self.now();
         let works: Vec<_> = self.works.borrow().values().cloned().collect();
         for work in works {
-            let orphaned = self.config().is_some() && {
+            let routed = self.config().is_none() || {
                 let entry = work.entry.borrow();
-                self.route(&entry.record).is_none()
+                self.route(&entry.record).is_some()
             };
+            let mut absence = work.unrouted.get();
+            let orphaned = absence.look(now, routed, ROUTE_GRACE);
+            work.unrouted.set(absence);
             if now < work.expires && !orphaned {
                 continue;
             }
--- a/src/batch/work.rs
+++ b/src/batch/work.rs
@@ -4,6 +4,7 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
+use super::absence::Absence;
 use super::item::{Item, Outcome, Partial, State};
 use super::ledger::Entry;
 use crate::clock::Time;
@@ -85,6 +86,8 @@
     pub(super) expires: Time,
     /// It was ended, or another node has it.
     pub(super) stopped: Cell<bool>,
+    /// Since when its route is not known.
+    pub(super) unrouted: Cell<Absence>,
 }
 
 impl Work {
@@ -109,6 +112,7 @@
             due,
             expires,
             stopped: Cell::new(false),
+            unrouted: Cell::default(),
         }
     }
 
--- a/tests/batch_record.rs
+++ b/tests/batch_record.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use auburnspoke::batch::absence::Absence;
 use auburnspoke::batch::ledger::Ledger;
+use auburnspoke::batch::quota::Quota;
 use auburnspoke::batch::record::{self, Record};
 use auburnspoke::clock::Time;
 use googletest::prelude::*;
@@ -80,3 +82,62 @@
     expect_that!(keys.is_sorted(), eq(true));
     expect_that!(keys, each(starts_with(record::results("j"))));
 }
+
+/// Operators lower the bound so far that three jobs reach it, and several nodes
+/// are asked at once. None has heard of the others' acceptances; if each one
+/// accepted by itself, several times the bound would wait.
+#[gtest]
+fn must_order_small_bound() {
+    let quota = Quota {
+        most: Some(20_000),
+        waiting: 0,
+    };
+    expect_that!(quota.fits(7_000), eq(true));
+    expect_that!(quota.must_order(7_000), eq(true));
+}
+
+/// Nodes accept by what they heard a second ago. Whatever the bound and the size
+/// of jobs, 32 acceptances that no node has heard of must stay within it, unless
+/// they were ordered.
+#[gtest]
+fn must_order_any_bound() {
+    const UNHEARD: u64 = 32;
+    for most in [1, 100, 20_000, 1_500_000] {
+        for tokens in [1, 350, 7_000, 60_000] {
+            for waiting in [0, most / 4, most / 2, most] {
+                let quota = Quota {
+                    most: Some(most),
+                    waiting,
+                };
+                if !quota.must_order(tokens) {
+                    expect_that!(waiting + UNHEARD * tokens, le(most + tokens));
+                }
+            }
+        }
+    }
+}
+
+#[gtest]
+fn fits_without_bound() {
+    let quota = Quota {
+        most: None,
+        waiting: u64::MAX,
+    };
+    expect_that!(quota.fits(1), eq(true));
+    expect_that!(quota.must_order(1), eq(false));
+}
+
+/// A node takes over a job whose route was added a moment ago, and its own
+/// configuration is still the one before. The planner would read "failed" for
+/// items that can be done.
+#[gtest]
+fn look_route_not_heard_yet() {
+    const GRACE: Duration = Duration::from_secs(8);
+    let at = Time::from_millis;
+    let mut absence = Absence::default();
+    expect_that!(absence.look(at(1_000), false, GRACE), eq(false));
+    expect_that!(absence.look(at(8_900), false, GRACE), eq(false));
+    expect_that!(absence.look(at(8_950), true, GRACE), eq(false));
+    expect_that!(absence.look(at(9_100), false, GRACE), eq(false));
+    expect_that!(absence.look(at(17_100), false, GRACE), eq(true));
+}
