Derive how long addresses are kept from the deployment's grace

Cause: the directory's time (2 s) and a leaving node's service (6.3 s) were fixed for a grace of 8 s; found by reading. With a shorter grace a node would end while callers may still hold its address. Ruled out: a setting of our own; the platform's settings name the bounds. Change: edge::stay works both out of the bounds; at 8 s they are what they were.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -42,6 +42,7 @@
 pub mod learn;
 pub mod node;
 pub mod relay;
+pub mod stay;
 
 use count::Count;
 use learn::Learner;
@@ -50,11 +51,6 @@
 /// The table in which nodes register, so that a node which replaces another,
 /// and whose seeds are all gone, finds the members.
 const NODES: &str = "node";
-/// How long callers may still use a leaving node's address: three times the
-/// directory's time, and a little for the news to spread.
-const ADDRESS_KEPT: Duration = Duration::from_millis(6_300);
-/// What is left of the grace when the process ends by itself.
-const GRACE_LEFT: Duration = Duration::from_millis(500);
 /// How often a stop looks whether everything has ended.
 const STOP_POLL: Duration = Duration::from_millis(50);
 /// How often the settings file is looked at for changes without a signal.
@@ -447,8 +443,8 @@
         log::info!("{} node={}", event::NODE_LEAVING, self.site.node);
         self.phase.publish(Phase::Leaving);
         self.members.leave();
-        let end = self.site.bounds.grace.saturating_sub(GRACE_LEFT);
-        sleep(ADDRESS_KEPT.min(end)).await;
+        let end = stay::ending(&self.site.bounds);
+        sleep(stay::serving(&self.site.bounds)).await;
         self.phase.publish(Phase::Closing);
         // An error means that nothing listens any more.
         let _ = self.stop.send(true);
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -23,7 +23,7 @@
 
 use super::body::Body;
 use super::node::Node;
-use super::relay;
+use super::{relay, stay};
 use crate::catalog::{Kind, Limits, Route};
 use crate::clock::Time;
 use crate::event;
@@ -40,9 +40,6 @@
 const HEAD_BUFFER: usize = 64 * 1024;
 /// Longest time that a body may take to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// How long callers keep the directory's answer. Some keep it three times as
-/// long, and a node that leaves serves them meanwhile.
-const DIRECTORY_TTL: Duration = Duration::from_secs(2);
 /// Most addresses in one answer of the directory.
 const MAX_ADDRESSES: usize = 64;
 /// When to come back to a node that knows no configuration yet or is leaving.
@@ -185,10 +182,7 @@
         }
     }
     addresses.truncate(MAX_ADDRESSES);
-    call::resolved(
-        &addresses,
-        DIRECTORY_TTL.min(node.site.bounds.directory_ttl),
-    )
+    call::resolved(&addresses, stay::directory_ttl(&node.site.bounds))
 }
 
 fn own_address(node: &Node) -> Name {
--- /dev/null
+++ b/tests/stay_address.rs
@@ -0,0 +1,48 @@
+//! How long a leaving node serves callers that still have its address.
+
+use std::time::Duration;
+
+use auburnspoke::edge::stay::{directory_ttl, ending, serving};
+use auburnspoke::site::Bounds;
+use googletest::prelude::*;
+
+fn bounds(grace_ms: u64, ttl_ms: u64) -> Bounds {
+    Bounds {
+        grace: Duration::from_millis(grace_ms),
+        results: Duration::from_secs(120),
+        directory_ttl: Duration::from_millis(ttl_ms),
+    }
+}
+
+#[gtest]
+fn serving_usual_grace() {
+    let bounds = bounds(8_000, 5_000);
+    expect_that!(directory_ttl(&bounds), eq(Duration::from_secs(2)));
+    expect_that!(serving(&bounds), eq(Duration::from_millis(6_300)));
+    expect_that!(ending(&bounds), eq(Duration::from_millis(7_500)));
+}
+
+/// A deployment gives a process less time to end. Some callers keep an address
+/// three times as long as they are told; if they were told as long as ever, the
+/// node would be gone while they still send to it, or be killed with their last
+/// answers open.
+#[gtest]
+fn serving_any_grace() {
+    for grace in (3_000..20_000).step_by(250) {
+        for ttl in [1_000, 2_000, 5_000] {
+            let bounds = bounds(grace, ttl);
+            let kept = directory_ttl(&bounds) * 3;
+            expect_that!(serving(&bounds), gt(kept));
+            let rest = ending(&bounds).saturating_sub(serving(&bounds));
+            expect_that!(rest, ge(Duration::from_millis(1_000)));
+        }
+    }
+}
+
+#[gtest]
+fn directory_ttl_bound_of_deployment() {
+    expect_that!(
+        directory_ttl(&bounds(8_000, 700)),
+        eq(Duration::from_millis(700))
+    );
+}
