Leave out an endpoint that answers errors which others don't

Cause: six of 71 endpoints answered errors within milliseconds while their health check was good. An error counted as a good end, so their slots were always free and they drew 7,340 of 21,710 requests; 909 questions and 230 items ended with an error, and the mean time that a slot is held came out too short. Change: an error is an end of its own. An endpoint whose rate of errors is high and three times the median of the others is left out like one that failed, and stays on trial until several good answers have come. Items and questions go to endpoints that have not failed them while there are such.

--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -60,7 +60,7 @@
             patience: PATIENCE,
             due: work.urgency(now, item, &jobs.pace).since(now),
             prefix: 0,
-            avoid: Vec::new(),
+            avoid: work.failed_at.borrow()[item].clone(),
         },
     };
     let permit = jobs.setup.desk.acquire(want).await;
@@ -204,7 +204,9 @@
             settle(jobs, work, item, State::Failed, "impossible");
         }
         Ended::Failed => {
-            permit.finish(End::Done);
+            // It counts against the item; another endpoint may do better.
+            work.failed_at.borrow_mut()[item].push(permit.endpoint.id.clone());
+            permit.finish(End::Error);
             let failures = {
                 let mut failures = work.failures.borrow_mut();
                 failures[item] += 1;
--- a/src/batch/work.rs
+++ b/src/batch/work.rs
@@ -77,6 +77,8 @@
     pub(super) ran: RefCell<Vec<Duration>>,
     /// Answers of 500 so far, by item.
     pub(super) failures: RefCell<Vec<u32>>,
+    /// The endpoints that gave them, by item.
+    pub(super) failed_at: RefCell<Vec<Vec<Name>>>,
     /// Outcomes that are not stored yet.
     pub(super) fresh: RefCell<Vec<(usize, Outcome)>>,
     pub(super) committing: Cell<bool>,
@@ -107,6 +109,7 @@
             partials: RefCell::new(vec![Partial::default(); count]),
             ran: RefCell::new(vec![Duration::ZERO; count]),
             failures: RefCell::new(vec![0; count]),
+            failed_at: RefCell::new(vec![Vec::new(); count]),
             fresh: RefCell::default(),
             committing: Cell::new(false),
             due,
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -163,7 +163,7 @@
                     return self.end("deadline", RETRY).await;
                 }
                 Ended::Error(response) => {
-                    permit.finish(End::Done);
+                    permit.finish(End::Error);
                     self.error = Some(response);
                     let now = self.node.clock.now();
                     (
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -20,6 +20,7 @@
 use crate::clock::Time;
 use crate::name::Name;
 
+mod fault;
 pub mod message;
 mod place;
 pub mod serve;
@@ -253,19 +254,40 @@
         };
         match end {
             End::Done => {
-                place.succeeded();
+                place.succeeded(permit.class);
                 if permit.class == Class::Online {
                     let took = now.since(permit.granted).as_secs_f64();
                     let mean = self.hold.as_secs_f64();
                     self.hold = Duration::from_secs_f64(mean + HOLD_WEIGHT * (took - mean));
                 }
             }
+            End::Error => {
+                place.erred(permit.class);
+                self.judge(now, &permit);
+            }
             End::Failed => place.failed(now),
             End::Full => place.full(now),
             End::Left | End::Stopped => {}
         }
     }
 
+    /// Leaves an endpoint out for a while that fails what others don't.
+    fn judge(&mut self, now: Time, permit: &Permit) {
+        let class = permit.class;
+        let mut others: Vec<f64> = self
+            .places
+            .iter()
+            .filter(|(id, place)| **id != permit.endpoint && place.slots() > 0)
+            .map(|(_, place)| place.error_rate(class))
+            .collect();
+        let Some(place) = self.places.get_mut(&permit.endpoint) else {
+            return;
+        };
+        if fault::is_outlier(place.error_rate(class), &mut others) {
+            place.failed(now);
+        }
+    }
+
     /// Decides all that can be decided at `now`.
     pub fn step(&mut self, now: Time, actions: &mut Vec<Action>) {
         if now.since(self.swept) >= SWEEP {
@@ -432,11 +454,18 @@
         self.permits.insert(key, permit);
     }
 
-    /// The best endpoint with a free slot.
+    /// The best endpoint with a free slot, of those that have not failed the
+    /// request; where all of them have, any may do better now.
     fn best(&self, now: Time, ask: &Ask) -> Option<Name> {
+        let fresh = |id: &Name| !ask.avoid.contains(id);
+        let any_fresh = ask.avoid.is_empty()
+            || self
+                .places
+                .iter()
+                .any(|(id, place)| place.slots() > 0 && fresh(id));
         self.places
             .iter()
-            .filter(|(id, place)| place.free(now) > 0 && !ask.avoid.contains(*id))
+            .filter(|(id, place)| place.free(now) > 0 && (fresh(id) || !any_fresh))
             .min_by(|(_, a), (_, b)| a.score(ask).total_cmp(&b.score(ask)))
             .map(|(id, _)| id.clone())
     }
--- a/src/pool/message.rs
+++ b/src/pool/message.rs
@@ -75,6 +75,10 @@
     /// The endpoint answered whole.
     #[serde(rename = "d")]
     Done,
+    /// The endpoint answered whole, and that it failed; the request may be at
+    /// fault as well.
+    #[serde(rename = "e")]
+    Error,
     /// The endpoint failed.
     #[serde(rename = "f")]
     Failed,
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::fault::Faults;
 use super::message::{Ask, Class};
 use crate::catalog::Endpoint;
 use crate::clock::Time;
@@ -33,6 +34,7 @@
     pub(super) batch: u32,
     closed_until: Time,
     strikes: u32,
+    faults: Faults,
     prefixes: VecDeque<u64>,
 }
 
@@ -44,6 +46,7 @@
             batch: 0,
             closed_until: Time::ZERO,
             strikes: 0,
+            faults: Faults::default(),
             prefixes: VecDeque::new(),
         }
     }
@@ -107,8 +110,21 @@
         self.prefixes.push_back(prefix);
     }
 
-    pub(super) fn succeeded(&mut self) {
-        self.strikes = 0;
+    /// One that fails a part of its requests stays on trial after a good answer,
+    /// until several have come.
+    pub(super) fn succeeded(&mut self, class: Class) {
+        self.faults.answered(class, true);
+        if self.faults.is_sound() {
+            self.strikes = 0;
+        }
+    }
+
+    pub(super) fn erred(&mut self, class: Class) {
+        self.faults.answered(class, false);
+    }
+
+    pub(super) fn error_rate(&self, class: Class) -> f64 {
+        self.faults.rate(class)
     }
 
     pub(super) fn failed(&mut self, now: Time) {
--- a/tests/pool_admission.rs
+++ b/tests/pool_admission.rs
@@ -268,13 +268,33 @@
     in_aim: u32,
     /// Seconds of slots that batch work had.
     batch: f64,
+    /// Questions and batch items that an endpoint answered with an error.
+    errors: u32,
+}
+
+/// How endpoints answer that say that they are well and are not.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sick {
+    /// The first so many of the endpoints.
+    endpoints: usize,
+    /// From this millisecond on.
+    from: u64,
+    /// The part of their requests that they answer with an error at once.
+    part: f64,
+}
+
+impl Sick {
+    fn strikes(&self, random: &mut ChaCha8Rng, now: u64, endpoint: &Endpoint) -> bool {
+        let sick = (0..self.endpoints).any(|at| *endpoint.id == *format!("e{at}"));
+        sick && now >= self.from && random.random_bool(self.part)
+    }
 }
 
 /// Replays peaks of 1.85 times the mean for 2.2 s and valleys of 0.38 times for
 /// 3 s, as payment runs bring them, with batch work always waiting, on 9
 /// endpoints of 8 slots. Questions take 0.7 s, batch items 4.8 s. A stopped run
 /// frees its slot after 4 ms.
-fn replay(seed: u64, mean_per_s: f64) -> Served {
+fn replay(seed: u64, mean_per_s: f64, sick: Sick) -> Served {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut pool = pool(9);
     let mut served = Served::default();
@@ -338,15 +358,17 @@
                     let Some((class, since)) = asked.remove(&seq) else {
                         continue;
                     };
-                    let takes = match class {
-                        Class::Online => 700,
-                        Class::Batch => 4_800,
+                    let (takes, end) = match class {
+                        _ if sick.strikes(&mut random, now, &endpoint) => (3, End::Error),
+                        Class::Online => (700, End::Done),
+                        Class::Batch => (4_800, End::Done),
                     };
-                    if class == Class::Online && now - since <= 230 {
+                    served.errors += u32::from(end == End::Error);
+                    if class == Class::Online && end == End::Done && now - since <= 230 {
                         served.in_aim += 1;
                     }
                     running.insert(seq, (class, now, endpoint.id.clone()));
-                    ends.insert((now + takes, seq), (seq, End::Done));
+                    ends.insert((now + takes, seq), (seq, end));
                 }
                 Action::Stop(Key { seq, .. }) => {
                     ends.insert((now + 4, seq), (seq, End::Stopped));
@@ -366,20 +388,98 @@
 #[gtest]
 fn replay_peaks_usual() {
     for seed in 0..5 {
-        let served = replay(seed, 42.0);
+        let served = replay(seed, 42.0, Sick::default());
         expect_that!(served.in_aim, ge(served.online * 99 / 100), "{served:?}");
         let left = 72.0 * 30.0 - f64::from(served.online) * 0.7;
         expect_that!(served.batch / left, ge(0.85), "{served:?}");
     }
 }
 
+/// An endpoint answers everything with an error within a few milliseconds, and
+/// its health check is good. Its slots are free all the time, so by load alone it
+/// would draw most of the questions, and clerks would see errors while eight
+/// sound endpoints have room.
+#[gtest]
+fn replay_endpoint_answers_errors() {
+    let sick = Sick {
+        endpoints: 1,
+        from: 5_000,
+        part: 1.0,
+    };
+    for seed in 0..5 {
+        let served = replay(seed, 42.0, sick);
+        expect_that!(served.errors, le(40), "{served:?}");
+        expect_that!(served.in_aim, ge(served.online * 98 / 100), "{served:?}");
+    }
+}
+
+/// A third of the endpoints fail four in ten requests; what they don't fail they
+/// answer as usual. One good answer must not bring such an endpoint all of its
+/// requests back.
+#[gtest]
+fn replay_endpoints_answer_some_errors() {
+    let sick = Sick {
+        endpoints: 3,
+        from: 5_000,
+        part: 0.4,
+    };
+    for seed in 0..5 {
+        let served = replay(seed, 42.0, sick);
+        expect_that!(served.errors, le(80), "{served:?}");
+        expect_that!(served.in_aim, ge(served.online * 9 / 10), "{served:?}");
+    }
+}
+
+/// Half of the batch items of a job can never be done, and every endpoint says
+/// so. That is the items' fault; no endpoint may be left out for it, or
+/// questions would find none.
+#[gtest]
+fn release_errors_everywhere() {
+    let mut pool = pool(3);
+    decide(&mut pool, at(0), 1, ask(Class::Batch, 5_000));
+    pool.release(at(0), key(1), End::Left);
+    let mut seq = 1;
+    for round in 0..40 {
+        let now = at(500 + round * 20);
+        let held: Vec<u64> = (seq + 1..=seq + 3).collect();
+        for seq in &held {
+            let actions = decide(&mut pool, now, *seq, ask(Class::Batch, 5_000));
+            expect_that!(granted(&actions), some(anything()));
+        }
+        for seq in &held {
+            let end = [End::Error, End::Done][usize::try_from(round % 2).unwrap()];
+            pool.release(now, key(*seq), end);
+        }
+        seq += 3;
+    }
+    for _ in 0..3 * SLOTS {
+        seq += 1;
+        let actions = decide(&mut pool, at(1_400), seq, ask(Class::Online, 5_000));
+        expect_that!(granted(&actions), some(anything()));
+    }
+}
+
+/// Every endpoint of a small service has failed a question once. There is no
+/// other left to go to, and one of them may well answer it now; without a place
+/// the clerk would wait until the deadline.
+#[gtest]
+fn ask_every_endpoint_avoided() {
+    let mut pool = pool(2);
+    let mut avoided = ask(Class::Online, 5_000);
+    avoided.avoid = vec!["e0".into(), "e1".into()];
+    expect_that!(
+        granted(&decide(&mut pool, at(0), 1, avoided)),
+        some(anything())
+    );
+}
+
 /// At twice the usual load the peaks are above what the slots can take. Nothing
 /// can serve more in its aim than 72 slots start within a peak and the 230 ms
 /// behind it, beside all of the valleys; at least 95 in 100 of that are served.
 #[gtest]
 fn replay_peaks_double() {
     for seed in 0..5 {
-        let served = replay(seed, 84.0);
+        let served = replay(seed, 84.0, Sick::default());
         let peaks = 30.0 / 5.2;
         let most = f64::from(served.peak).min(72.0 * 2.43 / 0.7 * peaks);
         let bound = most + f64::from(served.online - served.peak);
--- a/tests/stay_address.rs
+++ b/tests/stay_address.rs
@@ -34,7 +34,7 @@
             let kept = directory_ttl(&bounds) * 3;
             expect_that!(serving(&bounds), gt(kept));
             let rest = ending(&bounds).saturating_sub(serving(&bounds));
-            expect_that!(rest, ge(Duration::from_millis(1_000)));
+            expect_that!(rest, ge(Duration::from_secs(1)));
         }
     }
 }
