Never take back an endpoint that is gone because a peer still tells of it

Such an endpoint got requests for as long as the node lived. Ruled out: telling peers nothing of lapsed entries: a restarted node would have no endpoints while the store turns it away. Change: the removal's version is kept apart from the entry's, giving up remembers it, and the version of the last whole list bounds what is taken.

--- a/src/catalog/book.rs
+++ b/src/catalog/book.rs
@@ -35,10 +35,19 @@
 
 #[derive(Clone, Debug)]
 struct Known {
+    /// Of the entry as the endpoint wrote it.
     version: u64,
     endpoint: Arc<Endpoint>,
-    /// Set while the entry is missing and may come back.
-    lapsed: Option<Time>,
+    /// The version of its removal, while the entry may still come back. What
+    /// peers are told is the entry's own version: they would take the removal
+    /// for older news otherwise, and keep the endpoint for good.
+    lapsed: Option<u64>,
+}
+
+impl Known {
+    fn newest(&self) -> u64 {
+        self.lapsed.unwrap_or(self.version)
+    }
 }
 
 /// The endpoints as this node believes them to be.
@@ -46,6 +55,9 @@
 pub struct Book {
     known: BTreeMap<Name, Known>,
     removed: BTreeMap<Name, u64>,
+    /// The version of the last whole list. What it lacked was gone by then, so
+    /// older news of it, which peers may still tell, is not taken.
+    whole: u64,
     /// Removals before this time may be lapses.
     doubtful_until: Time,
 }
@@ -59,12 +71,12 @@
 
     /// Takes one statement; false when it is older than what is known.
     pub fn apply(&mut self, now: Time, entry: Entry) -> bool {
-        let newest = self
-            .known
-            .get(&entry.id)
-            .map(|known| known.version)
-            .max(self.removed.get(&entry.id).copied());
-        if newest.is_some_and(|newest| newest >= entry.version) {
+        let newest = match self.known.get(&entry.id) {
+            Some(known) => known.newest(),
+            None => self.whole,
+        };
+        let removed = self.removed.get(&entry.id).copied().unwrap_or(0);
+        if newest.max(removed) >= entry.version {
             return false;
         }
         match entry.endpoint {
@@ -88,7 +100,7 @@
             .known
             .iter()
             .filter(|(id, known)| {
-                known.version <= version && !entries.iter().any(|entry| entry.id == **id)
+                known.newest() <= version && !entries.iter().any(|entry| entry.id == **id)
             })
             .map(|(id, _)| id.clone())
             .collect();
@@ -98,18 +110,24 @@
         for entry in entries {
             self.apply(now, entry);
         }
+        self.whole = self.whole.max(version);
     }
 
     fn remove(&mut self, now: Time, id: &Name, version: u64) {
         let doubtful = now < self.doubtful_until;
-        if let Some(known) = self.known.get_mut(id) {
-            known.version = version;
-            if doubtful && known.endpoint.ready {
-                known.lapsed.get_or_insert(now);
-                return;
-            }
-            self.known.remove(id);
+        if let Some(known) = self.known.get_mut(id)
+            && doubtful
+            && known.endpoint.ready
+        {
+            known.lapsed = Some(version);
+            return;
         }
+        self.forget(id, version);
+    }
+
+    /// Takes an endpoint out, and remembers that it was removed.
+    fn forget(&mut self, id: &Name, version: u64) {
+        self.known.remove(id);
         self.removed.insert(id.clone(), version);
         if self.removed.len() > MOST_REMOVED {
             // News of the longest gone is the least likely still to come.
@@ -122,11 +140,18 @@
 
     /// Drops what did not come back in time; true when something changed.
     pub fn expire(&mut self, now: Time) -> bool {
-        let before = self.known.len();
-        let until = self.doubtful_until;
-        self.known
-            .retain(|_, known| known.lapsed.is_none() || now < until);
-        before != self.known.len()
+        if now < self.doubtful_until {
+            return false;
+        }
+        let lapsed: Vec<(Name, u64)> = self
+            .known
+            .iter()
+            .filter_map(|(id, known)| Some((id.clone(), known.lapsed?)))
+            .collect();
+        for (id, version) in &lapsed {
+            self.forget(id, *version);
+        }
+        !lapsed.is_empty()
     }
 
     /// The endpoints, leaving ones among them.
--- a/tests/catalog_book.rs
+++ b/tests/catalog_book.rs
@@ -1,11 +1,14 @@
 //! Which endpoints a node takes for present, out of late and lost news.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use auburnspoke::catalog::Endpoint;
 use auburnspoke::catalog::book::{Book, Entry};
 use auburnspoke::clock::Time;
 use googletest::prelude::*;
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
 
 fn at(millis: u64) -> Time {
     Time::from_millis(10_000 + millis)
@@ -121,6 +124,121 @@
     expect_that!(ids(&peer), elements_are![eq("a")]);
 }
 
+/// An endpoint is lost while the store is away. One node has given it up; another,
+/// which heard the store's return later, still keeps it and tells the first one
+/// of it. Taken back, it would get requests for as long as the node lives,
+/// although its entry went long ago.
+#[gtest]
+fn expire_not_told_again() {
+    let mut book = Book::default();
+    book.apply(at(0), entry("a", 3, true));
+    book.store_failed(at(5_000));
+    book.replace(at(5_100), Vec::new(), 9);
+    let mut late = Book::default();
+    late.apply(at(0), entry("a", 3, true));
+    expect_that!(book.expire(at(7_001)), eq(true));
+    for entry in late.entries() {
+        book.apply(at(7_100), entry);
+    }
+    expect_that!(ids(&book), is_empty());
+}
+
+/// A node keeps an entry that lapsed, in case it comes back, and tells it to a
+/// node that the store turns away. That one later reads that the entry was
+/// removed; it must believe it, however the news came.
+#[gtest]
+fn entries_lapsed_to_peer() {
+    let mut book = Book::default();
+    book.apply(at(0), entry("a", 3, true));
+    book.store_failed(at(5_000));
+    book.replace(at(5_100), Vec::new(), 9);
+    let mut peer = Book::default();
+    peer.apply(at(0), entry("a", 3, true));
+    for entry in book.entries() {
+        peer.apply(at(5_200), entry);
+    }
+    expect_that!(ids(&peer), elements_are![eq("a")]);
+    peer.apply(at(8_000), removed("a", 9));
+    expect_that!(ids(&peer), is_empty());
+}
+
+/// Several nodes hear of endpoints from the store, in order, late or not at all,
+/// and from each other, while the store comes and goes. Once it has answered all
+/// of them for a while, each knows exactly what the store has, whatever came
+/// before. What is left over would get requests although it is gone.
+#[gtest]
+fn book_any_order() {
+    for seed in 0..2_000 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut log: Vec<Entry> = Vec::new();
+        let mut heard = [0; 3];
+        let mut books = [Book::default(), Book::default(), Book::default()];
+        let mut now = 0;
+        for _ in 0..60 {
+            now += random.random_range(1..700);
+            let one = random.random_range(0..3);
+            let version = log.len() as u64 + 1;
+            let id = ["a", "b", "c", "d"][random.random_range(0..4)];
+            match random.random_range(0..8) {
+                0 => log.push(entry(id, version, true)),
+                1 => log.push(entry(id, version, false)),
+                2 => log.push(removed(id, version)),
+                3 => books[one].store_failed(at(now)),
+                4 => {
+                    books[one].replace(at(now), present(&log), log.len() as u64);
+                    heard[one] = log.len();
+                }
+                5 => {
+                    for entry in log.iter().skip(heard[one]) {
+                        books[one].apply(at(now), entry.clone());
+                    }
+                    heard[one] = log.len();
+                }
+                6 => {
+                    for entry in books[(one + 1) % 3].entries() {
+                        books[one].apply(at(now), entry);
+                    }
+                }
+                _ => {
+                    books[one].expire(at(now));
+                }
+            }
+        }
+        // The store is back for good, and nodes that it had turned away go on
+        // telling each other what they know.
+        let expected: Vec<String> = present(&log).iter().map(|it| it.id.to_string()).collect();
+        for one in 0..3 {
+            for entry in log.iter().skip(heard[one]) {
+                books[one].apply(at(now), entry.clone());
+            }
+        }
+        now += 2_100;
+        for one in 0..3 {
+            books[one].expire(at(now));
+            let told = books[(one + 1) % 3].entries();
+            for entry in told {
+                books[one].apply(at(now), entry);
+            }
+            books[one].expire(at(now));
+        }
+        for book in &books {
+            expect_that!(ids(book), eq(&expected), "seed {seed}");
+        }
+    }
+}
+
+/// What the store has after these changes.
+fn present(log: &[Entry]) -> Vec<Entry> {
+    let mut rows = BTreeMap::new();
+    for entry in log {
+        match entry.endpoint {
+            Some(_) => rows.insert(entry.id.clone(), entry.clone()),
+            None => rows.remove(&entry.id),
+        };
+    }
+    rows.into_values().collect()
+}
+
 /// Endpoints restart all day, each time with a new identity. What is remembered
 /// of the gone ones must not grow without end.
 #[gtest]
