Split the permit desk and the store's client into files of one concern

Ruled out: moving code between the folders of the platform and the product. Change: permit::owner, platform::store::pace, platform::store::row; no decision is changed.

--- a/src/permit.rs
+++ b/src/permit.rs
@@ -29,6 +29,10 @@
 use crate::snapshot::Cell;
 use crate::wire;
 
+mod owner;
+
+use owner::Owners;
+
 /// How often questions without an answer are looked at.
 const TICK: Duration = Duration::from_millis(20);
 /// A pool that is there answers within two link delays; then the question is
@@ -36,8 +40,6 @@
 const ANSWER: Duration = Duration::from_millis(25);
 /// After so many unanswered questions the next member is asked.
 const TRIES: u32 = 3;
-/// For how long a silent pool is passed over.
-const SILENT: Duration = Duration::from_millis(1_500);
 /// How often a waiting question is repeated, by class.
 const AGAIN_ONLINE: Duration = Duration::from_millis(100);
 const AGAIN_BATCH: Duration = Duration::from_secs(1);
@@ -46,12 +48,6 @@
 /// When to come back after no pool could be asked and no endpoint is known.
 const NO_ENDPOINT_RETRY: Duration = Duration::from_millis(300);
 
-/// Members that a pool is looked for at, one after the other.
-const OWNERS: usize = 4;
-
-/// Who keeps each pool, best first, as of a view of the members.
-type Owners = (Option<Arc<View>>, HashMap<Name, Vec<SocketAddr>>);
-
 /// Why there is no permit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -98,14 +94,11 @@
 /// The permits of one traffic thread.
 pub struct Desk {
     socket: UdpSocket,
-    pool_port: u16,
     clock: Clock,
     catalog: Arc<Cell<Catalog>>,
-    view: Arc<Cell<View>>,
     next: Flag<u64>,
     waiting: RefCell<HashMap<u64, Waiting>>,
     held: RefCell<BTreeMap<u64, Held>>,
-    silent: RefCell<HashMap<SocketAddr, Time>>,
     owners: RefCell<Owners>,
 }
 
@@ -168,15 +161,12 @@
     ) -> Rc<Self> {
         Rc::new(Self {
             socket,
-            pool_port,
             clock,
             catalog,
-            view,
             next: Flag::new(boot << 24),
             waiting: RefCell::default(),
             held: RefCell::default(),
-            silent: RefCell::default(),
-            owners: RefCell::default(),
+            owners: RefCell::new(Owners::new(view, pool_port)),
         })
     }
 
@@ -291,7 +281,7 @@
             log::warn!("{} peer={from}", event::DATAGRAM_REFUSED);
             return;
         };
-        self.silent.borrow_mut().remove(&from);
+        self.owners.borrow_mut().heard(from);
         match reply.word {
             Word::Stop => {
                 if let Some(held) = self.held.borrow().get(&reply.seq) {
@@ -380,9 +370,10 @@
                 continue;
             }
             if waiting.unanswered >= TRIES {
-                if let Some(owner) = self.owner(now, &waiting.pool) {
+                let mut owners = self.owners.borrow_mut();
+                if let Some(owner) = owners.owner(now, &waiting.pool) {
                     log::info!("{} silent={owner}", event::POOL_CHANGED);
-                    self.silent.borrow_mut().insert(owner, now + SILENT);
+                    owners.silent(now, owner);
                 }
                 waiting.passed += 1;
                 waiting.unanswered = 0;
@@ -446,7 +437,7 @@
             by_pool.entry(held.pool.clone()).or_default().push(hold);
         }
         for (pool, holds) in by_pool {
-            let Some(owner) = self.owner(now, &pool) else {
+            let Some(owner) = self.owners.borrow_mut().owner(now, &pool) else {
                 continue;
             };
             for some in holds.chunks(HOLDS) {
@@ -465,7 +456,7 @@
             None => None,
         };
         let now = self.clock.now();
-        let current = self.owner(now, pool);
+        let current = self.owners.borrow_mut().owner(now, pool);
         for owner in owner
             .into_iter()
             .chain(current.filter(|it| Some(*it) != owner))
@@ -497,7 +488,7 @@
     }
 
     fn send_ask(&self, now: Time, seq: u64, waiting: &Waiting) {
-        let Some(owner) = self.owner(now, &waiting.pool) else {
+        let Some(owner) = self.owners.borrow_mut().owner(now, &waiting.pool) else {
             return;
         };
         let waited = now.since(waiting.since);
@@ -516,58 +507,6 @@
             Err(error) => log::warn!("{} why=\"{error}\"", event::DATAGRAM_REFUSED),
         }
     }
-
-    /// The member that keeps a pool, as far as this node knows.
-    fn owner(&self, now: Time, pool: &Name) -> Option<SocketAddr> {
-        let view = self.view.take();
-        let mut owners = self.owners.borrow_mut();
-        if owners
-            .0
-            .as_ref()
-            .is_none_or(|seen| !Arc::ptr_eq(seen, &view))
-        {
-            *owners = (Some(Arc::clone(&view)), HashMap::new());
-        }
-        let owners = owners
-            .1
-            .entry(pool.clone())
-            .or_insert_with(|| self.rank_owners(&view, pool));
-        let silent = self.silent.borrow();
-        owners
-            .iter()
-            .find(|owner| silent.get(owner).is_none_or(|until| now >= *until))
-            .or(owners.first())
-            .copied()
-    }
-
-    /// The members that may keep a pool, best first: strong VMs, in the pool's
-    /// own zone where it has one.
-    fn rank_owners(&self, view: &View, pool: &Name) -> Vec<SocketAddr> {
-        let strongest = view.usable().map(|member| member.power).max().unwrap_or(0);
-        let zone = shard::zone(pool);
-        let mut ranked: Vec<_> = view
-            .usable()
-            .filter_map(|member| {
-                let control: SocketAddr = member.control.parse().ok()?;
-                let owner = SocketAddr::new(control.ip(), self.pool_port);
-                let strong = u32::from(member.power) * 2 >= u32::from(strongest);
-                let near = zone.is_none_or(|zone| *member.zone == *zone);
-                Some((strong, near, rank(pool, &owner), owner))
-            })
-            .collect();
-        ranked.sort_unstable_by(|a, b| b.cmp(a));
-        ranked.dedup_by_key(|(_, _, _, owner)| *owner);
-        ranked.truncate(OWNERS);
-        ranked.into_iter().map(|(_, _, _, owner)| owner).collect()
-    }
-}
-
-/// How strongly rendezvous hashing favours `owner` for `pool`.
-fn rank(pool: &Name, owner: &SocketAddr) -> u64 {
-    let mut hasher = Xxh3::new();
-    pool.hash(&mut hasher);
-    owner.hash(&mut hasher);
-    hasher.finish()
 }
 
 fn hash(name: &Name) -> u64 {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -3,7 +3,7 @@
 //! A key of the product, `table/rest`, is the row `rest` of the table `table`.
 //! All rows lie in one part, so that any of them may change together.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,7 +14,6 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{Method, Request, StatusCode};
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
-use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, timeout_at};
 
 use crate::connect::{self, Conn, Failure};
@@ -24,32 +23,19 @@
     Write,
 };
 
+mod pace;
+mod row;
+
+use pace::Pace;
+use row::{Expected, RowEntry, RowKey, RowsAnswer, SetRow, TxCall};
+
 /// A VM that is cut off from the store hears nothing; a store that is up
 /// accepts a connection within a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// The store answers in some 5 ms and, when slow, in 60 times as long; after
-/// this the answer is taken for lost, however slow the store was before.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// An answer is taken for lost after so many times the usual time. A job is to
-/// be accepted within 500 ms, which leaves time for another try only if a lost
-/// answer is noticed early; every call may be repeated or is read back.
-const PATIENCE: u32 = 8;
-/// The least of that; a pause of this process must not look like a lost answer.
-const LEAST_PATIENCE: Duration = Duration::from_millis(120);
-/// The usual time before any answer came.
-const FIRST_USUAL: Duration = Duration::from_millis(20);
-/// The same for objects, which take 25 ms and their share of 80 MB a second.
-const FIRST_OBJECT: Duration = Duration::from_millis(50);
-const LEAST_OBJECT_PATIENCE: Duration = Duration::from_millis(250);
-/// By so many tenths a lost answer raises the usual time, in case the store is
-/// slow and not lossy.
-const RAISED: u32 = 16;
 /// How much longer than it should wait a feed may take. A connection that went
 /// silent is found within this, so that a node learns of a leaving endpoint in
 /// time over a new one.
 const FEED_SLACK: Duration = Duration::from_millis(600);
-/// An object call takes 25 ms and its share of 80 MB a second.
-const OBJECT_TIMEOUT: Duration = Duration::from_secs(3);
 /// A connection that was idle for longer may have gone silent; a new one costs
 /// less than a call that hangs.
 const IDLE: Duration = Duration::from_secs(4);
@@ -84,94 +70,6 @@
     objects: Pace,
 }
 
-/// How long answers take, and how long to wait for one.
-#[derive(Debug)]
-struct Pace {
-    usual: Cell<Duration>,
-    least: Duration,
-    most: Duration,
-}
-
-impl Pace {
-    fn new(usual: Duration, least: Duration, most: Duration) -> Self {
-        Self {
-            usual: Cell::new(usual),
-            least,
-            most,
-        }
-    }
-
-    /// How long to wait for the next answer.
-    fn limit(&self) -> Duration {
-        (self.usual.get() * PATIENCE).clamp(self.least, self.most)
-    }
-
-    fn answered(&self, took: Duration) {
-        self.usual.set((self.usual.get() * 3 + took) / 4);
-    }
-
-    fn lost(&self) {
-        let raised = self.usual.get() * RAISED / 10;
-        self.usual.set(raised.min(self.most / PATIENCE));
-    }
-}
-
-#[derive(Serialize)]
-struct TxCall {
-    expect_rev: Vec<Expected>,
-    set_keys: Vec<SetRow>,
-    remove: Vec<RowKey>,
-}
-
-#[derive(Serialize)]
-struct Expected {
-    #[serde(flatten)]
-    row: RowKey,
-    /// 0: the row must not exist.
-    ver: u64,
-}
-
-#[derive(Serialize)]
-struct SetRow {
-    #[serde(flatten)]
-    row: RowKey,
-    value: String,
-}
-
-#[derive(Serialize)]
-struct RowKey {
-    table: String,
-    part: String,
-    key: String,
-}
-
-#[derive(Deserialize)]
-struct RowEntry {
-    #[serde(default)]
-    table: String,
-    key: String,
-    #[serde(default)]
-    value: String,
-    #[serde(default)]
-    ver: u64,
-    #[serde(default)]
-    removed: bool,
-}
-
-#[derive(Deserialize)]
-struct RowsAnswer {
-    #[serde(default)]
-    rows: Vec<RowEntry>,
-    #[serde(default)]
-    truncated: bool,
-    /// The store's newest version.
-    #[serde(default)]
-    ver: u64,
-    /// The store's steady clock.
-    #[serde(default)]
-    now_ms: u64,
-}
-
 /// An answer with its status.
 struct Answer {
     status: StatusCode,
@@ -186,8 +84,8 @@
             inner: Rc::new(Inner {
                 address,
                 idle,
-                rows: Pace::new(FIRST_USUAL, LEAST_PATIENCE, CALL_TIMEOUT),
-                objects: Pace::new(FIRST_OBJECT, LEAST_OBJECT_PATIENCE, OBJECT_TIMEOUT),
+                rows: Pace::rows(),
+                objects: Pace::objects(),
             }),
         }
     }
