Check the platform's settings file, and name every fault in it at once

Cause: the file was read by derive and ended at its first fault; check took the product's own format only. Ruled out: a second reader of documents; the product's own is shared. Change: settings::document reads both formats; check tells them by whether node is a name or a table. Unknown keys are still ignored in the platform's file.

--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -8,6 +8,7 @@
 
 use super::remote::{self, Input};
 use super::{Exit, Output, output};
+use crate::platform;
 use crate::settings::{Problem, Settings};
 
 pub(super) fn command() -> Command {
@@ -18,15 +19,20 @@
                 .value_name("FILE")
                 .required(true)
                 .value_parser(value_parser!(PathBuf))
-                .help("The settings in TOML, or - for the standard input"),
+                .help("A node's settings, its own or those that the platform writes; - for the standard input"),
         )
 }
 
 pub(super) fn run(matches: &ArgMatches, out: Output) -> Result<Exit> {
     let path: &PathBuf = matches.get_one("file").expect("clap requires the file");
     let text = remote::read(path)?;
-    let problems = match Settings::parse(&text) {
-        Ok(_) => Vec::new(),
+    let checked = if platform::settings::is_meant(&text) {
+        platform::settings::parse(&text).map(drop)
+    } else {
+        Settings::parse(&text).map(drop)
+    };
+    let problems = match checked {
+        Ok(()) => Vec::new(),
         Err(invalid) => invalid.0,
     };
     if out.is_json() {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -5,10 +5,12 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use eyre::{Result, WrapErr as _, bail, eyre};
-use serde::Deserialize;
+use eyre::{Result, WrapErr as _, eyre};
+use toml::de::{DeTable, DeValue};
 
 use crate::name::Name;
+use crate::settings::Invalid;
+use crate::settings::document::{self, Entry, Faults, Section};
 use crate::site::{Bounds, Listen, Site, Store};
 
 /// The environment variable that holds the path of the settings file.
@@ -16,64 +18,14 @@
 /// Ports that a node takes beside those of its listeners: two for datagrams of
 /// admission, one for links.
 const OWN_PORTS: u16 = 3;
-
-#[derive(Deserialize)]
-struct File {
-    node: Name,
-    zone: Name,
-    region: Name,
-    #[serde(default)]
-    zones: BTreeMap<Name, Name>,
-    /// First and last of the ports that are free for traffic between nodes.
-    port_range: (u16, u16),
-    #[serde(default)]
-    seeds: Vec<SocketAddr>,
-    listen: Addresses,
-    limits: Limits,
-    bounds: Figures,
-    platform: Platform,
-}
-
-#[derive(Deserialize)]
-struct Addresses {
-    front: SocketAddr,
-    ready: SocketAddr,
-    control: SocketAddr,
-    directory: SocketAddr,
-}
-
-#[derive(Deserialize)]
-struct Limits {
-    /// The part of a core that the process gets.
-    cpu_share: f64,
-}
-
-#[derive(Deserialize)]
-struct Figures {
-    #[serde(rename = "grace_s")]
-    grace: f64,
-    /// For how long results are kept.
-    #[serde(rename = "status_s", default = "default_results")]
-    results: f64,
-    #[serde(rename = "ttl_max_s", default = "default_ttl")]
-    directory_ttl: f64,
-}
-
-/// Deployments without batch jobs don't say for how long results are kept.
-fn default_results() -> f64 {
-    120.0
-}
-
-/// Deployments that set no bound leave it to the directory.
-fn default_ttl() -> f64 {
-    5.0
-}
-
-#[derive(Deserialize)]
-struct Platform {
-    address: SocketAddr,
-    row_bytes: usize,
-}
+/// Most cores of a VM, and so the largest part of a core that a process may get.
+const MOST_CORES: f64 = 60.0;
+/// Longest time that the file may name, in seconds.
+const LONGEST: f64 = 86_400.0;
+/// For how long results are kept where there are no batch jobs to say so.
+const RESULTS: Duration = Duration::from_secs(120);
+/// For how long a directory's answer may be kept where no bound is set.
+const DIRECTORY_TTL: Duration = Duration::from_secs(5);
 
 /// The path of the settings file, from the environment.
 ///
@@ -88,64 +40,189 @@
 /// Reads the settings file.
 ///
 /// # Errors
-/// When it can't be read, a field is missing, or a figure is impossible.
+/// When it can't be read; else [`Invalid`] names everything that is wrong.
 pub fn read(path: &Path) -> Result<Site> {
     let text = std::fs::read_to_string(path)
         .wrap_err_with(|| format!("can't read the settings file {}", path.display()))?;
     parse(&text).wrap_err_with(|| format!("the settings file {} is wrong", path.display()))
 }
 
+/// True when a text is a file of this format, and not of the product's own: the
+/// node's name stands at the top, where the product's own has a table.
+pub fn is_meant(text: &str) -> bool {
+    let (table, _) = DeTable::parse_recoverable(text);
+    let node = table.get_ref().get("node");
+    node.is_some_and(|node| !matches!(node.get_ref(), DeValue::Table(_)))
+}
+
 /// Reads settings out of text; fields that are not known are ignored, because
 /// the platform adds some at any time.
 ///
 /// # Errors
-/// As for [`read`].
-pub fn parse(text: &str) -> Result<Site> {
-    let file: File = toml::from_str(text)?;
-    let (first, last) = file.port_range;
-    if last < first || last - first + 1 < OWN_PORTS {
-        bail!("port_range {first} to {last} is too narrow; a node needs {OWN_PORTS} ports");
-    }
-    let ip = file.listen.front.ip();
-    Ok(Site {
-        node: file.node,
-        zone: file.zone,
-        region: file.region,
-        power: thousandths(file.limits.cpu_share)?,
-        zones: file.zones,
-        listen: Listen {
-            callers: file.listen.front,
-            readiness: file.listen.ready,
-            directory: file.listen.directory,
-            control: file.listen.control,
-            pool: SocketAddr::new(ip, first),
-            link: SocketAddr::new(ip, first + 1),
-            desk: SocketAddr::new(ip, first + 2),
-        },
-        seeds: file.seeds,
-        store: Store {
-            address: file.platform.address,
-            row_bytes: file.platform.row_bytes,
-        },
-        bounds: Bounds {
-            grace: seconds("bounds.grace_s", file.bounds.grace)?,
-            results: seconds("bounds.status_s", file.bounds.results)?,
-            directory_ttl: seconds("bounds.ttl_max_s", file.bounds.directory_ttl)?,
-        },
+/// [`Invalid`] names everything that is wrong, not only the first.
+pub fn parse(text: &str) -> Result<Site, Invalid> {
+    document::parse(text, |mut root, faults| site(&mut root, faults))
+}
+
+/// Every part is read before one that failed gives up the whole.
+fn site(root: &mut Section<'_>, faults: &mut Faults) -> Option<Site> {
+    let node = name(root, "node", "\"edge-1\"", faults);
+    let zone = name(root, "zone", "\"zone-1\"", faults);
+    let region = name(root, "region", "\"region-1\"", faults);
+    let zones = zones(root, faults);
+    let ports = root
+        .require("port_range", "[7720, 7735]", faults)
+        .and_then(|entry| ports(&entry, faults));
+    let listen = listen(root.section("listen", faults), ports, faults);
+    let seeds = seeds(root, faults);
+    let mut limits = root.section("limits", faults);
+    let power = limits
+        .require("cpu_share", "0.5", faults)
+        .and_then(|entry| entry.decimal((0.001, MOST_CORES), faults))
+        .map(thousandths);
+    let bounds = bounds(root.section("bounds", faults), faults);
+    let store = store(root.section("platform", faults), faults);
+    Some(Site {
+        node: node?,
+        zone: zone?,
+        region: region?,
+        power: power?,
+        zones: zones?,
+        listen: listen?,
+        seeds: seeds?,
+        store: store?,
+        bounds: bounds?,
     })
 }
 
-fn seconds(key: &str, value: f64) -> Result<Duration> {
-    Duration::try_from_secs_f64(value)
-        .map_err(|_| eyre!("{key} = {value} is no length of time; write seconds from 0 up"))
+fn name(
+    section: &mut Section<'_>,
+    key: &'static str,
+    example: &str,
+    faults: &mut Faults,
+) -> Option<Name> {
+    let entry = section.require(key, example, faults)?;
+    entry.text(faults).map(Name::from)
 }
 
-fn thousandths(share: f64) -> Result<u16> {
-    if !(0.0..=60.0).contains(&share) {
-        bail!("limits.cpu_share = {share} is no part of a core; write a number above 0");
+/// The region of each availability zone.
+fn zones(root: &mut Section<'_>, faults: &mut Faults) -> Option<BTreeMap<Name, Name>> {
+    let Some(entry) = root.entry("zones") else {
+        return Some(BTreeMap::new());
+    };
+    let DeValue::Table(table) = entry.value else {
+        entry.fault(faults, "write a table that names the region of each zone");
+        return None;
+    };
+    let pairs = table.iter().map(|(zone, region)| {
+        let region = region.get_ref().as_str()?;
+        Some((Name::from(&**zone.get_ref()), Name::from(region)))
+    });
+    let zones: Option<BTreeMap<Name, Name>> = pairs.collect();
+    if zones.is_none() {
+        entry.fault(faults, "each zone's region is a string in quotes");
     }
-    // Within the bounds just checked.
+    zones
+}
+
+/// First and last of the ports that are free for traffic between nodes.
+fn ports(entry: &Entry<'_>, faults: &mut Faults) -> Option<u16> {
+    let both: Option<Vec<u16>> = entry.value.as_array().and_then(|ports| {
+        let port = |value: &DeValue<'_>| value.as_integer()?.as_str().parse().ok();
+        ports.iter().map(|value| port(value.get_ref())).collect()
+    });
+    match both.as_deref() {
+        Some([first, last]) if *last >= *first && last - first + 1 >= OWN_PORTS => Some(*first),
+        _ => {
+            entry.fault(
+                faults,
+                format!("write the first and last of at least {OWN_PORTS} free ports"),
+            );
+            None
+        }
+    }
+}
+
+fn listen(
+    mut section: Section<'_>,
+    first_port: Option<u16>,
+    faults: &mut Faults,
+) -> Option<Listen> {
+    let mut address = |key, faults: &mut Faults| {
+        let entry = section.require(key, "\"10.0.1.11:7001\"", faults)?;
+        entry.address(faults)
+    };
+    let callers = address("front", faults);
+    let readiness = address("ready", faults);
+    let control = address("control", faults);
+    let directory = address("directory", faults);
+    let (callers, first) = (callers?, first_port?);
+    let own = |offset| SocketAddr::new(callers.ip(), first + offset);
+    Some(Listen {
+        callers,
+        readiness: readiness?,
+        directory: directory?,
+        control: control?,
+        pool: own(0),
+        link: own(1),
+        desk: own(2),
+    })
+}
+
+fn seeds(root: &mut Section<'_>, faults: &mut Faults) -> Option<Vec<SocketAddr>> {
+    let Some(entry) = root.entry("seeds") else {
+        return Some(Vec::new());
+    };
+    let seeds: Option<Vec<SocketAddr>> = entry.value.as_array().and_then(|seeds| {
+        let seed = |value: &DeValue<'_>| value.as_str()?.parse().ok();
+        seeds.iter().map(|value| seed(value.get_ref())).collect()
+    });
+    if seeds.is_none() {
+        entry.fault(faults, "write a list of \"ip:port\", which may be empty");
+    }
+    seeds
+}
+
+fn bounds(mut section: Section<'_>, faults: &mut Faults) -> Option<Bounds> {
+    let grace = section
+        .require("grace_s", "8", faults)
+        .and_then(|entry| seconds(&entry, faults));
+    let mut optional = |key, usual, faults: &mut Faults| match section.entry(key) {
+        Some(entry) => seconds(&entry, faults),
+        None => Some(usual),
+    };
+    let results = optional("status_s", RESULTS, faults);
+    let directory_ttl = optional("ttl_max_s", DIRECTORY_TTL, faults);
+    Some(Bounds {
+        grace: grace?,
+        results: results?,
+        directory_ttl: directory_ttl?,
+    })
+}
+
+fn store(mut section: Section<'_>, faults: &mut Faults) -> Option<Store> {
+    /// Largest value of a row that a store may name, in bytes.
+    const MOST: usize = 1024 * 1024 * 1024;
+    let address = section
+        .require("address", "\"10.0.9.1:8169\"", faults)
+        .and_then(|entry| entry.address(faults));
+    let row_bytes = section
+        .require("row_bytes", "65536", faults)
+        .and_then(|entry| entry.number((1, MOST), faults));
+    Some(Store {
+        address: address?,
+        row_bytes: row_bytes?,
+    })
+}
+
+fn seconds(entry: &Entry<'_>, faults: &mut Faults) -> Option<Duration> {
+    let seconds = entry.decimal((0.0, LONGEST), faults)?;
+    Some(Duration::from_secs_f64(seconds))
+}
+
+fn thousandths(share: f64) -> u16 {
+    // Within the bounds that were checked.
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let thousandths = (share * 1_000.0) as u16;
-    Ok(thousandths)
+    thousandths
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -14,7 +14,7 @@
 use crate::name::Name;
 
 mod check;
-mod document;
+pub(crate) mod document;
 mod unit;
 
 pub use unit::duration;
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -1,11 +1,11 @@
 //! What each key of a settings file may be, and which go together.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use toml::de::{DeTable, DeValue};
+use toml::de::DeValue;
 
-use super::document::{Entry, Faults, Section, article};
+use super::document::{self, Entry, Faults, Section, article};
 use super::{
     Format, Invalid, Leave, Limits, Listen, Log, Node, Platform, Settings, Timeouts, unit,
 };
@@ -25,23 +25,11 @@
 
 /// Reads and checks the whole text.
 pub(super) fn settings(text: &str) -> Result<Settings, Invalid> {
-    let (table, errors) = DeTable::parse_recoverable(text);
-    let mut faults = Faults::default();
-    for error in &errors {
-        let at = error.span().map_or(0, |span| span.start);
-        faults.add(at, "", format!("this is not TOML: {}", error.message()));
-    }
-    if !faults.is_empty() {
-        // What follows a broken line would be misread.
-        return Err(faults.into_invalid(text));
-    }
-    let mut root = Section::root(&table);
-    let settings = read(&mut root, &mut faults);
-    root.finish(&mut faults);
-    match settings {
-        Some(settings) if faults.is_empty() => Ok(settings),
-        _ => Err(faults.into_invalid(text)),
-    }
+    document::parse(text, |mut root, faults| {
+        let settings = read(&mut root, faults);
+        root.finish(faults);
+        settings
+    })
 }
 
 /// Every part is read before one that failed gives up the whole.
@@ -94,7 +82,7 @@
     let mut taken: Vec<(SocketAddr, &'static str)> = Vec::new();
     let mut read = |key: &'static str, example: &str, faults: &mut Faults| {
         let entry = section.require(key, example, faults)?;
-        let address = any_address(&entry, faults)?;
+        let address = entry.address(faults)?;
         if address.ip().is_unspecified() {
             entry.fault(
                 faults,
@@ -318,7 +306,7 @@
 
 /// An address that this node connects to.
 fn address(entry: &Entry<'_>, faults: &mut Faults) -> Option<SocketAddr> {
-    let address = any_address(entry, faults)?;
+    let address = entry.address(faults)?;
     if address.port() == 0 {
         entry.fault(faults, "nothing listens on port 0; write the port");
         return None;
@@ -326,23 +314,6 @@
     Some(address)
 }
 
-/// An address that this node listens on. With port 0 the system chooses one,
-/// and others are told the one that it chose.
-fn any_address(entry: &Entry<'_>, faults: &mut Faults) -> Option<SocketAddr> {
-    let text = entry.text(faults)?;
-    let message = match text.parse::<SocketAddr>() {
-        Ok(address) => return Some(address),
-        Err(_) if text.parse::<IpAddr>().is_ok() => {
-            format!("`{text}` has no port; write it as \"{text}:7001\"")
-        }
-        Err(_) => format!(
-            "`{text}` is no address; write an IP number and a port, as in \"10.0.1.11:7001\""
-        ),
-    };
-    entry.fault(faults, message);
-    None
-}
-
 /// An address of something else, which must be there already.
 fn remote(entry: &Entry<'_>, faults: &mut Faults) -> Option<SocketAddr> {
     let address = address(entry, faults)?;
--- a/src/settings/document.rs
+++ b/src/settings/document.rs
@@ -1,6 +1,7 @@
 //! A TOML document that is read key by key and remembers what is wrong in it.
 
 use std::collections::BTreeSet;
+use std::net::{IpAddr, SocketAddr};
 use std::ops::Range;
 
 use toml::Spanned;
@@ -17,10 +18,10 @@
 
 /// The faults found so far.
 #[derive(Default)]
-pub(super) struct Faults(Vec<Fault>);
+pub(crate) struct Faults(Vec<Fault>);
 
 impl Faults {
-    pub(super) fn add<M>(&mut self, at: usize, place: &str, message: M)
+    pub(crate) fn add<M>(&mut self, at: usize, place: &str, message: M)
     where
         M: Into<String>,
     {
@@ -31,12 +32,12 @@
         });
     }
 
-    pub(super) fn is_empty(&self) -> bool {
+    pub(crate) fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
 
     /// The faults by line of `text`.
-    pub(super) fn into_invalid(mut self, text: &str) -> Invalid {
+    pub(crate) fn into_invalid(mut self, text: &str) -> Invalid {
         self.0.sort_by_key(|fault| fault.at);
         let problems = self.0.into_iter().map(|fault| {
             let before = text.get(..fault.at).unwrap_or(text);
@@ -52,8 +53,33 @@
     }
 }
 
+/// Reads a whole document: `read` takes what it knows from the root, and notes
+/// every fault; a document with one has no value.
+///
+/// # Errors
+/// [`Invalid`] names everything that is wrong, not only the first.
+pub(crate) fn parse<T, R>(text: &str, read: R) -> Result<T, Invalid>
+where
+    R: FnOnce(Section<'_>, &mut Faults) -> Option<T>,
+{
+    let (table, errors) = DeTable::parse_recoverable(text);
+    let mut faults = Faults::default();
+    for error in &errors {
+        let at = error.span().map_or(0, |span| span.start);
+        faults.add(at, "", format!("this is not TOML: {}", error.message()));
+    }
+    if !faults.is_empty() {
+        // What follows a broken line would be misread.
+        return Err(faults.into_invalid(text));
+    }
+    match read(Section::root(&table), &mut faults) {
+        Some(value) if faults.is_empty() => Ok(value),
+        _ => Err(faults.into_invalid(text)),
+    }
+}
+
 /// One table of the document; the empty name is the document itself.
-pub(super) struct Section<'d> {
+pub(crate) struct Section<'d> {
     name: &'static str,
     table: Option<&'d DeTable<'d>>,
     at: usize,
@@ -61,14 +87,14 @@
 }
 
 /// A value and where it stands.
-pub(super) struct Entry<'d> {
-    pub(super) value: &'d DeValue<'d>,
-    pub(super) span: Range<usize>,
-    pub(super) place: String,
+pub(crate) struct Entry<'d> {
+    pub(crate) value: &'d DeValue<'d>,
+    pub(crate) span: Range<usize>,
+    pub(crate) place: String,
 }
 
 impl<'d> Section<'d> {
-    pub(super) fn root(table: &'d Spanned<DeTable<'d>>) -> Self {
+    pub(crate) fn root(table: &'d Spanned<DeTable<'d>>) -> Self {
         Self {
             name: "",
             table: Some(table.get_ref()),
@@ -78,7 +104,7 @@
     }
 
     /// The table `[name]`; one that is absent reads as empty.
-    pub(super) fn section(&mut self, name: &'static str, faults: &mut Faults) -> Section<'d> {
+    pub(crate) fn section(&mut self, name: &'static str, faults: &mut Faults) -> Section<'d> {
         let mut section = Section {
             name,
             table: None,
@@ -103,7 +129,7 @@
     }
 
     /// The value of `key`, which is known from now on.
-    pub(super) fn entry(&mut self, key: &'static str) -> Option<Entry<'d>> {
+    pub(crate) fn entry(&mut self, key: &'static str) -> Option<Entry<'d>> {
         self.known.insert(key);
         let value = self.table?.get(key)?;
         Some(Entry {
@@ -115,7 +141,7 @@
 
     /// As [`Section::entry`], but its absence is a fault. `example` is what a
     /// user could write.
-    pub(super) fn require(
+    pub(crate) fn require(
         &mut self,
         key: &'static str,
         example: &str,
@@ -142,7 +168,7 @@
     ///
     /// A misspelt key would otherwise leave its default in force, and the
     /// operator would notice only when the node behaves otherwise than written.
-    pub(super) fn finish(self, faults: &mut Faults) {
+    pub(crate) fn finish(self, faults: &mut Faults) {
         let Some(table) = self.table else { return };
         for key in table.keys() {
             let name: &str = key.get_ref();
@@ -177,7 +203,7 @@
 
 impl Entry<'_> {
     /// The text of a string.
-    pub(super) fn text(&self, faults: &mut Faults) -> Option<&str> {
+    pub(crate) fn text(&self, faults: &mut Faults) -> Option<&str> {
         let text = self.value.as_str();
         if text.is_none() {
             self.fault(
@@ -189,7 +215,7 @@
     }
 
     /// A whole number in `bounds`, both ends included.
-    pub(super) fn number(&self, bounds: (usize, usize), faults: &mut Faults) -> Option<usize> {
+    pub(crate) fn number(&self, bounds: (usize, usize), faults: &mut Faults) -> Option<usize> {
         let (least, most) = bounds;
         let number = self
             .value
@@ -207,7 +233,43 @@
         }
     }
 
-    pub(super) fn fault<M>(&self, faults: &mut Faults, message: M)
+    /// A number, whole or not, in `bounds`, both ends included.
+    pub(crate) fn decimal(&self, bounds: (f64, f64), faults: &mut Faults) -> Option<f64> {
+        let (least, most) = bounds;
+        let text = match self.value {
+            DeValue::Integer(whole) => whole.as_str(),
+            DeValue::Float(float) => float.as_str(),
+            _ => "",
+        };
+        match text.parse() {
+            Ok(number) if (least..=most).contains(&number) => Some(number),
+            _ => {
+                self.fault(
+                    faults,
+                    format!("write a number from {least} to {most}, without quotes"),
+                );
+                None
+            }
+        }
+    }
+
+    /// An IP number and a port.
+    pub(crate) fn address(&self, faults: &mut Faults) -> Option<SocketAddr> {
+        let text = self.text(faults)?;
+        let message = match text.parse::<SocketAddr>() {
+            Ok(address) => return Some(address),
+            Err(_) if text.parse::<IpAddr>().is_ok() => {
+                format!("`{text}` has no port; write it as \"{text}:7001\"")
+            }
+            Err(_) => format!(
+                "`{text}` is no address; write an IP number and a port, as in \"10.0.1.11:7001\""
+            ),
+        };
+        self.fault(faults, message);
+        None
+    }
+
+    pub(crate) fn fault<M>(&self, faults: &mut Faults, message: M)
     where
         M: Into<String>,
     {
@@ -216,7 +278,7 @@
 }
 
 /// What kind of value it is, with its article.
-pub(super) fn article(value: &DeValue<'_>) -> String {
+pub(crate) fn article(value: &DeValue<'_>) -> String {
     let kind = value.type_str();
     let article = if kind.starts_with(['a', 'i']) {
         "an"
--- a/tests/cli_local.rs
+++ b/tests/cli_local.rs
@@ -54,6 +54,24 @@
     }
 }
 
+/// The platform writes a file that lacks what a node needs. `check` names each
+/// fault with its line, whichever of the two formats the file has.
+#[gtest]
+fn check_platform_file() {
+    let text = "node = \"edge-1\"\nzone = 7\n[bounds]\ngrace_s = \"8\"\n";
+    let checked = run(&["check", "-"], text);
+    expect_that!(checked.code, eq(3));
+    expect_that!(checked.stdout, contains_substring("-:2:8: zone: "));
+    expect_that!(
+        checked.stdout,
+        contains_substring("-:4:11: bounds.grace_s: ")
+    );
+    expect_that!(
+        checked.stdout,
+        contains_substring("platform.address: is missing; add address =")
+    );
+}
+
 #[gtest]
 fn check_every_problem() {
     let text = "[node]\nname = \"a b\"\nzone = 3\n[listen]\ncallers = \"10.0.0.1\"\n";
--- a/tests/platform_decode.rs
+++ b/tests/platform_decode.rs
@@ -5,6 +5,7 @@
 use auburnspoke::catalog::Kind;
 use auburnspoke::platform::call::{self, Call};
 use auburnspoke::platform::{config, endpoint, job, settings};
+use auburnspoke::settings::Invalid;
 use auburnspoke::table::{Change, Row};
 use bytes::Bytes;
 use googletest::prelude::*;
@@ -68,6 +69,36 @@
     }
 }
 
+/// An operator mends a file that has several faults. Hearing of one at a time,
+/// they would start the node as often as there are faults.
+#[gtest]
+fn settings_every_problem() {
+    let text = SETTINGS
+        .replacen("zone = \"z1\"", "zone = 7", 1)
+        .replacen("[7720, 7735]", "[7735, 7720]", 1)
+        .replacen("grace_s = 8", "grace_s = -1", 1)
+        .replacen("10.200.1.7:8169", "10.200.1.7", 1)
+        .replacen("front = \"10.1.0.10:8161\"\n", "", 1);
+    let Invalid(problems) = settings::parse(&text).unwrap_err();
+    let places: Vec<&str> = problems.iter().map(|problem| &*problem.place).collect();
+    expect_that!(
+        places,
+        unordered_elements_are![
+            eq(&"zone"),
+            eq(&"port_range"),
+            eq(&"listen.front"),
+            eq(&"bounds.grace_s"),
+            eq(&"platform.address")
+        ]
+    );
+}
+
+#[gtest]
+fn settings_is_meant() {
+    expect_that!(settings::is_meant(SETTINGS), eq(true));
+    expect_that!(settings::is_meant("[node]\nname = \"n\""), eq(false));
+}
+
 const CONFIG: &str = r#"{"version":7,"routes":[
  {"name":"q","host":"h.example","prefix":"/q/","type":"streaming","timeout_ms":5000,"goal_ms":300,"priority":0,
   "split":[{"service":"a","weight":90},{"service":"b","weight":10}],"attempts":2,"sticky":true,"resumable":true,"gap_goal_ms":400},
