--- a/src/permit.rs
+++ b/src/permit.rs
@@ -29,7 +29,7 @@
 use crate::snapshot::Cell;
 use crate::wire;
 
-mod owner;
+pub mod owner;
 
 use owner::Owners;
 
--- a/src/permit/owner.rs
+++ b/src/permit/owner.rs
@@ -20,7 +20,8 @@
 const SILENT: Duration = Duration::from_millis(1_500);
 
 /// The members that may keep each pool, and which of them did not answer.
-pub(super) struct Owners {
+#[derive(Debug)]
+pub struct Owners {
     view: Arc<Cell<View>>,
     /// The port that pools listen on, the same on every node.
     port: u16,
@@ -33,7 +34,8 @@
 }
 
 impl Owners {
-    pub(super) fn new(view: Arc<Cell<View>>, port: u16) -> Self {
+    /// Nobody is silent yet.
+    pub fn new(view: Arc<Cell<View>>, port: u16) -> Self {
         Self {
             view,
             port,
@@ -44,17 +46,17 @@
     }
 
     /// A pool answered.
-    pub(super) fn heard(&mut self, owner: SocketAddr) {
+    pub fn heard(&mut self, owner: SocketAddr) {
         self.silent.remove(&owner);
     }
 
     /// A pool did not answer.
-    pub(super) fn silent(&mut self, now: Time, owner: SocketAddr) {
+    pub fn silent(&mut self, now: Time, owner: SocketAddr) {
         self.silent.insert(owner, now + SILENT);
     }
 
     /// The member that keeps a pool, as far as this node knows.
-    pub(super) fn owner(&mut self, now: Time, pool: &Name) -> Option<SocketAddr> {
+    pub fn owner(&mut self, now: Time, pool: &Name) -> Option<SocketAddr> {
         let view = self.view.take();
         if self
             .seen
--- /dev/null
+++ b/tests/permit_owner.rs
@@ -0,0 +1,64 @@
+//! Which member keeps a pool, as a node that asks it sees it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use auburnspoke::clock::Time;
+use auburnspoke::member::{Member, State, View};
+use auburnspoke::name::Name;
+use auburnspoke::permit::owner::Owners;
+use auburnspoke::snapshot::Cell;
+use googletest::prelude::*;
+
+const PORT: u16 = 7_720;
+
+fn member(at: u8, power: u16) -> Member {
+    Member {
+        name: format!("n{at}").into(),
+        address: format!("10.0.0.{at}:80").into(),
+        link: format!("10.0.0.{at}:90").into(),
+        control: format!("10.0.0.{at}:70").into(),
+        zone: "z".into(),
+        incarnation: 1,
+        state: State::Alive,
+        config_version: 0,
+        power,
+    }
+}
+
+fn view(members: &[u8]) -> View {
+    View {
+        members: members.iter().map(|at| member(*at, 500)).collect(),
+    }
+}
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(10_000 + millis)
+}
+
+/// The node that keeps a pool is frozen. Asked again and again, each caller would
+/// wait; it is passed over for a while, and an answer brings it back at once.
+#[gtest]
+fn owner_silent() {
+    let pool = Name::from("s");
+    let mut owners = Owners::new(Arc::new(Cell::new(view(&[1, 2, 3]))), PORT);
+    let first = owners.owner(at(0), &pool).unwrap();
+    owners.silent(at(0), first);
+    expect_that!(owners.owner(at(1), &pool), not(some(eq(first))));
+    owners.heard(first);
+    expect_that!(owners.owner(at(2), &pool), some(eq(first)));
+    owners.silent(at(3), first);
+    let back = at(3) + Duration::from_millis(1_500);
+    expect_that!(owners.owner(back, &pool), some(eq(first)));
+}
+
+/// A weak VM among strong ones would be the bottleneck of every request.
+#[gtest]
+fn owner_strong() {
+    let pool = Name::from("s");
+    let members = vec![member(1, 120), member(2, 500), member(3, 120)];
+    let mut owners = Owners::new(Arc::new(Cell::new(View { members })), PORT);
+    let strong = SocketAddr::from(([10, 0, 0, 2], PORT));
+    expect_that!(owners.owner(at(0), &pool), some(eq(strong)));
+}
