--- a/src/pool.rs
+++ b/src/pool.rs
@@ -12,7 +12,6 @@
 //! is stopped in the same step in which an online request finds none free.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,12 +21,14 @@
 use crate::clock::Time;
 use crate::name::Name;
 
+pub mod action;
 mod fault;
 pub mod message;
 mod place;
 pub mod serve;
 pub mod shard;
 
+pub use action::{Action, Gauge, Judgement, Key};
 use message::{Ask, Class, End, Hold};
 use place::Place;
 
@@ -67,54 +68,6 @@
 /// Longest time after which it should: about the length of a peak.
 const RETRY_MAX: Duration = Duration::from_secs(2);
 
-/// Who asks: a gateway's socket and its number of the request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Key {
-    /// The gateway.
-    pub gateway: SocketAddr,
-    /// Its number of the request, never used twice.
-    pub seq: u64,
-}
-
-/// What the pool tells a gateway.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Send the request to this endpoint.
-    Grant(Key, Arc<Endpoint>),
-    /// It is known and waits.
-    Queued(Key),
-    /// It can't be served in its time; come back after this.
-    Refuse(Key, Duration),
-    /// Stop this batch run; it may ask again.
-    Stop(Key),
-    /// An endpoint was left out, or is trusted again; for the log.
-    Judged(Judgement),
-}
-
-/// What a pool came to believe of an endpoint.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Judgement {
-    /// It gets nothing for a while.
-    LeftOut {
-        /// The endpoint.
-        endpoint: Name,
-        /// For how long.
-        pause: Duration,
-        /// How often in a row.
-        strikes: u32,
-        /// The part of its last answers to questions that were errors, in
-        /// thousandths.
-        errors_online: u32,
-        /// The same for batch items.
-        errors_batch: u32,
-    },
-    /// It gets all of its slots again.
-    Trusted {
-        /// The endpoint.
-        endpoint: Name,
-    },
-}
-
 #[derive(Clone, Debug)]
 struct Permit {
     endpoint: Name,
@@ -589,16 +542,3 @@
         }
     }
 }
-
-/// A pool at a glance.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Gauge {
-    /// Slots of all endpoints.
-    pub slots: u32,
-    /// Permits that are held.
-    pub held: usize,
-    /// Online requests that wait.
-    pub online_waiting: usize,
-    /// Batch items that wait.
-    pub batch_waiting: usize,
-}
