--- a/src/batch/quota.rs
+++ b/src/batch/quota.rs
@@ -11,9 +11,9 @@
 const UNORDERED_PART: u64 = 2;
 /// An unordered job is at most one of so many parts of the bound. While a node
 /// has not heard of them, which takes up to about a second, others would have
-/// to accept 32 jobs of that size to use up the room. Bursts of some 30 jobs a
-/// second are known, of jobs that are below a sixty-fourth by far; without this
-/// a bound of three jobs was exceeded as soon as four nodes were asked at once.
+/// to accept 32 jobs of that size to use up the room. Bursts reach some 30 jobs
+/// a second, each far below a sixty-fourth. Without this limit four nodes that
+/// are asked at once exceed a bound of three jobs.
 const UNORDERED_JOB: u64 = 64;
 
 /// What waits on a route, as one node knows it, and how much may.
