Keep the failures of batch items with the job

Cause: how often an item failed was counted in the memory of the job's owner.

Change: the job's row lists the failures of items without a result. An item is not run again before its failure is stored, so a lost owner costs one more run at most.

--- a/src/batch/accept.rs
+++ b/src/batch/accept.rs
@@ -132,6 +132,7 @@
             tokens,
             done: Vec::new(),
             ended: false,
+            failures: Vec::new(),
         };
         self.register(route, job, items, record, total).await
     }
--- a/src/batch/commit.rs
+++ b/src/batch/commit.rs
@@ -1,4 +1,4 @@
-//! Stores outcomes: the job's row and its results in one transaction, under the
+//! Stores outcomes and failures: the job's row and its results in one transaction, under the
 //! condition that the row is as this node knows it.
 
 use std::rc::Rc;
@@ -20,18 +20,21 @@
 const MOST: usize = 24;
 /// Bytes of a row that its encoding may add to an output.
 const ROOM: usize = 1_024;
+/// How long an item waits after a failure, so that a fault that every endpoint
+/// shares does not turn into a storm.
+pub(super) const FAILED_PAUSE: Duration = Duration::from_millis(150);
 /// Pause before a store that did not answer is tried again.
 const PAUSE: Duration = Duration::from_millis(150);
 
 impl Jobs {
     /// Stores what is not stored yet, in a task of its own.
     pub(super) fn commit(self: &Rc<Self>, work: &Rc<Work>) {
-        if work.fresh.borrow().is_empty() || work.committing.replace(true) {
+        if !work.has_news() || work.committing.replace(true) {
             return;
         }
         let (jobs, work) = (Rc::clone(self), Rc::clone(work));
         actix_rt::spawn(async move {
-            while !work.stopped.get() && !work.fresh.borrow().is_empty() {
+            while !work.stopped.get() && work.has_news() {
                 if let Err(fault) = store(&jobs, &work).await {
                     log::info!("{} job={} why=\"{fault}\"", event::STORE_CALL_LOST, work.id);
                     sleep(PAUSE).await;
@@ -59,6 +62,7 @@
         let value = row_of(jobs, work, *item, outcome, record.epoch).await?;
         transaction = transaction.put(row, value);
     }
+    next.failures = work.failed(&next.done);
     transaction = transaction.put(key, next.encode());
     let version = jobs.setup.store.transact(transaction).await?;
     stored(jobs, work, version, next);
@@ -100,6 +104,7 @@
         }
         work.set(item, Slot::Done);
     }
+    work.failures_stored(&record, jobs.now() + FAILED_PAUSE);
     *work.entry.borrow_mut() = Entry {
         version,
         record: record.clone(),
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -40,9 +40,34 @@
     /// Its caller ended it.
     #[serde(rename = "x")]
     pub ended: bool,
+    /// The items without a result that endpoints answered with an error. It is
+    /// kept here and not with the owner: a job that changed its owner often
+    /// would run an item that always fails without end, and hold slots for it.
+    #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
+    pub failures: Vec<Failure>,
+}
+
+/// How often an item failed, whoever ran it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Failure {
+    /// The item's number.
+    #[serde(rename = "i")]
+    pub item: u16,
+    /// Runs that an endpoint ended with an error of its own.
+    #[serde(rename = "n")]
+    pub runs: u32,
 }
 
 impl Record {
+    /// How often the item of that number failed so far.
+    pub fn failed_runs(&self, item: usize) -> u32 {
+        let failure = self
+            .failures
+            .iter()
+            .find(|failure| usize::from(failure.item) == item);
+        failure.map_or(0, |failure| failure.runs)
+    }
+
     /// True when nothing is left to do.
     pub fn is_over(&self) -> bool {
         self.ended || self.done.len() >= self.tokens.len()
--- a/src/batch/release.rs
+++ b/src/batch/release.rs
@@ -41,8 +41,8 @@
 async fn hand_over(jobs: &Rc<Jobs>, work: &Rc<Work>) {
     let until = Instant::now() + LIMIT;
     while Instant::now() < until {
-        // Finished results first; the task that stores them ends by itself.
-        if work.committing.get() || !work.fresh.borrow().is_empty() {
+        // Results and failures first; the task that stores them ends by itself.
+        if work.committing.get() || work.has_news() {
             jobs.commit(work);
             sleep(PAUSE / 4).await;
             continue;
--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -8,6 +8,7 @@
 use hyper::StatusCode;
 use tokio::time::timeout;
 
+use super::commit::FAILED_PAUSE;
 use super::item::State;
 use super::shell::{Asking, Jobs};
 use super::work::{Slot, Work};
@@ -23,9 +24,6 @@
 /// An endpoint that sends nothing for so long is given up; events come every
 /// 20 ms, and every 100 ms at one that is five times as slow.
 const SILENCE: Duration = Duration::from_secs(1);
-/// How long an item waits after a failure, so that a fault that every endpoint
-/// shares does not turn into a storm.
-const PAUSE: Duration = Duration::from_millis(150);
 /// How long a batch item waits at one pool before it tries another; where the
 /// service has one pool it keeps its turn by its due time anyway.
 const PATIENCE: Duration = Duration::from_millis(2_500);
@@ -216,7 +214,9 @@
             if failures >= attempts {
                 settle(jobs, work, item, State::Failed, "attempts_used");
             } else {
-                back(jobs, work, item, "endpoint_error");
+                stopped(jobs, work, item, "endpoint_error");
+                work.set(item, Slot::Failing);
+                jobs.commit(work);
             }
         }
         Ended::Broken(end, why) => {
@@ -257,6 +257,12 @@
 
 /// An item waits a moment and is run again.
 fn back(jobs: &Rc<Jobs>, work: &Rc<Work>, item: usize, why: &'static str) {
+    stopped(jobs, work, item, why);
+    work.set(item, Slot::Ready(jobs.now() + FAILED_PAUSE));
+}
+
+/// Tells that a run ended without an outcome.
+fn stopped(jobs: &Jobs, work: &Work, item: usize, why: &'static str) {
     log::info!(
         "{} job={} id={} why={why} last={:?}",
         event::ITEM_STOPPED,
@@ -265,5 +271,4 @@
         work.partials.borrow()[item].last,
     );
     jobs.setup.count.item(why);
-    work.set(item, Slot::Ready(jobs.now() + PAUSE));
 }
--- a/src/batch/work.rs
+++ b/src/batch/work.rs
@@ -7,6 +7,7 @@
 use super::absence::Absence;
 use super::item::{Item, Outcome, Partial, State};
 use super::ledger::Entry;
+use super::record::{Failure, Record};
 use crate::clock::Time;
 use crate::edge::body::Guard;
 use crate::name::Name;
@@ -60,6 +61,10 @@
     },
     /// It has an outcome that is not stored yet.
     Fresh,
+    /// Its last run failed, and the store does not know of it yet. It is not run
+    /// again before: if the owner were lost meanwhile, the next one would start
+    /// to count anew.
+    Failing,
     /// Its outcome is stored.
     Done,
 }
@@ -75,7 +80,8 @@
     pub(super) partials: RefCell<Vec<Partial>>,
     /// How long items have run so far, in runs that are gone on with.
     pub(super) ran: RefCell<Vec<Duration>>,
-    /// Answers of 500 so far, by item.
+    /// Runs so far that an endpoint ended with an error of its own, by item;
+    /// those of earlier owners among them.
     pub(super) failures: RefCell<Vec<u32>>,
     /// The endpoints that gave them, by item.
     pub(super) failed_at: RefCell<Vec<Vec<Name>>>,
@@ -101,6 +107,8 @@
                 *slot = Slot::Done;
             }
         }
+        let failures = (0..count).map(|item| entry.record.failed_runs(item));
+        let failures = RefCell::new(failures.collect());
         Self {
             id,
             items,
@@ -108,7 +116,7 @@
             slots: RefCell::new(slots),
             partials: RefCell::new(vec![Partial::default(); count]),
             ran: RefCell::new(vec![Duration::ZERO; count]),
-            failures: RefCell::new(vec![0; count]),
+            failures,
             failed_at: RefCell::new(vec![Vec::new(); count]),
             fresh: RefCell::default(),
             committing: Cell::new(false),
@@ -181,6 +189,33 @@
         }
     }
 
+    /// True when something is to be stored: an outcome or a failure.
+    pub(super) fn has_news(&self) -> bool {
+        let failing = |slot: &Slot| matches!(slot, Slot::Failing);
+        !self.fresh.borrow().is_empty() || self.slots.borrow().iter().any(failing)
+    }
+
+    /// How often each item without a result failed, of those that did.
+    pub(super) fn failed(&self, done: &[u16]) -> Vec<Failure> {
+        let failures = self.failures.borrow();
+        let items = (0_u16..).zip(failures.iter().copied());
+        items
+            .filter(|(item, runs)| *runs > 0 && !done.contains(item))
+            .map(|(item, runs)| Failure { item, runs })
+            .collect()
+    }
+
+    /// The store knows of the failures in `stored`: these items may run again
+    /// from `from` on.
+    pub(super) fn failures_stored(&self, stored: &Record, from: Time) {
+        let failures = self.failures.borrow();
+        for (item, slot) in self.slots.borrow_mut().iter_mut().enumerate() {
+            if matches!(slot, Slot::Failing) && stored.failed_runs(item) >= failures[item] {
+                *slot = Slot::Ready(from);
+            }
+        }
+    }
+
     /// An item has its final outcome.
     pub(super) fn finish(&self, item: usize, state: State) {
         let output = match state {
--- /dev/null
+++ b/standin/tests/support/fleet.rs
@@ -0,0 +1,208 @@
+//! The batch parts of some nodes in one process, beside a store, a pool and one
+//! replica.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use auburnspoke::batch::{Jobs, Setup};
+use auburnspoke::catalog::{Catalog, Config, Endpoint, Kind, Limits, Route, Target, Terms};
+use auburnspoke::clock::{Clock, Time};
+use auburnspoke::edge::count::Count;
+use auburnspoke::leave::Phase;
+use auburnspoke::member::{Member, State, View};
+use auburnspoke::name::Name;
+use auburnspoke::permit::Desk;
+use auburnspoke::platform::store::Client;
+use auburnspoke::pool;
+use auburnspoke::snapshot::Cell;
+use bytes::Bytes;
+use standin::site::replica::{Register, Replica};
+use standin::site::store::Store;
+use tokio::time::sleep;
+
+/// Nodes of the fleet.
+pub const NODES: usize = 8;
+/// The service and the host.
+const SERVICE: &str = "llm";
+const HOST: &str = "batch.example";
+/// The one item of the one job.
+const ITEM: &str = "item-1";
+const JOB: &str = "job-1";
+/// How often something is looked for.
+const POLL: Duration = Duration::from_millis(5);
+
+/// One node's batch jobs.
+struct Node {
+    jobs: Rc<Jobs>,
+    phase: Arc<Cell<Phase>>,
+}
+
+/// Nodes, of which none serves yet.
+pub struct Fleet {
+    nodes: Vec<Node>,
+    register: Register,
+    route: Arc<Route>,
+    _replica: Rc<Replica>,
+}
+
+fn local() -> UdpSocket {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_nonblocking(true).unwrap();
+    socket
+}
+
+fn route(attempts: u32) -> Arc<Route> {
+    let terms = Terms {
+        due: Duration::from_secs(18),
+        lifetime: Duration::from_secs(120),
+        waiting_tokens: None,
+    };
+    Arc::new(Route {
+        name: "notes".into(),
+        host: HOST.into(),
+        prefix: "/n/".into(),
+        kind: Kind::Batch(terms),
+        timeout: Duration::from_secs(5),
+        goal: Duration::from_millis(500),
+        priority: 1,
+        targets: vec![Target {
+            service: SERVICE.into(),
+            weight: 1,
+        }],
+        attempts,
+    })
+}
+
+fn catalog(route: &Arc<Route>, address: SocketAddr) -> Catalog {
+    let endpoint = Endpoint {
+        id: "i-1".into(),
+        service: SERVICE.into(),
+        address,
+        zone: "z0".into(),
+        slots: 4,
+        ready: true,
+    };
+    let config = Config {
+        version: 1,
+        routes: vec![Arc::clone(route)],
+        limits: Limits::default(),
+    };
+    Catalog {
+        config: Some(Arc::new(config)),
+        endpoints: Arc::new(BTreeMap::from([("i-1".into(), Arc::new(endpoint))])),
+        confirmed: Time::ZERO,
+    }
+}
+
+fn member(name: &Name) -> Member {
+    Member {
+        name: name.clone(),
+        address: "127.0.0.1:1".into(),
+        link: "127.0.0.1:2".into(),
+        control: "127.0.0.1:3".into(),
+        zone: "z0".into(),
+        incarnation: 1,
+        state: State::Alive,
+        config_version: 1,
+        power: 500,
+    }
+}
+
+impl Fleet {
+    /// Starts the parts; items may fail `attempts` times.
+    pub async fn start(attempts: u32) -> Self {
+        let store = Store::new();
+        let register = Register::default();
+        let step = Duration::from_millis(5);
+        let (replica, address) = Replica::start("i-1".into(), 4, step, Rc::clone(&register))
+            .await
+            .unwrap();
+        let route = route(attempts);
+        let catalog = Arc::new(Cell::new(catalog(&route, address)));
+        let clock = Clock::start();
+        let pool = tokio::net::UdpSocket::from_std(local()).unwrap();
+        let port = pool.local_addr().unwrap().port();
+        actix_rt::spawn(pool::serve::serve(pool, clock, Arc::clone(&catalog)));
+        let mut nodes = Vec::new();
+        for at in 0..NODES {
+            let me: Name = format!("node-{at}").into();
+            let members = vec![member(&me)];
+            let view = Arc::new(Cell::new(View { members }));
+            let socket = tokio::net::UdpSocket::from_std(local()).unwrap();
+            let desk = Desk::new(
+                socket,
+                port,
+                at as u64,
+                clock,
+                Arc::clone(&catalog),
+                Arc::clone(&view),
+            );
+            actix_rt::spawn(Rc::clone(&desk).run());
+            let phase = Arc::new(Cell::new(Phase::Starting));
+            let jobs = Jobs::new(Setup {
+                me,
+                zone: "z0".into(),
+                clock,
+                store: Client::new(store.listen(at).await.unwrap()),
+                row_bytes: 65_536,
+                results: Duration::from_secs(120),
+                desk,
+                catalog: Arc::clone(&catalog),
+                view,
+                phase: Arc::clone(&phase),
+                count: Count::new(|_| {}),
+            });
+            actix_rt::spawn(Rc::clone(&jobs).run());
+            nodes.push(Node { jobs, phase });
+        }
+        // A node takes nothing over in its first second.
+        sleep(Duration::from_secs(1)).await;
+        Self {
+            nodes,
+            register,
+            route,
+            _replica: replica,
+        }
+    }
+
+    /// Submits a job of one item at the first node.
+    pub async fn submit(&self, path: &str) {
+        let body = format!(
+            "{{\"requests\":[{{\"id\":\"{ITEM}\",\"path\":\"{path}\",\
+             \"headers\":{{\"X-Token-Count\":\"10,20\"}},\"tokens\":30}}]}}"
+        );
+        self.serve(0);
+        let answer = self.nodes[0]
+            .jobs
+            .submit(&self.route, &JOB.into(), Bytes::from(body))
+            .await;
+        assert_eq!(answer.status(), 202);
+    }
+
+    /// From now on a node runs what falls to it.
+    pub fn serve(&self, at: usize) {
+        self.nodes[at].phase.publish(Phase::Serving);
+    }
+
+    /// A node is stopped: it hands its jobs over.
+    pub fn leave(&self, at: usize) {
+        self.nodes[at].phase.publish(Phase::Leaving);
+    }
+
+    /// How often the item ran.
+    pub fn runs(&self) -> usize {
+        self.register.borrow().get(ITEM).map_or(0, Vec::len)
+    }
+
+    /// Waits until the item ran so often; false when it does not within `wait`.
+    pub async fn wait_runs(&self, runs: usize, wait: Duration) -> bool {
+        let until = Instant::now() + wait;
+        while self.runs() < runs && Instant::now() < until {
+            sleep(POLL).await;
+        }
+        self.runs() >= runs
+    }
+}
