Let two members of a zone read the store for the others

By table, two more causes showed: reading a job's results had no upper bound of keys and brought the rows of the jobs behind it (2.2 MB in four calls of one node), and each node read the list of nodes whole each time.

Ruled out: endpoints' heartbeats (their rows hardly change); the objects of jobs.

Change: src/feed: members of a zone of 12 or more ask two of them, which follow the tables while they are asked; answers carry their age, and whatever can't be true is passed over. Ranges of rows are bounded; the list of nodes is read on by its changes. The ways that were weighed are in docs/design/feed.md.

--- a/src/batch/shell.rs
+++ b/src/batch/shell.rs
@@ -28,7 +28,7 @@
 use crate::permit::Desk;
 use crate::platform::store::Client;
 use crate::snapshot::Cell;
-use crate::table::Changes;
+use crate::table::{Changes, Feed};
 
 /// Items that wait for a place at a time; a pool that has room grants one in
 /// a few milliseconds, so more would only repeat themselves to it.
@@ -108,15 +108,16 @@
         })
     }
 
-    /// Follows the jobs and runs this node's for as long as the thread lives.
-    pub async fn run(self: Rc<Self>) {
+    /// Follows the jobs over `feed` and runs this node's for as long as the
+    /// thread lives.
+    pub async fn run<F>(self: Rc<Self>, feed: F)
+    where
+        F: Feed + 'static,
+    {
         let learner = Rc::clone(&self);
-        actix_rt::spawn(follow(
-            self.setup.store.clone(),
-            record::TABLE,
-            FEED_GAP,
-            move |news| learner.learn(news),
-        ));
+        actix_rt::spawn(follow(feed, record::TABLE, FEED_GAP, move |news| {
+            learner.learn(news);
+        }));
         let retiring = Rc::clone(&self);
         actix_rt::spawn(async move {
             loop {
@@ -172,10 +173,10 @@
                 ledger.remove(&change.key, change.version);
             }
         }
-        let now = self.now();
+        let said = self.now() - changes.age;
         self.ledger
             .borrow_mut()
-            .heard(now, changes.version, changes.clock);
+            .heard(said, changes.version, changes.clock);
     }
 
     fn learn_row(self: &Rc<Self>, job: &Name, version: u64, value: &[u8]) {
--- a/src/catalog/book.rs
+++ b/src/catalog/book.rs
@@ -66,7 +66,7 @@
     /// The store could not be read at `now`.
     pub fn store_failed(&mut self, now: Time) {
         // Moves on with each failure, so that it ends a grace after the last.
-        self.doubtful_until = now + RETURN_GRACE;
+        self.doubtful_until = self.doubtful_until.max(now + RETURN_GRACE);
     }
 
     /// Takes one statement; false when it is older than what is known.
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -6,7 +6,9 @@
 
 use std::fmt;
 use std::ops::{Add, AddAssign, Sub};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tokio::time::Instant;
 
 /// A point in time: microseconds since an origin that the process chose.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -4,7 +4,6 @@
 //! The control thread learns and keeps the pools; the traffic thread serves
 //! callers and runs batch items. docs/design/platform.md draws the parts.
 
-use std::cell::Cell as Flag;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::Path;
 use std::rc::Rc;
@@ -22,6 +21,8 @@
 use crate::clock::{Clock, unix_millis};
 use crate::dispatch;
 use crate::event;
+use crate::feed::desk;
+use crate::feed::source::{self, Source};
 use crate::leave::Phase;
 use crate::link::Pool;
 use crate::link::server::{Asked, Desk as LinkDesk};
@@ -32,9 +33,10 @@
 use crate::permit::Desk;
 use crate::platform::settings;
 use crate::platform::store::Client;
+use crate::platform::{config, endpoint};
 use crate::site::Site;
 use crate::snapshot::Cell;
-use crate::table::{Fault, Feed as _, Roster, Table as _, Transaction, Vm};
+use crate::table::{Table as _, Transaction};
 use crate::wire::query::{Query, Reply};
 
 pub mod body;
@@ -43,21 +45,36 @@
 pub mod learn;
 pub mod node;
 pub mod relay;
+pub mod roster;
 pub mod stay;
 
 use count::Count;
 use learn::Learner;
 use node::Node;
 
-/// The table in which nodes register, so that a node which replaces another,
-/// and whose seeds are all gone, finds the members.
-const NODES: &str = "node";
 /// How often a stop looks whether everything has ended.
 const STOP_POLL: Duration = Duration::from_millis(50);
 /// How often the settings file is looked at for changes without a signal.
 const SETTINGS_POLL: Duration = Duration::from_secs(2);
 /// Questions of other nodes that may wait.
 const QUESTIONS: usize = 64;
+/// The tables that nodes follow for each other. A configuration is to be in
+/// force within seconds, so it is read on at once; endpoints leave and jobs grow
+/// by many changes a second, which are cheaper read together.
+const SHARED: &[desk::Shared] = &[
+    desk::Shared {
+        table: config::TABLE,
+        gap: Duration::from_millis(50),
+    },
+    desk::Shared {
+        table: endpoint::TABLE,
+        gap: Duration::from_millis(100),
+    },
+    desk::Shared {
+        table: batch::record::TABLE,
+        gap: Duration::from_millis(150),
+    },
+];
 
 /// Runs a node until it is told to stop.
 ///
@@ -176,6 +193,20 @@
     busy: Arc<std::sync::atomic::AtomicUsize>,
 }
 
+impl Shared {
+    /// Follows the store's tables over readers; each thread has links of its own.
+    fn source(&self, links: Rc<Pool>) -> Source<Client, Rc<Pool>> {
+        let setup = source::Setup {
+            me: self.me.clone(),
+            zone: self.site.zone.clone(),
+            clock: self.clock,
+            view: Arc::clone(&self.view),
+            count: self.count.clone(),
+        };
+        Source::new(Client::new(self.site.store.address), links, setup)
+    }
+}
+
 fn start(site: Arc<Site>, metrics_port: Option<u16>) -> Result<Running> {
     let clock = Clock::start();
     let sockets = Sockets::bind(&site)?;
@@ -280,8 +311,12 @@
 ) -> Result<Handle> {
     let address = shared.site.store.address;
     let learner = Learner::new(shared.clock, Arc::clone(&shared.catalog));
-    learn::start(&learner, Client::new(address), Client::new(address));
     let links = Pool::new(shared.me.clone());
+    learn::start(
+        &learner,
+        shared.source(Rc::clone(&links)),
+        shared.source(Rc::clone(&links)),
+    );
     let view = Arc::clone(&shared.view);
     actix_rt::spawn(learn::ask_peers(
         Rc::clone(&learner),
@@ -305,9 +340,10 @@
             log::error!("{} why=\"{error}\"", event::LISTEN_FAILED);
         }
     });
-    actix_rt::spawn(answer(asked, Rc::clone(&learner)));
+    let desk = desk::Desk::new(shared.clock, Client::new(address), SHARED);
+    actix_rt::spawn(answer(asked, Rc::clone(&learner), desk));
     let store = Client::new(address);
-    let roster = Registered::new(store, setup.me.vm());
+    let roster = roster::Registered::new(store, setup.me.vm());
     let socket = tokio::net::UdpSocket::from_std(control)?;
     let (members, mut events) = crate::member::shell::start(setup, socket, roster);
     // Nothing here depends on notes; the channel must not fill up.
@@ -317,9 +353,22 @@
 }
 
 /// Answers other nodes' questions.
-async fn answer(mut asked: mpsc::Receiver<Asked>, learner: Rc<Learner>) {
+async fn answer(
+    mut asked: mpsc::Receiver<Asked>,
+    learner: Rc<Learner>,
+    desk: Rc<desk::Desk<Client>>,
+) {
     while let Some(Asked { query, reply }) = asked.recv().await {
         let answer = match query {
+            Query::Changes { table, after } => {
+                let desk = Rc::clone(&desk);
+                actix_rt::spawn(async move {
+                    let told = desk.tell(&table, after).await;
+                    // A failure means that the asker has gone.
+                    let _ = reply.send(Reply::Changes(told));
+                });
+                continue;
+            }
             Query::Known { version } => Reply::Known(learner.known(version).map(Box::new)),
             Query::Report
             | Query::Document
@@ -332,52 +381,6 @@
     }
 }
 
-/// The row of a node; a later process at the same address replaces it.
-fn node_key(control: &str) -> String {
-    format!("{NODES}/{}", control.replace(':', "-"))
-}
-
-/// The nodes that registered in the store, this one among them.
-struct Registered {
-    store: Client,
-    me: Vm,
-    done: Flag<bool>,
-}
-
-impl Registered {
-    fn new(store: Client, me: Vm) -> Self {
-        let done = Flag::new(false);
-        Self { store, me, done }
-    }
-
-    async fn register(&self) -> Result<(), Fault> {
-        let value = crate::wire::encode(&self.me).unwrap_or_default();
-        let row = Transaction::default().put(node_key(&self.me.control), value);
-        self.store.transact(row).await?;
-        self.done.set(true);
-        Ok(())
-    }
-}
-
-impl Roster for Registered {
-    /// Registers first: of two nodes that start together, the one that reads
-    /// later then finds the other.
-    async fn list(&self) -> Result<Vec<Vm>, Fault> {
-        if !self.done.get() {
-            self.register().await?;
-        }
-        let snapshot = self.store.snapshot(NODES).await?;
-        let mut vms = Vec::new();
-        for row in snapshot.rows {
-            match crate::wire::decode(&row.value) {
-                Ok(vm) => vms.push(vm),
-                Err(why) => log::warn!("{} key={} why=\"{why}\"", event::ROW_UNREADABLE, row.key),
-            }
-        }
-        Ok(vms)
-    }
-}
-
 /// What the traffic thread starts with.
 struct Traffic {
     shared: Shared,
@@ -414,7 +417,8 @@
             phase: Arc::clone(&shared.phase),
             count: shared.count.clone(),
         });
-        actix_rt::spawn(Rc::clone(&jobs).run());
+        let links = Pool::new(shared.me.clone());
+        actix_rt::spawn(Rc::clone(&jobs).run(shared.source(links)));
         let node = Rc::new(Node {
             zone: shared.site.zone.clone(),
             site: shared.site,
@@ -465,7 +469,7 @@
         {
             sleep(STOP_POLL).await;
         }
-        let key = node_key(&self.site.listen.control.to_string());
+        let key = roster::key(&self.site.listen.control.to_string());
         let gone = self.store.transact(Transaction::default().delete(key));
         // Its row is only a hint to others.
         let _ = tokio::time::timeout(STOP_POLL * 2, gone).await;
--- a/src/edge/count.rs
+++ b/src/edge/count.rs
@@ -23,6 +23,7 @@
     retried: Family<Cause, Counter>,
     items: Family<Cause, Counter>,
     jobs: Family<Cause, Counter>,
+    feed: Family<Cause, Counter>,
     first_event: Histogram,
     request: Histogram,
 }
@@ -43,6 +44,7 @@
         let retried = Family::<Cause, Counter>::default();
         let items = Family::<Cause, Counter>::default();
         let jobs = Family::<Cause, Counter>::default();
+        let feed = Family::<Cause, Counter>::default();
         let first_event = Histogram::new(exponential_buckets(0.005, 1.5, 20));
         let request = Histogram::new(exponential_buckets(0.01, 1.5, 20));
         let mut registry = Registry::with_prefix("auburnspoke");
@@ -58,6 +60,11 @@
             "Batch jobs, by what became of them here",
             jobs.clone(),
         );
+        registry.register(
+            "feed",
+            "Readings of the store's changes, by who told them or why not",
+            feed.clone(),
+        );
         registry.register(
             "first_event_seconds",
             "From a request's arrival to its first event",
@@ -75,6 +82,7 @@
             retried,
             items,
             jobs,
+            feed,
             first_event,
             request,
         }
@@ -100,6 +108,11 @@
         self.jobs.get_or_create(&Cause { reason }).inc();
     }
 
+    /// Counts who told what changed in the store, or why a reader did not.
+    pub fn feed(&self, reason: &'static str) {
+        self.feed.get_or_create(&Cause { reason }).inc();
+    }
+
     /// Records the time to a first event.
     pub fn first_event(&self, took: Duration) {
         self.first_event.observe(took.as_secs_f64());
--- a/src/edge/learn.rs
+++ b/src/edge/learn.rs
@@ -52,6 +52,16 @@
     Failed,
 }
 
+impl News {
+    /// How long ago the store said so.
+    fn age(&self) -> Duration {
+        match self {
+            Self::Changes(changes) => changes.age,
+            Self::Snapshot(_) | Self::Failed => Duration::ZERO,
+        }
+    }
+}
+
 /// Follows a table without end: takes a snapshot, then its changes, and begins
 /// anew where the history has a gap. What is older than the last news is passed
 /// over, because a store may answer from a copy that is behind.
@@ -149,6 +159,7 @@
 
     /// Takes news of the configuration's table.
     pub fn config(&self, news: News) {
+        let said = self.clock.now() - news.age();
         let rows: Vec<(String, bytes::Bytes)> = match news {
             News::Snapshot(snapshot) => snapshot
                 .rows
@@ -162,7 +173,7 @@
                 .collect(),
             News::Failed => return,
         };
-        self.state.borrow_mut().config_heard = self.clock.now();
+        self.state.borrow_mut().config_heard = said;
         for (key, value) in rows {
             if key != config::KEY {
                 continue;
@@ -194,6 +205,7 @@
     /// Takes news of the endpoints' table.
     pub fn endpoints(&self, news: News) {
         let now = self.clock.now();
+        let said = now - news.age();
         let mut state = self.state.borrow_mut();
         match news {
             News::Snapshot(snapshot) => {
@@ -202,6 +214,9 @@
                 state.book.replace(now, entries, snapshot.version);
             }
             News::Changes(changes) => {
+                if let Some(ago) = changes.failed_ago {
+                    state.book.store_failed(now - ago);
+                }
                 let entries = changes.changes.iter().map(endpoint::from_change);
                 for entry in readable(entries) {
                     log::debug!(
@@ -219,8 +234,8 @@
                 return;
             }
         }
-        state.endpoints_heard = now;
-        state.confirmed = now;
+        state.endpoints_heard = said;
+        state.confirmed = said;
         self.publish(&state);
     }
 
--- /dev/null
+++ b/src/edge/roster.rs
@@ -0,0 +1,119 @@
+//! The nodes that registered in the store, this one among them.
+//!
+//! A node that replaces another, and whose seeds are all gone, finds the members
+//! there.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::event;
+use crate::table::{Fault, Feed, Lapse, Roster, Table, Transaction, Vm};
+
+/// The table in which nodes register.
+const NODES: &str = "node";
+
+/// The row of a node; a later process at the same address replaces it.
+pub fn key(control: &str) -> String {
+    format!("{NODES}/{}", control.replace(':', "-"))
+}
+
+/// The list of nodes, as read so far.
+#[derive(Debug, Default)]
+struct Known {
+    version: u64,
+    vms: BTreeMap<String, Vm>,
+}
+
+impl Known {
+    fn put(&mut self, key: String, value: &[u8]) {
+        match crate::wire::decode(value) {
+            Ok(vm) => drop(self.vms.insert(key, vm)),
+            Err(why) => log::warn!("{} key={key} why=\"{why}\"", event::ROW_UNREADABLE),
+        }
+    }
+}
+
+/// This node's row, and its list of all rows.
+pub struct Registered<S> {
+    store: S,
+    me: Vm,
+    done: Cell<bool>,
+    known: RefCell<Option<Known>>,
+}
+
+impl<S> Registered<S>
+where
+    S: Table + Feed,
+{
+    /// Not registered yet.
+    pub fn new(store: S, me: Vm) -> Self {
+        Self {
+            store,
+            me,
+            done: Cell::new(false),
+            known: RefCell::default(),
+        }
+    }
+
+    async fn register(&self) -> Result<(), Fault> {
+        let value = crate::wire::encode(&self.me).unwrap_or_default();
+        let row = Transaction::default().put(key(&self.me.control), value);
+        self.store.transact(row).await?;
+        self.done.set(true);
+        Ok(())
+    }
+
+    async fn read_all(&self) -> Result<Known, Fault> {
+        let snapshot = self.store.snapshot(NODES).await?;
+        let mut known = Known {
+            version: snapshot.version,
+            ..Known::default()
+        };
+        for row in snapshot.rows {
+            known.put(row.key, &row.value);
+        }
+        Ok(known)
+    }
+
+    /// The list with what changed since it was read. At 295 nodes the whole one
+    /// has 70 KB, and each node reads it several times.
+    async fn read_changes(&self, mut known: Known) -> Result<Known, Lapse> {
+        let wait = Duration::ZERO;
+        let changes = self.store.changes(NODES, known.version, wait).await?;
+        known.version = changes.version;
+        for change in changes.changes {
+            match change.value {
+                Some(value) => known.put(change.key, &value),
+                None => drop(known.vms.remove(&change.key)),
+            }
+        }
+        Ok(known)
+    }
+}
+
+impl<S> Roster for Registered<S>
+where
+    S: Table + Feed,
+{
+    /// Registers first: of two nodes that start together, the one that reads
+    /// later then finds the other.
+    async fn list(&self) -> Result<Vec<Vm>, Fault> {
+        if !self.done.get() {
+            self.register().await?;
+        }
+        // Left empty by a failure, so that the next reading is a whole one.
+        let before = self.known.take();
+        let known = match before {
+            None => self.read_all().await?,
+            Some(known) => match self.read_changes(known).await {
+                Ok(known) => known,
+                Err(Lapse::Gone) => self.read_all().await?,
+                Err(Lapse::Fault(fault)) => return Err(fault),
+            },
+        };
+        let vms = known.vms.values().cloned().collect();
+        *self.known.borrow_mut() = Some(known);
+        Ok(vms)
+    }
+}
--- a/src/event.rs
+++ b/src/event.rs
@@ -73,6 +73,10 @@
     510 POOL_CHANGED "pool_changed";
     511 ENDPOINT_LEFT_OUT "endpoint_left_out";
     512 ENDPOINT_TRUSTED "endpoint_trusted";
+    513 FEED_STARTED "feed_started";
+    514 FEED_ENDED "feed_ended";
+    515 FEED_PASSED_OVER "feed_passed_over";
+    516 FEED_REFUSED "feed_refused";
     520 REQUEST_DONE "request_done";
     521 REQUEST_GRANTED "request_granted";
     523 REQUEST_ENDED "request_ended";
--- /dev/null
+++ b/src/feed.rs
@@ -0,0 +1,34 @@
+//! Passing on what the store says, so that not every node reads it.
+//!
+//! Every node follows the same three tables. Read by each node for itself, the
+//! store's calls and bytes grow with nodes times changes; at 295 nodes they cost
+//! more than everything else that a node does besides serving. Here two members
+//! of each availability zone read, and the others ask them. Nobody is elected:
+//! whoever is asked for a table begins to follow it, and stops when it is asked
+//! no more. All of it is soft state. A node whose readers are silent, late or
+//! behind reads the store by itself, as it would without them.
+//!
+//! [`shelf`] and [`choice`] decide, [`desk`] and [`source`] act;
+//! docs/design/feed.md weighs the ways.
+
+pub mod choice;
+pub mod desk;
+pub mod shelf;
+pub mod source;
+
+use serde::{Deserialize, Serialize};
+
+use crate::table::Changes;
+
+/// What a reader answers to [`crate::wire::query::Query::Changes`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Told {
+    /// Everything that changed since the version that was asked about.
+    Changes(Changes),
+    /// The reader does not know what followed on that version.
+    Gap,
+    /// The store does not answer the reader.
+    Stale,
+    /// The reader follows no such table.
+    Foreign,
+}
--- /dev/null
+++ b/src/feed/desk.rs
@@ -0,0 +1,155 @@
+//! The reader's side: follows tables for those who ask about them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout_at};
+
+use super::Told;
+use super::shelf::Shelf;
+use crate::clock::{Clock, Time};
+use crate::event;
+use crate::table::{Fault, Feed, Lapse};
+
+/// How long a call to the store waits for a change. Short, because those who
+/// ask take a silent reader for lost, and 1 s old knowledge for doubtful.
+const READ_WAIT: Duration = Duration::from_millis(500);
+/// Pause after a failed call.
+const FAILED_PAUSE: Duration = Duration::from_millis(150);
+/// Longest time that an answer waits for news of the store.
+const ANSWER_WAIT: Duration = Duration::from_millis(800);
+/// A table that nobody asked about for so long is followed no more.
+const UNUSED: Duration = Duration::from_secs(6);
+
+/// A table that may be asked about, and the least time between two readings of
+/// its changes.
+#[derive(Clone, Copy, Debug)]
+pub struct Shared {
+    /// The table's name.
+    pub table: &'static str,
+    /// The least time between two readings.
+    pub gap: Duration,
+}
+
+/// The tables that this node follows for others.
+pub struct Desk<F> {
+    clock: Clock,
+    feed: F,
+    tables: &'static [Shared],
+    followed: RefCell<HashMap<&'static str, Rc<Followed>>>,
+}
+
+struct Followed {
+    shelf: RefCell<Shelf>,
+    /// Told whenever the store answered or failed.
+    news: Notify,
+    asked: Cell<Time>,
+}
+
+impl<F> Desk<F>
+where
+    F: Feed + Clone + 'static,
+{
+    /// Follows nothing yet.
+    pub fn new(clock: Clock, feed: F, tables: &'static [Shared]) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            feed,
+            tables,
+            followed: RefCell::default(),
+        })
+    }
+
+    /// What followed on `version` of a table. Waits for the next news of the
+    /// store when nothing is known yet.
+    pub async fn tell(self: &Rc<Self>, table: &str, version: u64) -> Told {
+        let Some(shared) = self.tables.iter().find(|shared| shared.table == table) else {
+            log::warn!("{} table={table}", event::FEED_REFUSED);
+            return Told::Foreign;
+        };
+        let followed = self.followed(*shared, version);
+        followed.asked.set(self.clock.now());
+        let until = Instant::now() + ANSWER_WAIT;
+        loop {
+            let news = followed.news.notified();
+            tokio::pin!(news);
+            news.as_mut().enable();
+            let told = followed.shelf.borrow().since(self.clock.now(), version);
+            let waits = match &told {
+                None => true,
+                Some(Told::Changes(_)) => !followed.shelf.borrow().is_behind(version),
+                Some(_) => false,
+            };
+            if !waits {
+                return told.unwrap_or(Told::Stale);
+            }
+            if timeout_at(until, news).await.is_err() {
+                return Told::Stale;
+            }
+            // Also news without a change are news: they tell that the table is
+            // still as it was.
+            if let Some(told) = followed.shelf.borrow().since(self.clock.now(), version) {
+                return told;
+            }
+        }
+    }
+
+    /// True while a table is followed for others.
+    pub fn follows(&self, table: &str) -> bool {
+        self.followed.borrow().contains_key(table)
+    }
+
+    fn followed(self: &Rc<Self>, shared: Shared, version: u64) -> Rc<Followed> {
+        if let Some(followed) = self.followed.borrow().get(shared.table) {
+            return Rc::clone(followed);
+        }
+        let followed = Rc::new(Followed {
+            shelf: RefCell::new(Shelf::new(version)),
+            news: Notify::new(),
+            asked: Cell::new(self.clock.now()),
+        });
+        let mut all = self.followed.borrow_mut();
+        all.insert(shared.table, Rc::clone(&followed));
+        log::info!(
+            "{} table={} version={version}",
+            event::FEED_STARTED,
+            shared.table
+        );
+        actix_rt::spawn(Rc::clone(self).follow(shared, Rc::clone(&followed)));
+        followed
+    }
+
+    async fn follow(self: Rc<Self>, shared: Shared, followed: Rc<Followed>) {
+        let why = loop {
+            if self.clock.now().since(followed.asked.get()) > UNUSED {
+                break "unused";
+            }
+            let version = followed.shelf.borrow().version();
+            let pause = match self.feed.changes(shared.table, version, READ_WAIT).await {
+                Ok(changes) => {
+                    let now = self.clock.now();
+                    followed.shelf.borrow_mut().add(now, changes);
+                    shared.gap
+                }
+                Err(Lapse::Gone) => break "history_dropped",
+                Err(Lapse::Fault(fault)) => {
+                    followed.shelf.borrow_mut().fail(self.clock.now());
+                    match fault {
+                        Fault::Refused { retry_after } => retry_after,
+                        Fault::Conflict { .. } | Fault::Unknown => FAILED_PAUSE,
+                    }
+                }
+            };
+            followed.news.notify_waiters();
+            sleep(pause).await;
+        };
+        log::info!("{} table={} why={why}", event::FEED_ENDED, shared.table);
+        self.followed.borrow_mut().remove(shared.table);
+        // Whoever waits asks the store.
+        followed.shelf.borrow_mut().fail(self.clock.now());
+        followed.news.notify_waiters();
+    }
+}
--- /dev/null
+++ b/src/feed/source.rs
@@ -0,0 +1,148 @@
+//! The other nodes' side: a feed that asks a reader, and the store where no
+//! reader can tell.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Told;
+use super::choice::{Choice, Fault};
+use crate::clock::Clock;
+use crate::edge::count::Count;
+use crate::event;
+use crate::link::Pool;
+use crate::member::View;
+use crate::name::Name;
+use crate::snapshot::Cell;
+use crate::table::{self, Changes, Feed, Lapse, Snapshot};
+use crate::wire::query::{Query, Reply};
+
+/// Longest wait for a reader's answer: it answers within 0.8 s, and a link delay
+/// comes on top. Two readers that are frozen at once cost twice this, which
+/// leaves time for a configuration to be in force within 3 s.
+const ANSWER: Duration = Duration::from_millis(950);
+
+/// Asks another member a question.
+pub trait Ask {
+    /// The answer of the member whose link listens at `link`; none when none
+    /// came within `wait`.
+    async fn ask(&self, link: &Name, query: Query, wait: Duration) -> Option<Reply>;
+}
+
+impl Ask for Rc<Pool> {
+    async fn ask(&self, link: &Name, query: Query, wait: Duration) -> Option<Reply> {
+        Pool::ask(self, link, query, wait).await
+    }
+}
+
+/// What a [`Source`] works with.
+pub struct Setup {
+    /// This process's name among the members.
+    pub me: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// The process's clock.
+    pub clock: Clock,
+    /// The members.
+    pub view: Arc<Cell<View>>,
+    /// The counters.
+    pub count: Count,
+}
+
+/// Follows tables over readers.
+pub struct Source<F, A> {
+    store: F,
+    links: A,
+    setup: Setup,
+    choice: RefCell<Choice>,
+}
+
+impl<F, A> Source<F, A>
+where
+    F: Feed,
+    A: Ask,
+{
+    /// A source that falls back on `store`.
+    pub fn new(store: F, links: A, setup: Setup) -> Self {
+        Self {
+            store,
+            links,
+            setup,
+            choice: RefCell::default(),
+        }
+    }
+
+    /// What a reader tells; none when the store is to be asked.
+    async fn ask(&self, table: &str, version: u64) -> Option<Changes> {
+        loop {
+            let setup = &self.setup;
+            let (name, link) = {
+                let view = setup.view.read();
+                let now = setup.clock.now();
+                let choice = self.choice.borrow();
+                let reader = choice.reader(now, &setup.me, &setup.zone, &view)?;
+                (reader.name.clone(), reader.link.clone())
+            };
+            let query = Query::Changes {
+                table: table.into(),
+                after: version,
+            };
+            let (fault, why) = match self.links.ask(&link, query, ANSWER).await {
+                Some(Reply::Changes(Told::Changes(changes))) => {
+                    if follows(version, &changes) {
+                        setup.count.feed("told");
+                        return Some(changes);
+                    }
+                    (Fault::Wrong, "wrong")
+                }
+                Some(Reply::Changes(Told::Gap)) => {
+                    setup.count.feed("gap");
+                    return None;
+                }
+                Some(Reply::Changes(Told::Stale)) => (Fault::Stale, "stale"),
+                None | Some(Reply::Busy) => (Fault::Silent, "silent"),
+                Some(_) => (Fault::Wrong, "foreign"),
+            };
+            setup.count.feed(why);
+            log::info!(
+                "{} table={table} version={version} reader={name} why={why}",
+                event::FEED_PASSED_OVER
+            );
+            let now = setup.clock.now();
+            self.choice.borrow_mut().avoid(now, &name, fault);
+        }
+    }
+}
+
+/// True when an answer can be what followed on `version`: nothing in it is older
+/// than what was known, newer than it says itself, or out of order. A reader
+/// that lags or garbles would otherwise take this node a step back, or make it
+/// miss a change for good.
+fn follows(version: u64, changes: &Changes) -> bool {
+    let mut last = version;
+    let in_order = changes.changes.iter().all(|change| {
+        let follows = change.version > version && change.version >= last;
+        last = change.version;
+        follows
+    });
+    in_order && last <= changes.version
+}
+
+impl<F, A> Feed for Source<F, A>
+where
+    F: Feed,
+    A: Ask,
+{
+    async fn snapshot(&self, table: &str) -> Result<Snapshot, table::Fault> {
+        self.store.snapshot(table).await
+    }
+
+    async fn changes(&self, table: &str, version: u64, wait: Duration) -> Result<Changes, Lapse> {
+        if let Some(changes) = self.ask(table, version).await {
+            return Ok(changes);
+        }
+        self.setup.count.feed("store");
+        self.store.changes(table, version, wait).await
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod embedded;
 pub mod endpoint;
 pub mod event;
+pub mod feed;
 pub mod gateway;
 pub mod http;
 pub mod job;
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -193,6 +193,7 @@
                 }
                 // Only nodes whose platform keeps the configuration ask this.
                 Query::Known { .. } => Reply::Known(None),
+                Query::Changes { .. } => Reply::Busy,
                 Query::Drain => Reply::Draining {
                     in_flight: self.drain_here(),
                 },
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -76,6 +76,14 @@
     body: Bytes,
 }
 
+/// Keys of a table; an empty bound is none.
+struct Range<'a> {
+    from: &'a str,
+    /// The first key that is not wanted.
+    to: &'a str,
+    limit: usize,
+}
+
 impl Client {
     /// A client of the store at `address`.
     pub fn new(address: SocketAddr) -> Self {
@@ -165,15 +173,16 @@
         }
     }
 
-    /// Reads one page of a table's rows from the key `from` on.
-    async fn rows(&self, table: &str, from: &str, limit: usize) -> Result<RowsAnswer, Fault> {
-        let from = if from.is_empty() {
-            String::new()
-        } else {
-            format!("&from={}", escape(from))
+    /// Reads one page of a table's rows of a range of keys.
+    async fn rows(&self, table: &str, range: Range<'_>) -> Result<RowsAnswer, Fault> {
+        let bound = |name, key: &str| match key {
+            "" => String::new(),
+            key => format!("&{name}={}", escape(key)),
         };
-        let table = escape(table);
-        let path = format!("/-/rows-get?table={table}&part=&limit={limit}{from}");
+        let from = bound("from", range.from);
+        let to = bound("to", range.to);
+        let (table, limit) = (escape(table), range.limit);
+        let path = format!("/-/rows-get?table={table}&part=&limit={limit}{from}{to}");
         let answer = self.quick(Method::GET, &path, Bytes::new()).await?;
         match answer.status {
             StatusCode::OK => parse(&path, &answer.body),
@@ -321,7 +330,12 @@
 
     async fn get(&self, key: &str) -> Result<Option<Row>, Fault> {
         let row = row_key(key);
-        let answer = self.rows(&row.table, &row.key, 1).await?;
+        let range = Range {
+            from: &row.key,
+            to: &behind(&row.key),
+            limit: 1,
+        };
+        let answer = self.rows(&row.table, range).await?;
         match answer.rows.first() {
             Some(entry) if entry.key == row.key => Ok(Some(Row {
                 key: key.to_owned(),
@@ -339,16 +353,19 @@
         } else {
             behind(&row_key(after).key)
         };
-        let answer = self.rows(&start.table, &from, limit.min(PAGE)).await?;
+        // Without a bound the store would go on with other prefixes' rows: a
+        // reader of 10 results got those of six jobs, 1.1 MB instead of 60 KB.
+        let range = Range {
+            from: &from,
+            to: &past(&start.key),
+            limit: limit.min(PAGE),
+        };
+        let answer = self.rows(&start.table, range).await?;
         let mut page = Page {
             rows: Vec::new(),
             more: answer.truncated,
         };
         for entry in answer.rows {
-            if !entry.key.starts_with(&start.key) {
-                page.more = false;
-                break;
-            }
             page.rows.push(Row {
                 key: format!("{}/{}", start.table, entry.key),
                 version: entry.ver,
@@ -365,6 +382,12 @@
     format!("{key}!")
 }
 
+/// A text that sorts after every key that begins with `prefix`, and before those
+/// that sort behind them; keys have no character that sorts after the mark.
+fn past(prefix: &str) -> String {
+    format!("{prefix}~")
+}
+
 /// The first check that failed, as far as the store's rows tell.
 fn conflict(expected: &[Expected], rows: &[RowEntry]) -> Fault {
     let present = |row: &RowKey| {
@@ -387,7 +410,12 @@
         let mut snapshot = Snapshot::default();
         let mut from = String::new();
         loop {
-            let answer = self.rows(table, &from, PAGE).await?;
+            let range = Range {
+                from: &from,
+                to: "",
+                limit: PAGE,
+            };
+            let answer = self.rows(table, range).await?;
             if snapshot.version == 0 {
                 // Later pages may be newer; following on from the first page
                 // tells their changes once more, which is harmless.
@@ -428,6 +456,8 @@
             changes: Vec::with_capacity(answer.rows.len()),
             version: answer.ver,
             clock: answer.now_ms,
+            age: Duration::ZERO,
+            failed_ago: None,
         };
         for entry in answer.rows {
             let value = if entry.removed {
--- a/src/table.rs
+++ b/src/table.rs
@@ -207,7 +207,7 @@
 }
 
 /// One row that changed.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
     /// The row's key behind the table's name.
     pub key: String,
@@ -218,14 +218,18 @@
 }
 
 /// The changes of a table since a version.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Changes {
     /// In the order in which they were made.
     pub changes: Vec<Change>,
     /// Where to go on.
     pub version: u64,
-    /// The store's own steady clock, in milliseconds.
+    /// The store's own steady clock when it said so, in milliseconds.
     pub clock: u64,
+    /// How long ago the store said so; not zero where another node passed it on.
+    pub age: Duration,
+    /// How long ago the store last failed to answer the node that passed it on.
+    pub failed_ago: Option<Duration>,
 }
 
 /// Why a feed gave no changes.
--- a/src/wire/query.rs
+++ b/src/wire/query.rs
@@ -11,6 +11,7 @@
 use crate::config::follow::Report;
 use crate::dispatch::Load;
 use crate::edge::learn::Known;
+use crate::feed::Told;
 use crate::name::Name;
 
 /// A question.
@@ -34,6 +35,13 @@
         /// The configuration version that the asker has.
         version: u64,
     },
+    /// What changed in a table of the store?
+    Changes {
+        /// The table.
+        table: Name,
+        /// The version that the asker knows.
+        after: u64,
+    },
 }
 
 /// An answer.
@@ -54,6 +62,8 @@
     },
     /// To [`Query::Known`]; none when the store does not answer this node either.
     Known(Option<Box<Known>>),
+    /// To [`Query::Changes`].
+    Changes(Told),
     /// The node can't answer now.
     Busy,
 }
--- a/standin/src/site/rows.rs
+++ b/standin/src/site/rows.rs
@@ -89,13 +89,14 @@
         })
     }
 
-    /// Rows of a table from a key on, and whether more follow.
-    pub fn get(&self, table: &str, from: &str, limit: usize) -> (Vec<Entry>, bool) {
+    /// Rows of a table from the key `from` to before `to`, where it is not empty,
+    /// and whether more follow.
+    pub fn get(&self, table: &str, from: &str, to: &str, limit: usize) -> (Vec<Entry>, bool) {
         let start = (table.to_owned(), String::new(), from.to_owned());
         let mut rows = self
             .present
             .range(start..)
-            .take_while(|((name, _, _), _)| name == table)
+            .take_while(|((name, _, key), _)| name == table && (to.is_empty() || **key < *to))
             .filter_map(|(id, _)| self.entry(id));
         let page: Vec<_> = rows.by_ref().take(limit).collect();
         (page, rows.next().is_some())
--- a/standin/src/site/store.rs
+++ b/standin/src/site/store.rs
@@ -50,6 +50,8 @@
     pub treatment: RefCell<BTreeMap<usize, Treatment>>,
     /// Calls answered so far.
     pub calls: Cell<u64>,
+    /// Rows of a range that were sent so far.
+    pub rows_read: Cell<usize>,
 }
 
 #[derive(Deserialize)]
@@ -100,6 +102,7 @@
             began: Instant::now(),
             treatment: RefCell::default(),
             calls: Cell::new(0),
+            rows_read: Cell::new(0),
         })
     }
 
@@ -240,7 +243,9 @@
     fn get(&self, query: &HashMap<String, String>) -> Response<Full<Bytes>> {
         let text = |key: &str| query.get(key).cloned().unwrap_or_default();
         let limit = text("limit").parse().unwrap_or(500);
-        let (rows, more) = self.rows.borrow().get(&text("table"), &text("from"), limit);
+        let (from, to) = (text("from"), text("to"));
+        let (rows, more) = self.rows.borrow().get(&text("table"), &from, &to, limit);
+        self.rows_read.set(self.rows_read.get() + rows.len());
         self.rows_answer(StatusCode::OK, &rows, more)
     }
 
--- a/standin/tests/batch_owners.rs
+++ b/standin/tests/batch_owners.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-use googletest::prelude::*;
 use fleet::{Fleet, NODES};
+use googletest::prelude::*;
 
 /// Runs that an endpoint may end with an error before an item is given up.
 const ATTEMPTS: u32 = 4;
--- a/standin/tests/support/fleet.rs
+++ b/standin/tests/support/fleet.rs
@@ -155,7 +155,8 @@
                 phase: Arc::clone(&phase),
                 count: Count::new(|_| {}),
             });
-            actix_rt::spawn(Rc::clone(&jobs).run());
+            let feed = Client::new(store.listen(at).await.unwrap());
+            actix_rt::spawn(Rc::clone(&jobs).run(feed));
             nodes.push(Node { jobs, phase });
         }
         // A node takes nothing over in its first second.
--- a/tests/batch_record.rs
+++ b/tests/batch_record.rs
@@ -19,6 +19,7 @@
         tokens: vec![10, 20, 30],
         done: done.to_vec(),
         ended,
+        failures: Vec::new(),
     }
 }
 
--- /dev/null
+++ b/tests/feed_source.rs
@@ -0,0 +1,200 @@
+//! Following the store over readers: what is taken from them, and when the
+//! store is asked instead.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use auburnspoke::clock::Clock;
+use auburnspoke::edge::count::Count;
+use auburnspoke::feed::Told;
+use auburnspoke::feed::source::{Ask, Setup, Source};
+use auburnspoke::member::{Member, State, View};
+use auburnspoke::name::Name;
+use auburnspoke::snapshot::Cell;
+use auburnspoke::table::{Change, Changes, Fault, Feed, Lapse, Snapshot};
+use auburnspoke::wire::query::{Query, Reply};
+use googletest::prelude::*;
+
+/// Members of the one zone.
+const MEMBERS: usize = 30;
+/// What the store answers.
+const STORE_VERSION: u64 = 500;
+
+struct Store;
+
+impl Feed for Store {
+    async fn snapshot(&self, _: &str) -> std::result::Result<Snapshot, Fault> {
+        Ok(Snapshot::default())
+    }
+
+    async fn changes(&self, _: &str, _: u64, _: Duration) -> std::result::Result<Changes, Lapse> {
+        Ok(changes(&[], STORE_VERSION))
+    }
+}
+
+/// Readers that answer as they were told to, one after the other.
+#[derive(Clone, Default)]
+struct Readers {
+    answers: Rc<RefCell<VecDeque<Option<Reply>>>>,
+    asked: Rc<RefCell<Vec<Name>>>,
+}
+
+impl Ask for Readers {
+    async fn ask(&self, link: &Name, _: Query, _: Duration) -> Option<Reply> {
+        self.asked.borrow_mut().push(link.clone());
+        self.answers.borrow_mut().pop_front().flatten()
+    }
+}
+
+fn changes(versions: &[u64], version: u64) -> Changes {
+    let change = |version: &u64| Change {
+        key: "row".into(),
+        version: *version,
+        value: None,
+    };
+    Changes {
+        changes: versions.iter().map(change).collect(),
+        version,
+        ..Changes::default()
+    }
+}
+
+fn told(versions: &[u64], version: u64) -> Reply {
+    Reply::Changes(Told::Changes(changes(versions, version)))
+}
+
+fn member(at: usize, zone: &str) -> Member {
+    Member {
+        name: format!("node-{at:03}").into(),
+        address: "127.0.0.1:1".into(),
+        link: format!("127.0.0.1:{}", 1_000 + at).into(),
+        control: "127.0.0.1:3".into(),
+        zone: zone.into(),
+        incarnation: 1,
+        state: State::Alive,
+        config_version: 1,
+        // The first ones are strong.
+        power: if at < 8 { 500 } else { 120 },
+    }
+}
+
+fn view(members: usize) -> Arc<Cell<View>> {
+    let members = (0..members).map(|at| member(at, "z0")).collect();
+    Arc::new(Cell::new(View { members }))
+}
+
+fn source(readers: &Readers, me: &str, members: usize) -> Source<Store, Readers> {
+    let setup = Setup {
+        me: me.into(),
+        zone: "z0".into(),
+        clock: Clock::start(),
+        view: view(members),
+        count: Count::default(),
+    };
+    Source::new(Store, readers.clone(), setup)
+}
+
+/// Asks once after the version 100, with readers that give these answers.
+fn ask(answers: Vec<Option<Reply>>) -> (u64, Vec<Name>) {
+    let readers = Readers::default();
+    *readers.answers.borrow_mut() = answers.into();
+    let source = source(&readers, "node-020", MEMBERS);
+    let wait = Duration::from_millis(500);
+    let changes = actix_rt::System::new().block_on(source.changes("job", 100, wait));
+    let asked = readers.asked.borrow().clone();
+    (changes.unwrap().version, asked)
+}
+
+#[gtest]
+fn changes_told() {
+    let (version, asked) = ask(vec![Some(told(&[101, 120], 130))]);
+    expect_that!(version, eq(130));
+    expect_that!(asked.len(), eq(1));
+}
+
+#[gtest]
+fn changes_reader_silent() {
+    // A reader is frozen or its node was killed. The next one tells, and only a
+    // moment is lost.
+    let (version, asked) = ask(vec![None, Some(told(&[101], 130))]);
+    expect_that!(version, eq(130));
+    expect_that!(asked.len(), eq(2));
+    expect_that!(asked[0], not(eq(&asked[1])));
+}
+
+#[gtest]
+fn changes_all_readers_fail() {
+    // Both readers of a zone are lost at once: the store is asked, as if there
+    // were no readers.
+    let stale = Some(Reply::Changes(Told::Stale));
+    let (version, asked) = ask(vec![None, stale]);
+    expect_that!(version, eq(STORE_VERSION));
+    expect_that!(asked.len(), eq(2));
+}
+
+#[gtest]
+fn changes_gap() {
+    // A reader that has just begun does not know what followed.
+    let (version, _) = ask(vec![Some(Reply::Changes(Told::Gap))]);
+    expect_that!(version, eq(STORE_VERSION));
+}
+
+#[gtest]
+fn changes_wrong() {
+    // Readers that tell an older version, a change that is older than what was
+    // asked about, one that is newer than the whole, or changes in disorder,
+    // and one that speaks otherwise. Any of them would take a node a step back,
+    // or make it miss a change for good.
+    let wrong = [
+        told(&[], 99),
+        told(&[100], 130),
+        told(&[131], 130),
+        told(&[120, 110], 130),
+        Reply::Announced,
+        Reply::Changes(Told::Foreign),
+    ];
+    for wrong in wrong {
+        let (version, asked) = ask(vec![Some(wrong.clone()), Some(told(&[101], 130))]);
+        expect_that!(version, eq(130), "after {wrong:?}");
+        expect_that!(asked.len(), eq(2));
+    }
+}
+
+#[gtest]
+fn changes_readers_read() {
+    // Two strong members of the zone ask nobody; the others ask one of these.
+    let mut readers = Vec::new();
+    let mut asked = Vec::new();
+    for at in 0..MEMBERS {
+        let fake = Readers::default();
+        *fake.answers.borrow_mut() = VecDeque::from([Some(told(&[], 130))]);
+        let source = source(&fake, &format!("node-{at:03}"), MEMBERS);
+        let wait = Duration::ZERO;
+        let answer = actix_rt::System::new().block_on(source.changes("job", 100, wait));
+        if answer.unwrap().version == STORE_VERSION {
+            readers.push(at);
+        }
+        asked.extend(fake.asked.borrow().iter().cloned());
+    }
+    expect_that!(readers.len(), eq(2));
+    expect_that!(readers, each(lt(&8)));
+    for reader in readers {
+        let link = format!("127.0.0.1:{}", 1_000 + reader);
+        let share = asked.iter().filter(|asked| ***asked == *link).count();
+        expect_that!(share, ge(8), "reader {reader} carries its part");
+    }
+}
+
+#[gtest]
+fn changes_small_zone() {
+    // In a zone of a few nodes each reads the store.
+    let readers = Readers::default();
+    let source = source(&readers, "node-005", 8);
+    let changes =
+        actix_rt::System::new().block_on(source.changes("job", 100, Duration::from_millis(1)));
+    expect_that!(changes.unwrap().version, eq(STORE_VERSION));
+    expect_that!(readers.asked.borrow().len(), eq(0));
+}
