Tell an endpoint that started again under its id; use no unreadable entry

Cause: nothing read when an endpoint started, so failures, full slots and prompts thought to be kept survived its restart under the same id. An entry that could not be read was passed over, and what was known before went on being used; missing slots and unknown states were guessed.

Ruled out: exchanges that go on in the new process as if in the old one: each has its own connection and resumes by event number only.

Change: the start time is decoded once to an incarnation; a pool forgets what it believed of the earlier process and its permits. An entry that is missing a field, or has one of another type or an unknown state, names no endpoint; older news of it don't bring it back.

--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -144,7 +144,7 @@
 /// One run of an endpoint's process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Endpoint {
-    /// Unique; a restart has another.
+    /// Unique among the endpoints that run at a time.
     pub id: Name,
     /// The service that it answers for.
     pub service: Name,
@@ -156,6 +156,10 @@
     pub slots: u32,
     /// False once it takes no new work.
     pub ready: bool,
+    /// When its process started, in Unix milliseconds, to tell a restart under
+    /// the same id; 0 where each start has an id of its own.
+    #[serde(default)]
+    pub incarnation: u64,
 }
 
 /// What one node knows now; published as a snapshot.
--- a/src/catalog/book.rs
+++ b/src/catalog/book.rs
@@ -94,6 +94,16 @@
         true
     }
 
+    /// Takes a statement that can't be read. Whatever was known of the endpoint is
+    /// no longer so, and what it is now is not known: it gets no work, also where
+    /// a removal would be doubted.
+    pub fn refuse(&mut self, id: &Name, version: u64) {
+        let newest = self.known.get(id).map_or(self.whole, Known::newest);
+        if version > newest {
+            self.forget(id, version);
+        }
+    }
+
     /// Takes the whole list as of `version`: what is missing was removed.
     pub fn replace(&mut self, now: Time, entries: Vec<Entry>, version: u64) {
         let missing: Vec<Name> = self
--- a/src/edge/learn.rs
+++ b/src/edge/learn.rs
@@ -18,6 +18,7 @@
 use crate::member::View;
 use crate::member::shell::Handle;
 use crate::name::Name;
+use crate::platform::endpoint::Unreadable;
 use crate::platform::{config, endpoint};
 use crate::snapshot::Cell;
 use crate::table::{Changes, Fault, Feed, Lapse, Snapshot};
@@ -209,16 +210,19 @@
         let mut state = self.state.borrow_mut();
         match news {
             News::Snapshot(snapshot) => {
-                let entries = snapshot.rows.iter().map(endpoint::from_row);
-                let entries = readable(entries);
+                let (entries, others) = readable(snapshot.rows.iter().map(endpoint::from_row));
                 state.book.replace(now, entries, snapshot.version);
+                refuse(&mut state.book, &others);
             }
             News::Changes(changes) => {
                 if let Some(ago) = changes.failed_ago {
                     state.book.store_failed(now - ago);
                 }
-                let entries = changes.changes.iter().map(endpoint::from_change);
-                for entry in readable(entries) {
+                let read = changes.changes.iter().map(endpoint::from_change);
+                let (entries, others) = readable(read);
+                // The newest of two statements about one endpoint counts.
+                refuse(&mut state.book, &others);
+                for entry in entries {
                     log::debug!(
                         "{} endpoint={} version={} ready={:?}",
                         event::ENDPOINT_CHANGED,
@@ -313,17 +317,28 @@
     }
 }
 
-fn readable<I>(entries: I) -> Vec<Entry>
+/// What can be read, and what can't.
+fn readable<I>(rows: I) -> (Vec<Entry>, Vec<Unreadable>)
 where
-    I: Iterator<Item = Result<Entry, serde_json::Error>>,
+    I: Iterator<Item = Result<Entry, Unreadable>>,
 {
-    entries
-        .filter_map(|entry| {
-            entry
-                .inspect_err(|why| log::warn!("{} why=\"{why}\"", event::ROW_UNREADABLE))
-                .ok()
-        })
-        .collect()
+    let mut entries = Vec::new();
+    let mut others = Vec::new();
+    for row in rows {
+        match row {
+            Ok(entry) => entries.push(entry),
+            Err(unreadable) => others.push(unreadable),
+        }
+    }
+    (entries, others)
+}
+
+/// Takes rows that can't be read: they name no endpoint to use.
+fn refuse(book: &mut Book, others: &[Unreadable]) {
+    for Unreadable { id, version, why } in others {
+        log::warn!("{} key={id} why=\"{why}\"", event::ROW_UNREADABLE);
+        book.refuse(id, *version);
+    }
 }
 
 /// Follows configuration and endpoints for as long as the thread lives.
--- a/src/permit.rs
+++ b/src/permit.rs
@@ -364,6 +364,7 @@
             zone: "".into(),
             slots: 1,
             ready: true,
+            incarnation: 0,
         }))
     }
 
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -145,10 +145,15 @@
         let mut gone: Vec<Name> = self.places.keys().cloned().collect();
         for endpoint in endpoints {
             gone.retain(|id| *id != endpoint.id);
-            self.places
+            let place = self
+                .places
                 .entry(endpoint.id.clone())
-                .and_modify(|place| place.endpoint = Arc::clone(endpoint))
                 .or_insert_with(|| Place::new(Arc::clone(endpoint)));
+            if place.renew(endpoint) {
+                // What ran in its earlier process holds no slot of this one.
+                self.permits
+                    .retain(|_, permit| permit.endpoint != endpoint.id);
+            }
         }
         for id in gone {
             self.places.remove(&id);
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -103,6 +103,19 @@
         score
     }
 
+    /// Takes the endpoint as its entry now is. One that started again knows
+    /// nothing of before: what its earlier process failed at, was full of or kept
+    /// of prompts would send work away from it, or to it in vain. True when it did.
+    pub(super) fn renew(&mut self, endpoint: &Arc<Endpoint>) -> bool {
+        let restarted = self.endpoint.incarnation != endpoint.incarnation;
+        if restarted {
+            *self = Self::new(Arc::clone(endpoint));
+        } else {
+            self.endpoint = Arc::clone(endpoint);
+        }
+        restarted
+    }
+
     pub(super) fn granted(&mut self, prefix: u64) {
         if prefix == 0 || self.prefixes.contains(&prefix) {
             return;
--- a/standin/tests/support/fleet.rs
+++ b/standin/tests/support/fleet.rs
@@ -84,6 +84,7 @@
         zone: "z0".into(),
         slots: 4,
         ready: true,
+        incarnation: 0,
     };
     let config = Config {
         version: 1,
--- a/tests/catalog_book.rs
+++ b/tests/catalog_book.rs
@@ -25,6 +25,7 @@
             zone: "a".into(),
             slots: 8,
             ready,
+            incarnation: 0,
         }),
     }
 }
@@ -252,3 +253,25 @@
     // Late news of a recent one is still known for late.
     expect_that!(book.apply(at(1), entry("e4999", 9_999, true)), eq(false));
 }
+
+#[gtest]
+fn refuse_unreadable_entry() {
+    // An entry that named a live endpoint is overwritten by something that can't
+    // be read, just after the store was away. Nobody knows what listens there
+    // now; requests that still went there would fail, or reach another service.
+    let mut book = Book::default();
+    let ids = |book: &Book| book.endpoints().len();
+    book.replace(at(0), vec![entry("a", 1, true), entry("b", 2, true)], 2);
+    book.store_failed(at(100));
+    book.refuse(&"a".into(), 5);
+    expect_that!(ids(&book), eq(1));
+    // Older news of it, which a peer still tells, do not bring it back.
+    book.apply(at(200), entry("a", 4, true));
+    expect_that!(ids(&book), eq(1));
+    // Its own newer entry does.
+    book.apply(at(300), entry("a", 6, true));
+    expect_that!(ids(&book), eq(2));
+    // What can't be read and is older than what is known says nothing.
+    book.refuse(&"a".into(), 5);
+    expect_that!(ids(&book), eq(2));
+}
--- a/tests/platform_decode.rs
+++ b/tests/platform_decode.rs
@@ -260,3 +260,42 @@
         expect_that!(error, contains_substring(names));
     }
 }
+
+#[gtest]
+fn endpoint_other_writers() {
+    // An entry comes from another writer, or a fault garbled it. Were it read as
+    // an endpoint with what is missing guessed, requests would go where nothing
+    // answers; it names no endpoint, and the other entries hold.
+    let good = r#"{"service":"s","address":"10.128.0.9:8080","zone":"z1","slots":8,"state":"ready","born":1700000000000}"#;
+    let wrong = [
+        "",
+        "{",
+        "[]",
+        "null",
+        &good.replace(r#""ready""#, r#""sleeping""#),
+        &good.replace(r#""ready""#, "1"),
+        &good.replace(r#""slots":8,"#, ""),
+        &good.replace(r#""slots":8"#, r#""slots":"8""#),
+        &good.replace(r#""slots":8"#, r#""slots":-8"#),
+        &good.replace(r#""address":"10.128.0.9:8080","#, ""),
+        &good.replace("10.128.0.9:8080", "nowhere"),
+        &good.replace(r#""service":"s","#, ""),
+        &good.replace(r#""zone":"z1","#, ""),
+        &good.replace("1700000000000", "1.5"),
+        &good.replace("1700000000000", "-1"),
+        &good.replace("1700000000000", r#""soon""#),
+    ];
+    let row = |value: &[u8]| Row {
+        key: "i-1".into(),
+        version: 3,
+        value: Bytes::copy_from_slice(value),
+    };
+    let entry = endpoint::from_row(&row(good.as_bytes())).unwrap();
+    expect_that!(entry.endpoint.unwrap().incarnation, eq(1_700_000_000_000));
+    for value in wrong {
+        let unreadable = endpoint::from_row(&row(value.as_bytes())).unwrap_err();
+        expect_that!(unreadable.version, eq(3), "of {value}");
+        expect_that!(*unreadable.id, eq("i-1"));
+    }
+    expect_that!(endpoint::from_row(&row(&[0xff, 0xfe])), err(anything()));
+}
--- a/tests/pool_admission.rs
+++ b/tests/pool_admission.rs
@@ -25,6 +25,7 @@
         zone: ["a", "b", "c"][at % 3].into(),
         slots: SLOTS,
         ready: true,
+        incarnation: 0,
     })
 }
 
@@ -606,3 +607,24 @@
         expect_that!(f64::from(served.in_aim), ge(0.95 * bound), "{served:?}");
     }
 }
+
+/// An endpoint failed, full of requests, and its process starts again under the
+/// same id. Were what is remembered of the earlier process kept, it would stand
+/// idle for seconds while callers wait for a place.
+#[gtest]
+fn set_endpoints_restarted() {
+    let mut pool = pool(1);
+    for seq in 0..u64::from(SLOTS) {
+        decide(&mut pool, at(0), seq, ask(Class::Online, 5_000));
+    }
+    pool.release(at(1), key(0), End::Failed);
+    let restarted = Arc::new(Endpoint {
+        incarnation: 5,
+        ..Endpoint::clone(&endpoint(0))
+    });
+    pool.set_endpoints([restarted].iter());
+    for seq in 100..100 + u64::from(SLOTS) {
+        let actions = decide(&mut pool, at(2), seq, ask(Class::Online, 5_000));
+        expect_that!(granted(&actions), some(eq("e0")));
+    }
+}
--- a/tests/pool_shard.rs
+++ b/tests/pool_shard.rs
@@ -16,6 +16,7 @@
         zone: ["a", "b", "c"][at % 3].into(),
         slots,
         ready: true,
+        incarnation: 0,
     };
     let endpoints: BTreeMap<_, _> = (0..endpoints)
         .map(|at| (endpoint(at).id, Arc::new(endpoint(at))))
