Ask the own zone's pool first, and go on at once where it is full

Cause: a request's first pool was drawn among all zones, so four in five answers crossed zones, and one that met a full pool waited there for its whole patience while others had room.

Ruled out: no pool in the zones (each has 24 endpoints); callers in other zones (the directory names the nodes of their own).

Change: the own zone's pool is asked first unless it has less than half of its share of the slots; an online request that would wait there goes on to another one at once, and waits only at the second. Batch items wait at the first and then at another.

--- a/src/permit.rs
+++ b/src/permit.rs
@@ -66,9 +66,19 @@
     pub ask: Ask,
 }
 
+/// What a request does at a pool that has no place for it now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stay {
+    /// It waits there.
+    Wait,
+    /// It goes on to another one.
+    Leave,
+}
+
 struct Waiting {
     want: Want,
     pool: Name,
+    stay: Stay,
     reply: oneshot::Sender<Result<Granted, Refusal>>,
     since: Time,
     sent: Time,
@@ -185,22 +195,28 @@
     /// [`Refusal`] when it would take too long, or nothing is known.
     pub async fn acquire(self: &Rc<Self>, want: Want) -> Result<Permit, Refusal> {
         let shards = shard::shards(&self.catalog.read(), &want.service);
-        let first = shard::choose(&shards, rand::random(), None).unwrap_or(want.service.clone());
-        let refused = match self.acquire_from(first.clone(), want.clone()).await {
-            Ok(permit) => return Ok(permit),
-            Err(refused) => refused,
-        };
+        let first =
+            shard::prefer(&shards, &want.ask.zone, rand::random()).unwrap_or(want.service.clone());
         // One zone may be full while another has room.
         let Some(other) = shard::choose(&shards, rand::random(), Some(&first)) else {
-            return Err(refused);
+            return self.acquire_from(first, Stay::Wait, want).await;
         };
-        if want.ask.class == Class::Batch {
-            return Err(refused);
+        let stay = match want.ask.class {
+            Class::Online => Stay::Leave,
+            Class::Batch => Stay::Wait,
+        };
+        match self.acquire_from(first, stay, want.clone()).await {
+            Ok(permit) => Ok(permit),
+            Err(_) => self.acquire_from(other, Stay::Wait, want).await,
         }
-        self.acquire_from(other, want).await
     }
 
-    async fn acquire_from(self: &Rc<Self>, pool: Name, want: Want) -> Result<Permit, Refusal> {
+    async fn acquire_from(
+        self: &Rc<Self>,
+        pool: Name,
+        stay: Stay,
+        want: Want,
+    ) -> Result<Permit, Refusal> {
         let seq = self.next.get();
         self.next.set(seq + 1);
         let now = self.clock.now();
@@ -210,6 +226,7 @@
         let waiting = Waiting {
             want,
             pool: pool.clone(),
+            stay,
             reply,
             since: now,
             sent: now,
@@ -298,11 +315,7 @@
                     held.stop.notify_one();
                 }
             }
-            Word::Queued => {
-                if let Some(waiting) = self.waiting.borrow_mut().get_mut(&reply.seq) {
-                    waiting.unanswered = 0;
-                }
-            }
+            Word::Queued => self.queued(from, reply.seq),
             Word::Refuse { retry_after } => {
                 if let Some(waiting) = self.waiting.borrow_mut().remove(&reply.seq) {
                     let _ = waiting.reply.send(Err(Refusal::Busy(retry_after)));
@@ -314,6 +327,23 @@
         }
     }
 
+    /// A pool has no place now.
+    fn queued(&self, from: SocketAddr, seq: u64) {
+        let mut all = self.waiting.borrow_mut();
+        let Some(waiting) = all.get_mut(&seq) else {
+            return;
+        };
+        waiting.unanswered = 0;
+        if waiting.stay == Stay::Wait {
+            return;
+        }
+        if let Some(waiting) = all.remove(&seq) {
+            self.send_release(from, seq, &waiting.pool, End::Left);
+            // A failure means that the asker has gone.
+            let _ = waiting.reply.send(Err(Refusal::Busy(NO_ENDPOINT_RETRY)));
+        }
+    }
+
     fn granted(&self, now: Time, from: SocketAddr, seq: u64, id: &Name, address: SocketAddr) {
         let Some(mut waiting) = self.waiting.borrow_mut().remove(&seq) else {
             // A grant that was sent twice is held already; else nobody wants it.
--- a/src/pool/shard.rs
+++ b/src/pool/shard.rs
@@ -60,6 +60,19 @@
     pool.split_once(MARK).map(|(_, zone)| zone)
 }
 
+/// The pool that a request of a zone asks first: its own zone's, so that answers
+/// cross no zone while that has room. A zone that has lost most of its endpoints
+/// is asked no more than its share.
+pub fn prefer(shards: &[Shard], own: &str, point: u64) -> Option<Name> {
+    let near = shards.iter().find(|shard| zone(&shard.pool) == Some(own));
+    let all: u32 = shards.iter().map(|shard| shard.slots).sum();
+    let many = |shard: &&Shard| shard.slots as usize * shards.len() * 2 >= all as usize;
+    match near.filter(many) {
+        Some(near) => Some(near.pool.clone()),
+        None => choose(shards, point, None),
+    }
+}
+
 /// The pool for a request: by chance, in proportion to slots, but not `not`.
 pub fn choose(shards: &[Shard], point: u64, not: Option<&Name>) -> Option<Name> {
     let candidates = || shards.iter().filter(|shard| Some(&shard.pool) != not);
--- /dev/null
+++ b/tests/permit_zones.rs
@@ -0,0 +1,131 @@
+//! Which zone's pool a gateway asks, over real datagrams.
+
+use std::collections::BTreeMap;
+use std::net::UdpSocket;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use auburnspoke::catalog::{Catalog, Endpoint};
+use auburnspoke::clock::{Clock, Time};
+use auburnspoke::member::{Member, State, View};
+use auburnspoke::name::Name;
+use auburnspoke::permit::{Desk, Permit, Want};
+use auburnspoke::pool;
+use auburnspoke::pool::message::{Ask, Class};
+use auburnspoke::snapshot::Cell;
+use googletest::prelude::*;
+
+/// Endpoints of each zone, and their slots: enough that each zone has a pool.
+const ENDPOINTS: usize = 3;
+const SLOTS: u32 = 40;
+const ZONES: [&str; 3] = ["z0", "z1", "z2"];
+
+fn local() -> tokio::net::UdpSocket {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_nonblocking(true).unwrap();
+    tokio::net::UdpSocket::from_std(socket).unwrap()
+}
+
+fn endpoint(zone: &str, at: usize) -> (Name, Arc<Endpoint>) {
+    let id: Name = format!("i-{zone}-{at}").into();
+    let endpoint = Endpoint {
+        id: id.clone(),
+        service: "llm".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: zone.into(),
+        slots: SLOTS,
+        ready: true,
+        incarnation: 0,
+    };
+    (id, Arc::new(endpoint))
+}
+
+fn catalog() -> Catalog {
+    let all = ZONES
+        .iter()
+        .flat_map(|zone| (0..ENDPOINTS).map(|at| endpoint(zone, at)));
+    Catalog {
+        config: None,
+        endpoints: Arc::new(all.collect::<BTreeMap<_, _>>()),
+        confirmed: Time::ZERO,
+    }
+}
+
+fn view() -> View {
+    let member = Member {
+        name: "n0".into(),
+        address: "127.0.0.1:1".into(),
+        link: "127.0.0.1:2".into(),
+        control: "127.0.0.1:3".into(),
+        zone: "z0".into(),
+        incarnation: 1,
+        state: State::Alive,
+        config_version: 0,
+        power: 500,
+    };
+    View {
+        members: vec![member],
+    }
+}
+
+/// A gateway in `z0`, and the pools of all zones.
+fn desk() -> Rc<Desk> {
+    let clock = Clock::start();
+    let catalog = Arc::new(Cell::new(catalog()));
+    let pools = local();
+    let port = pools.local_addr().unwrap().port();
+    actix_rt::spawn(pool::serve::serve(pools, clock, Arc::clone(&catalog)));
+    let view = Arc::new(Cell::new(view()));
+    let desk = Desk::new(local(), port, 1, clock, catalog, view);
+    actix_rt::spawn(Rc::clone(&desk).run());
+    desk
+}
+
+async fn acquire(desk: &Rc<Desk>) -> Option<Permit> {
+    let ask = Ask {
+        class: Class::Online,
+        priority: 0,
+        zone: "z0".into(),
+        patience: Duration::from_millis(230),
+        due: Duration::from_secs(5),
+        prefix: 0,
+        avoid: Vec::new(),
+    };
+    let want = Want {
+        service: "llm".into(),
+        ask,
+    };
+    desk.acquire(want).await.ok()
+}
+
+#[gtest]
+fn acquire_own_zone_first() {
+    // Each answer that comes from another zone is paid for by the byte, and its
+    // events come later.
+    actix_rt::System::new().block_on(async {
+        let desk = desk();
+        let mut held = Vec::new();
+        for _ in 0..60 {
+            held.push(acquire(&desk).await.unwrap());
+        }
+        let near = |permit: &&Permit| *permit.endpoint.zone == *"z0";
+        expect_that!(held.iter().filter(near).count(), eq(60));
+    });
+}
+
+#[gtest]
+fn acquire_own_zone_full() {
+    // A peak fills the slots of one zone. Who comes next must not wait there
+    // until it is too late, while other zones have room.
+    actix_rt::System::new().block_on(async {
+        let desk = desk();
+        let mut held = Vec::new();
+        let own = ENDPOINTS * SLOTS as usize;
+        for _ in 0..own + 20 {
+            held.push(acquire(&desk).await.unwrap());
+        }
+        let far = |permit: &&Permit| *permit.endpoint.zone != *"z0";
+        expect_that!(held.iter().filter(far).count(), eq(20));
+    });
+}
