Let a node read the list of nodes though its own row is refused

Cause: when all 295 nodes restart, their rows and the claims of jobs without an owner go to one part of the store, which takes some 200 transactions a second.

Ruled out: lost introductions (150 members with half of all datagrams lost in the first second agree as fast as without, in virtual time; strong nodes whose rows were taken knew all after 1 s); the budget of gossip.

Change: the list is read whether or not the row was taken, and the row is tried again beside it; nodes' rows lie in a part of their own; a claim that failed is not repeated for 0.6 s.

--- a/src/batch/orphan.rs
+++ b/src/batch/orphan.rs
@@ -21,6 +21,11 @@
 /// it may be unable to reach the store.
 const TURN: Duration = Duration::from_millis(1_200);
 
+/// How long a claim that failed is not repeated. The store refuses what is more
+/// than it can write at once, which is so when all nodes have restarted; claims
+/// that are repeated at each look keep it there.
+const CLAIM_PAUSE: Duration = Duration::from_millis(600);
+
 /// The names of the members that may own jobs: alive, and not replaced by a
 /// later process at the same address.
 pub(super) fn owners(view: &View) -> HashSet<&Name> {
@@ -52,6 +57,7 @@
     for (job, entry) in ledger.iter() {
         if entry.record.is_over() {
             orphans.remove(job);
+            jobs.claim_after.borrow_mut().remove(job);
             continue;
         }
         if jobs.is_mine(&entry.record) {
@@ -70,7 +76,8 @@
         }
         let since = *orphans.entry(job.clone()).or_insert(now);
         let turn = rank(job, &jobs.setup.me, &view);
-        if now.since(since) >= TURN * turn {
+        let pause = jobs.claim_after.borrow().get(job).copied();
+        if now.since(since) >= TURN * turn && pause.is_none_or(|until| now >= until) {
             mine.push((job.clone(), entry.clone()));
         }
     }
@@ -157,6 +164,8 @@
         }
         Err(fault) => {
             log::info!("{} job={job} why=\"{fault}\"", event::STORE_CALL_REFUSED);
+            let until = jobs.now() + CLAIM_PAUSE;
+            jobs.claim_after.borrow_mut().insert(job.clone(), until);
             // A claim whose answer was lost shows in the row.
             let entry = jobs.reload(job).await.ok()??;
             jobs.is_mine(&entry.record).then_some(entry)
--- a/src/batch/shell.rs
+++ b/src/batch/shell.rs
@@ -81,6 +81,8 @@
     pub(super) cache: RefCell<Cache>,
     /// When a job was first seen without a live owner.
     pub(super) orphans: RefCell<HashMap<Name, Time>>,
+    /// Until when a claim that failed is not repeated.
+    pub(super) claim_after: RefCell<HashMap<Name, Time>>,
     /// Jobs that are being taken over now.
     pub(super) taking: RefCell<HashSet<Name>>,
     /// Told at each change of the ledger.
@@ -100,6 +102,7 @@
             works: RefCell::default(),
             cache: RefCell::default(),
             orphans: RefCell::default(),
+            claim_after: RefCell::default(),
             taking: RefCell::default(),
             changed: Notify::new(),
             started,
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -343,7 +343,9 @@
     let desk = desk::Desk::new(shared.clock, Client::new(address), SHARED);
     actix_rt::spawn(answer(asked, Rc::clone(&learner), desk));
     let store = Client::new(address);
-    let roster = roster::Registered::new(store, setup.me.vm());
+    let roster = Rc::new(roster::Registered::new(store, setup.me.vm()));
+    let registering = Rc::clone(&roster);
+    actix_rt::spawn(async move { registering.keep_registering().await });
     let socket = tokio::net::UdpSocket::from_std(control)?;
     let (members, mut events) = crate::member::shell::start(setup, socket, roster);
     // Nothing here depends on notes; the channel must not fill up.
--- a/src/edge/roster.rs
+++ b/src/edge/roster.rs
@@ -5,17 +5,22 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::time::sleep;
+
 use crate::event;
+use crate::member::TABLE;
 use crate::table::{Fault, Feed, Lapse, Roster, Table, Transaction, Vm};
 
-/// The table in which nodes register.
-const NODES: &str = "node";
+/// Least pause before the store is asked again to take this node's row; up to
+/// twice as long, so that nodes which start together don't ask together.
+const REGISTER_AGAIN: Duration = Duration::from_millis(700);
 
 /// The row of a node; a later process at the same address replaces it.
 pub fn key(control: &str) -> String {
-    format!("{NODES}/{}", control.replace(':', "-"))
+    format!("{TABLE}/{}", control.replace(':', "-"))
 }
 
 /// The list of nodes, as read so far.
@@ -56,7 +61,23 @@
         }
     }
 
+    /// Registers until the store has the row.
+    pub async fn keep_registering(&self) {
+        while !self.done.get() {
+            sleep(REGISTER_AGAIN.mul_f64(1.0 + rand::random::<f64>())).await;
+            if let Err(fault) = self.register().await {
+                log::info!(
+                    "{} table={TABLE} why=\"{fault}\"",
+                    event::STORE_CALL_REFUSED
+                );
+            }
+        }
+    }
+
     async fn register(&self) -> Result<(), Fault> {
+        if self.done.get() {
+            return Ok(());
+        }
         let value = crate::wire::encode(&self.me).unwrap_or_default();
         let row = Transaction::default().put(key(&self.me.control), value);
         self.store.transact(row).await?;
@@ -65,7 +86,7 @@
     }
 
     async fn read_all(&self) -> Result<Known, Fault> {
-        let snapshot = self.store.snapshot(NODES).await?;
+        let snapshot = self.store.snapshot(TABLE).await?;
         let mut known = Known {
             version: snapshot.version,
             ..Known::default()
@@ -80,7 +101,7 @@
     /// has 70 KB, and each node reads it several times.
     async fn read_changes(&self, mut known: Known) -> Result<Known, Lapse> {
         let wait = Duration::ZERO;
-        let changes = self.store.changes(NODES, known.version, wait).await?;
+        let changes = self.store.changes(TABLE, known.version, wait).await?;
         known.version = changes.version;
         for change in changes.changes {
             match change.value {
@@ -92,15 +113,22 @@
     }
 }
 
-impl<S> Roster for Registered<S>
+impl<S> Roster for Rc<Registered<S>>
 where
     S: Table + Feed,
 {
     /// Registers first: of two nodes that start together, the one that reads
-    /// later then finds the other.
+    /// later then finds the other. When all nodes restart, the store can't take
+    /// all their rows at once; one that is refused reads all the same, since the
+    /// rows of the processes before name the others' addresses. Otherwise it
+    /// would know a part of the members for 15 s, keep pools of its own, and
+    /// endpoints would turn its callers away.
     async fn list(&self) -> Result<Vec<Vm>, Fault> {
-        if !self.done.get() {
-            self.register().await?;
+        if let Err(fault) = self.register().await {
+            log::info!(
+                "{} table={TABLE} why=\"{fault}\"",
+                event::STORE_CALL_REFUSED
+            );
         }
         // Left empty by a failure, so that the next reading is a whole one.
         let before = self.known.take();
--- a/src/member.rs
+++ b/src/member.rs
@@ -15,6 +15,9 @@
 pub mod shell;
 pub mod tuning;
 
+/// The table in which nodes register, for those who look for members.
+pub const TABLE: &str = "node";
+
 /// How a node seems to be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum State {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,7 +1,8 @@
 //! The client of the platform's store: rows, their changes, and objects.
 //!
 //! A key of the product, `table/rest`, is the row `rest` of the table `table`.
-//! All rows lie in one part, so that any of them may change together.
+//! All rows but the nodes' lie in one part, so that any of them may change
+//! together.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -18,6 +19,7 @@
 
 use crate::connect::{self, Conn, Failure};
 use crate::event;
+use crate::member;
 use crate::table::{
     Change, Changes, Expect, Fault, Feed, Lapse, Page, Row, Snapshot, Store, Table, Transaction,
     Write,
@@ -181,8 +183,9 @@
         };
         let from = bound("from", range.from);
         let to = bound("to", range.to);
+        let part = part_of(table);
         let (table, limit) = (escape(table), range.limit);
-        let path = format!("/-/rows-get?table={table}&part=&limit={limit}{from}{to}");
+        let path = format!("/-/rows-get?table={table}&part={part}&limit={limit}{from}{to}");
         let answer = self.quick(Method::GET, &path, Bytes::new()).await?;
         match answer.status {
             StatusCode::OK => parse(&path, &answer.body),
@@ -261,11 +264,21 @@
     })
 }
 
+/// The part of a table. A part takes some 200 transactions a second; when all
+/// nodes start again, their rows would wait behind the jobs that they take over,
+/// and be refused.
+fn part_of(table: &str) -> &str {
+    match table {
+        member::TABLE => member::TABLE,
+        _ => "",
+    }
+}
+
 fn row_key(key: &str) -> RowKey {
     let (table, key) = key.split_once('/').unwrap_or((key, ""));
     RowKey {
         table: table.into(),
-        part: String::new(),
+        part: part_of(table).into(),
         key: key.into(),
     }
 }
--- a/standin/src/site/rows.rs
+++ b/standin/src/site/rows.rs
@@ -89,14 +89,22 @@
         })
     }
 
-    /// Rows of a table from the key `from` to before `to`, where it is not empty,
+    /// Rows of a part of a table from the key `from` to before `to`, where it is not empty,
     /// and whether more follow.
-    pub fn get(&self, table: &str, from: &str, to: &str, limit: usize) -> (Vec<Entry>, bool) {
-        let start = (table.to_owned(), String::new(), from.to_owned());
+    pub fn get(
+        &self,
+        (table, part): (&str, &str),
+        from: &str,
+        to: &str,
+        limit: usize,
+    ) -> (Vec<Entry>, bool) {
+        let start = (table.to_owned(), part.to_owned(), from.to_owned());
         let mut rows = self
             .present
             .range(start..)
-            .take_while(|((name, _, key), _)| name == table && (to.is_empty() || **key < *to))
+            .take_while(|((name, of, key), _)| {
+                name == table && of == part && (to.is_empty() || **key < *to)
+            })
             .filter_map(|(id, _)| self.entry(id));
         let page: Vec<_> = rows.by_ref().take(limit).collect();
         (page, rows.next().is_some())
--- a/standin/src/site/store.rs
+++ b/standin/src/site/store.rs
@@ -33,6 +33,8 @@
 pub struct Treatment {
     /// It answers 503 to everything.
     pub refuse: bool,
+    /// It has more to write than it can, and answers 429 to writes.
+    pub full: bool,
     /// It does a share of the writes and does not answer.
     pub lose: f64,
     /// Each answer takes so much longer.
@@ -171,6 +173,9 @@
             return plain(StatusCode::SERVICE_UNAVAILABLE);
         }
         let is_write = request.method() != Method::GET;
+        if is_write && treatment.full {
+            return plain(StatusCode::TOO_MANY_REQUESTS);
+        }
         let response = self.call(request).await;
         if is_write && rand::rng().random_bool(treatment.lose) {
             // It is done; its answer never comes.
@@ -244,7 +249,9 @@
         let text = |key: &str| query.get(key).cloned().unwrap_or_default();
         let limit = text("limit").parse().unwrap_or(500);
         let (from, to) = (text("from"), text("to"));
-        let (rows, more) = self.rows.borrow().get(&text("table"), &from, &to, limit);
+        let (table, part) = (text("table"), text("part"));
+        let place = (table.as_str(), part.as_str());
+        let (rows, more) = self.rows.borrow().get(place, &from, &to, limit);
         self.rows_read.set(self.rows_read.get() + rows.len());
         self.rows_answer(StatusCode::OK, &rows, more)
     }
--- a/standin/tests/site_rows.rs
+++ b/standin/tests/site_rows.rs
@@ -59,7 +59,7 @@
     for key in ["a", "b", "c"] {
         put(&mut rows, key, None);
     }
-    let (page, more) = rows.get("t", "b", "", 1);
+    let (page, more) = rows.get(("t", ""), "b", "", 1);
     expect_that!(page[0].id.2, eq("b"));
     expect_that!(more, eq(true));
 }
--- a/standin/tests/store_client.rs
+++ b/standin/tests/store_client.rs
@@ -6,7 +6,7 @@
 use auburnspoke::platform::store::Client;
 use auburnspoke::table::{Roster as _, Table as _, Transaction, Vm};
 use googletest::prelude::*;
-use standin::site::store::Store;
+use standin::site::store::{Store, Treatment};
 
 fn run<F, B>(body: B)
 where
@@ -31,6 +31,10 @@
     }
 }
 
+fn registered(client: &Client, at: usize) -> Rc<Registered<Client>> {
+    Rc::new(Registered::new(client.clone(), vm(at)))
+}
+
 #[gtest]
 fn scan_other_prefix_behind() {
     // A caller reads the results of a small job among many. Were the rows of the
@@ -72,16 +76,13 @@
     // square of their number.
     run(|store, client| async move {
         for at in 0..50 {
-            let other = Registered::new(client.clone(), vm(at));
+            let other = registered(&client, at);
             other.list().await.unwrap();
         }
-        let me = Registered::new(client.clone(), vm(50));
+        let me = registered(&client, 50);
         expect_that!(me.list().await.unwrap().len(), eq(51));
         let read = store.rows_read.get();
-        Registered::new(client.clone(), vm(51))
-            .list()
-            .await
-            .unwrap();
+        registered(&client, 51).list().await.unwrap();
         let newcomer = store.rows_read.get() - read;
         expect_that!(me.list().await.unwrap().len(), eq(52));
         expect_that!(store.rows_read.get() - read - newcomer, eq(0));
@@ -91,11 +92,49 @@
 #[gtest]
 fn list_after_removal() {
     run(|_, client| async move {
-        let me = Registered::new(client.clone(), vm(1));
-        Registered::new(client.clone(), vm(2)).list().await.unwrap();
+        let me = registered(&client, 1);
+        registered(&client, 2).list().await.unwrap();
         expect_that!(me.list().await.unwrap().len(), eq(2));
         let row = Transaction::default().delete("node/127.0.0.1-2");
         client.transact(row).await.unwrap();
         expect_that!(me.list().await.unwrap().len(), eq(1));
     });
 }
+
+#[gtest]
+fn list_row_refused() {
+    // All nodes have restarted, and the store has more to write than it can. A
+    // node whose row is refused must still learn where the others are: one that
+    // knew only its seeds would keep pools of its own, and the endpoints that
+    // these give away would turn its callers away.
+    run(|store, client| async move {
+        registered(&client, 1).list().await.unwrap();
+        let full = Treatment {
+            full: true,
+            ..Treatment::default()
+        };
+        store.treatment.borrow_mut().insert(0, full);
+        let me = registered(&client, 2);
+        expect_that!(me.list().await.unwrap().len(), eq(1));
+        let registering = Rc::clone(&me);
+        let task = actix_rt::spawn(async move { registering.keep_registering().await });
+        store.treatment.borrow_mut().clear();
+        // It ends once the row is there.
+        task.await.unwrap();
+        expect_that!(me.list().await.unwrap().len(), eq(2));
+    });
+}
+
+#[gtest]
+fn transact_parts() {
+    // Nodes' rows and jobs must not wait for each other.
+    run(|store, client| async move {
+        registered(&client, 1).list().await.unwrap();
+        let row = Transaction::default().put("job/a", "x");
+        client.transact(row).await.unwrap();
+        let rows = store.rows.borrow();
+        expect_that!(rows.get(("node", ""), "", "", 9).0.len(), eq(0));
+        expect_that!(rows.get(("node", "node"), "", "", 9).0.len(), eq(1));
+        expect_that!(rows.get(("job", ""), "", "", 9).0.len(), eq(1));
+    });
+}
