Let a reader ask itself, and follow each table once

Cause: the two readers of a zone followed the tables twice, for themselves and for those who ask. Change: they ask themselves over the link like everybody else, and fall back the same way. The test of who reads now wants every member to be told, and both readers by themselves. Virtual time, 300 nodes: below 75 calls a second, below 150 before.

--- a/src/feed/choice.rs
+++ b/src/feed/choice.rs
@@ -55,8 +55,9 @@
         self.avoided.insert(reader.clone(), now + pause);
     }
 
-    /// The member to ask; none where the node reads the store itself, as readers
-    /// do, or nodes in a small zone, or those whose readers all failed them.
+    /// The member to ask; none where the node reads the store itself, as nodes in
+    /// a small zone do, and those whose readers all failed them. A reader asks
+    /// itself first, so that it follows each table once.
     pub fn reader<'a>(
         &self,
         now: Time,
@@ -65,11 +66,9 @@
         view: &'a View,
     ) -> Option<&'a Member> {
         let readers = readers(zone, view);
-        if readers.iter().any(|reader| reader.name == *me) {
-            return None;
-        }
-        // Half of the zone's members begin with either.
-        let first = usize::from(hash(me) % 2 == 1);
+        // Half of the zone's other members begin with either.
+        let own = readers.iter().position(|reader| reader.name == *me);
+        let first = own.unwrap_or(usize::from(hash(me) % 2 == 1));
         let order = readers.iter().cycle().skip(first).take(readers.len());
         order.copied().find(|reader| {
             self.avoided
--- a/tests/feed_fleet.rs
+++ b/tests/feed_fleet.rs
@@ -274,7 +274,7 @@
     run(300, |fleet| async move {
         fleet.change(Duration::from_secs(2)).await;
         let rate = fleet.change(Duration::from_secs(10)).await;
-        expect_that!(rate, lt(150.0));
+        expect_that!(rate, lt(75.0));
         expect_that!(fleet.readers().len(), eq(2 * ZONES));
         expect_that!(fleet.spread(&[]).await, lt(Duration::from_millis(450)));
     });
--- a/tests/feed_source.rs
+++ b/tests/feed_source.rs
@@ -2,7 +2,7 @@
 //! store is asked instead.
 
 use std::cell::RefCell;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -165,25 +165,26 @@
 
 #[gtest]
 fn changes_readers_read() {
-    // Two strong members of the zone ask nobody; the others ask one of these.
-    let mut readers = Vec::new();
-    let mut asked = Vec::new();
+    // All members of the zone ask one of two strong ones; these ask themselves,
+    // or they would follow each table twice.
+    let mut shares: BTreeMap<Name, usize> = BTreeMap::new();
+    let mut own = 0;
     for at in 0..MEMBERS {
         let fake = Readers::default();
         *fake.answers.borrow_mut() = VecDeque::from([Some(told(&[], 130))]);
         let source = source(&fake, &format!("node-{at:03}"), MEMBERS);
         let wait = Duration::ZERO;
         let answer = actix_rt::System::new().block_on(source.changes("job", 100, wait));
-        if answer.unwrap().version == STORE_VERSION {
-            readers.push(at);
-        }
-        asked.extend(fake.asked.borrow().iter().cloned());
+        expect_that!(answer.unwrap().version, eq(130));
+        let asked = fake.asked.borrow()[0].clone();
+        own += usize::from(*asked == *member(at, "z0").link);
+        *shares.entry(asked).or_default() += 1;
     }
-    expect_that!(readers.len(), eq(2));
-    expect_that!(readers, each(lt(&8)));
-    for reader in readers {
-        let link = format!("127.0.0.1:{}", 1_000 + reader);
-        let share = asked.iter().filter(|asked| ***asked == *link).count();
+    let strong: Vec<Name> = (0..8).map(|at| member(at, "z0").link).collect();
+    expect_that!(shares.len(), eq(2));
+    expect_that!(own, eq(2));
+    for (reader, share) in shares {
+        expect_that!(strong.contains(&reader), eq(true));
         expect_that!(share, ge(8), "reader {reader} carries its part");
     }
 }
