--- a/src/edge.rs
+++ b/src/edge.rs
@@ -45,17 +45,18 @@
 pub mod learn;
 pub mod node;
 pub mod relay;
+mod reload;
 pub mod roster;
+mod socket;
 pub mod stay;
 
 use count::Count;
 use learn::Learner;
 use node::Node;
+use socket::Sockets;
 
 /// How often a stop looks whether everything has ended.
 const STOP_POLL: Duration = Duration::from_millis(50);
-/// How often the settings file is looked at for changes without a signal.
-const SETTINGS_POLL: Duration = Duration::from_secs(2);
 /// Questions of other nodes that may wait.
 const QUESTIONS: usize = 64;
 /// The tables that nodes follow for each other. A configuration is to be in
@@ -87,7 +88,7 @@
         let mut terminate = signal(SignalKind::terminate()).wrap_err("can't wait for SIGTERM")?;
         let mut interrupt = signal(SignalKind::interrupt()).wrap_err("can't wait for SIGINT")?;
         let hangup = signal(SignalKind::hangup()).wrap_err("can't wait for SIGHUP")?;
-        actix_rt::spawn(watch_settings(path.to_owned(), site.clone(), hangup));
+        actix_rt::spawn(reload::watch(path.to_owned(), site.clone(), hangup));
         let running = start(Arc::new(site), metrics_port)?;
         tokio::select! {
             _ = terminate.recv() => {}
@@ -98,76 +99,6 @@
     })
 }
 
-/// Reads the settings again at SIGHUP and when the file changes. Nothing in it
-/// may change while the process runs but its seeds, which only a start needs;
-/// a file that is wrong is reported and changes nothing.
-async fn watch_settings(
-    path: std::path::PathBuf,
-    mut site: Site,
-    mut hangup: tokio::signal::unix::Signal,
-) {
-    loop {
-        let signalled = tokio::select! {
-            _ = hangup.recv() => true,
-            () = sleep(SETTINGS_POLL) => false,
-        };
-        match settings::read(&path) {
-            Ok(new) if new != site => {
-                log::info!(
-                    "{} signal={signalled} changed=true",
-                    event::SETTINGS_RELOADED
-                );
-                site = new;
-            }
-            Ok(_) if signalled => {
-                log::info!("{} signal=true changed=false", event::SETTINGS_RELOADED);
-            }
-            Ok(_) => {}
-            Err(error) => {
-                log::warn!("{} failed=true why=\"{error:#}\"", event::SETTINGS_RELOADED);
-            }
-        }
-    }
-}
-
-/// The sockets, all bound before anything is told to anyone.
-struct Sockets {
-    callers: TcpListener,
-    readiness: TcpListener,
-    directory: TcpListener,
-    link: TcpListener,
-    control: UdpSocket,
-    pool: UdpSocket,
-    desk: UdpSocket,
-}
-
-impl Sockets {
-    fn bind(site: &Site) -> Result<Self> {
-        let listen = &site.listen;
-        Ok(Self {
-            callers: tcp(listen.callers, "callers")?,
-            readiness: tcp(listen.readiness, "readiness checks")?,
-            directory: tcp(listen.directory, "the directory")?,
-            link: tcp(listen.link, "links")?,
-            control: udp(listen.control, "control")?,
-            pool: udp(listen.pool, "admission")?,
-            desk: udp(listen.desk, "answers about admission")?,
-        })
-    }
-}
-
-fn tcp(address: SocketAddr, what: &str) -> Result<TcpListener> {
-    crate::http::listen(address)
-        .wrap_err_with(|| format!("can't listen on {address} for {what}; is the port taken?"))
-}
-
-fn udp(address: SocketAddr, what: &str) -> Result<UdpSocket> {
-    let socket = UdpSocket::bind(address)
-        .wrap_err_with(|| format!("can't listen on {address} for {what}; is the port taken?"))?;
-    socket.set_nonblocking(true)?;
-    Ok(socket)
-}
-
 /// A node that runs.
 struct Running {
     site: Arc<Site>,
--- a/src/permit.rs
+++ b/src/permit.rs
@@ -24,12 +24,14 @@
 use crate::event;
 use crate::member::View;
 use crate::name::Name;
-use crate::pool::message::{Ask, Class, End, HOLDS, Hold, MAX_DATAGRAM, Question, Reply, Word};
+use crate::pool::message::{Ask, Class, End, Hold, MAX_DATAGRAM, Reply, Word};
 use crate::pool::shard;
 use crate::snapshot::Cell;
 use crate::wire;
 
+mod alone;
 pub mod owner;
+mod post;
 
 use owner::Owners;
 
@@ -368,36 +370,6 @@
         }
     }
 
-    /// The endpoint, unless this node's catalog says that it takes no work. One
-    /// that a fresh catalog lacks is gone; one that an old catalog lacks may be
-    /// new.
-    fn usable(
-        &self,
-        now: Time,
-        id: &Name,
-        service: &Name,
-        address: SocketAddr,
-    ) -> Option<Arc<Endpoint>> {
-        /// A catalog is fresh while its source confirms it about each second.
-        const FRESH: Duration = Duration::from_millis(2_500);
-        let catalog = self.catalog.read();
-        if let Some(endpoint) = catalog.endpoints.get(id) {
-            return endpoint.ready.then(|| Arc::clone(endpoint));
-        }
-        if now.since(catalog.confirmed) < FRESH {
-            return None;
-        }
-        Some(Arc::new(Endpoint {
-            id: id.clone(),
-            service: service.clone(),
-            address,
-            zone: "".into(),
-            slots: 1,
-            ready: true,
-            incarnation: 0,
-        }))
-    }
-
     /// Sends unanswered questions again, to the next member after a while.
     fn repeat(&self, now: Time) {
         let mut alone = Vec::new();
@@ -431,123 +403,6 @@
             self.admit_alone(now, seq);
         }
     }
-
-    /// No pool answers: takes the endpoint that this node uses least.
-    fn admit_alone(&self, now: Time, seq: u64) {
-        let Some(waiting) = self.waiting.borrow_mut().remove(&seq) else {
-            return;
-        };
-        let catalog = self.catalog.read();
-        let held = self.held.borrow();
-        let used = |id: &Name| {
-            held.values()
-                .filter(|held| held.hold.endpoint == *id)
-                .count()
-        };
-        let best = catalog
-            .endpoints
-            .values()
-            .filter(|endpoint| {
-                endpoint.ready
-                    && endpoint.service == waiting.want.service
-                    && !waiting.want.ask.avoid.contains(&endpoint.id)
-            })
-            .min_by_key(|endpoint| (used(&endpoint.id), seq ^ hash(&endpoint.id)));
-        log::info!(
-            "{} alone=true waited_ms={} service={}",
-            event::POOL_CHANGED,
-            now.since(waiting.since).as_millis(),
-            waiting.want.service,
-        );
-        let result = match best {
-            Some(endpoint) => Ok(Granted {
-                endpoint: Arc::clone(endpoint),
-                owner: None,
-            }),
-            None => Err(Refusal::NoEndpoint(NO_ENDPOINT_RETRY)),
-        };
-        // A failure means that the asker has gone.
-        let _ = waiting.reply.send(result);
-    }
-
-    fn mention(&self, now: Time) {
-        let mut by_pool: BTreeMap<Name, Vec<Hold>> = BTreeMap::new();
-        for held in self.held.borrow().values() {
-            let mut hold = held.hold.clone();
-            hold.due = held.due.since(now);
-            by_pool.entry(held.pool.clone()).or_default().push(hold);
-        }
-        for (pool, holds) in by_pool {
-            let Some(owner) = self.owners.borrow_mut().owner(now, &pool) else {
-                continue;
-            };
-            for some in holds.chunks(HOLDS) {
-                let question = Question::Holds {
-                    pool: pool.clone(),
-                    holds: some.to_vec(),
-                };
-                self.send(owner, &question);
-            }
-        }
-    }
-
-    fn release(&self, seq: u64, pool: &Name, end: End) {
-        let owner = match self.held.borrow_mut().remove(&seq) {
-            Some(held) => held.owner,
-            None => None,
-        };
-        let now = self.clock.now();
-        let current = self.owners.borrow_mut().owner(now, pool);
-        for owner in owner
-            .into_iter()
-            .chain(current.filter(|it| Some(*it) != owner))
-        {
-            self.send_release(owner, seq, pool, end);
-        }
-    }
-
-    /// Gives back what nobody here wants, at whichever pool it is.
-    fn release_everywhere(&self, seq: u64, owner: SocketAddr) {
-        let catalog = self.catalog.read();
-        let mut services: Vec<&Name> = catalog
-            .endpoints
-            .values()
-            .map(|endpoint| &endpoint.service)
-            .collect();
-        services.sort();
-        services.dedup();
-        for service in services {
-            for shard in shard::shards(&catalog, service) {
-                self.send_release(owner, seq, &shard.pool, End::Left);
-            }
-        }
-    }
-
-    fn send_release(&self, owner: SocketAddr, seq: u64, pool: &Name, end: End) {
-        let pool = pool.clone();
-        self.send(owner, &Question::Release { pool, seq, end });
-    }
-
-    fn send_ask(&self, now: Time, seq: u64, waiting: &Waiting) {
-        let Some(owner) = self.owners.borrow_mut().owner(now, &waiting.pool) else {
-            return;
-        };
-        let waited = now.since(waiting.since);
-        let mut ask = waiting.want.ask.clone();
-        ask.patience = ask.patience.saturating_sub(waited);
-        ask.due = ask.due.saturating_sub(waited);
-        let pool = waiting.pool.clone();
-        self.send(owner, &Question::Ask { pool, seq, ask });
-    }
-
-    fn send(&self, owner: SocketAddr, question: &Question) {
-        match wire::encode(question) {
-            // What does not fit into the socket's buffer is lost like any other
-            // datagram; it is repeated.
-            Ok(bytes) => drop(self.socket.try_send_to(&bytes, owner)),
-            Err(error) => log::warn!("{} why=\"{error}\"", event::DATAGRAM_REFUSED),
-        }
-    }
 }
 
 fn hash(name: &Name) -> u64 {
--- /dev/null
+++ b/src/permit/post.rs
@@ -0,0 +1,93 @@
+//! What a gateway sends to pools.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use super::{Desk, Waiting};
+use crate::clock::Time;
+use crate::event;
+use crate::name::Name;
+use crate::pool::message::{End, HOLDS, Hold, Question};
+use crate::pool::shard;
+use crate::wire;
+
+impl Desk {
+    pub(super) fn mention(&self, now: Time) {
+        let mut by_pool: BTreeMap<Name, Vec<Hold>> = BTreeMap::new();
+        for held in self.held.borrow().values() {
+            let mut hold = held.hold.clone();
+            hold.due = held.due.since(now);
+            by_pool.entry(held.pool.clone()).or_default().push(hold);
+        }
+        for (pool, holds) in by_pool {
+            let Some(owner) = self.owners.borrow_mut().owner(now, &pool) else {
+                continue;
+            };
+            for some in holds.chunks(HOLDS) {
+                let question = Question::Holds {
+                    pool: pool.clone(),
+                    holds: some.to_vec(),
+                };
+                self.send(owner, &question);
+            }
+        }
+    }
+
+    pub(super) fn release(&self, seq: u64, pool: &Name, end: End) {
+        let owner = match self.held.borrow_mut().remove(&seq) {
+            Some(held) => held.owner,
+            None => None,
+        };
+        let now = self.clock.now();
+        let current = self.owners.borrow_mut().owner(now, pool);
+        for owner in owner
+            .into_iter()
+            .chain(current.filter(|it| Some(*it) != owner))
+        {
+            self.send_release(owner, seq, pool, end);
+        }
+    }
+
+    /// Gives back what nobody here wants, at whichever pool it is.
+    pub(super) fn release_everywhere(&self, seq: u64, owner: SocketAddr) {
+        let catalog = self.catalog.read();
+        let mut services: Vec<&Name> = catalog
+            .endpoints
+            .values()
+            .map(|endpoint| &endpoint.service)
+            .collect();
+        services.sort();
+        services.dedup();
+        for service in services {
+            for shard in shard::shards(&catalog, service) {
+                self.send_release(owner, seq, &shard.pool, End::Left);
+            }
+        }
+    }
+
+    pub(super) fn send_release(&self, owner: SocketAddr, seq: u64, pool: &Name, end: End) {
+        let pool = pool.clone();
+        self.send(owner, &Question::Release { pool, seq, end });
+    }
+
+    pub(super) fn send_ask(&self, now: Time, seq: u64, waiting: &Waiting) {
+        let Some(owner) = self.owners.borrow_mut().owner(now, &waiting.pool) else {
+            return;
+        };
+        let waited = now.since(waiting.since);
+        let mut ask = waiting.want.ask.clone();
+        ask.patience = ask.patience.saturating_sub(waited);
+        ask.due = ask.due.saturating_sub(waited);
+        let pool = waiting.pool.clone();
+        self.send(owner, &Question::Ask { pool, seq, ask });
+    }
+
+    pub(super) fn send(&self, owner: SocketAddr, question: &Question) {
+        match wire::encode(question) {
+            // What does not fit into the socket's buffer is lost like any other
+            // datagram; it is repeated.
+            Ok(bytes) => drop(self.socket.try_send_to(&bytes, owner)),
+            Err(error) => log::warn!("{} why=\"{error}\"", event::DATAGRAM_REFUSED),
+        }
+    }
+}
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -20,11 +20,10 @@
 use crate::connect::{self, Conn, Failure};
 use crate::event;
 use crate::member;
-use crate::table::{
-    Change, Changes, Expect, Fault, Feed, Lapse, Page, Row, Snapshot, Store, Table, Transaction,
-    Write,
-};
+use crate::table::{Expect, Fault, Page, Row, Store, Table, Transaction, Write};
 
+mod feed;
+mod object;
 mod pace;
 mod row;
 
@@ -34,10 +33,6 @@
 /// A VM that is cut off from the store hears nothing; a store that is up
 /// accepts a connection within a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// How much longer than it should wait a feed may take. A connection that went
-/// silent is found within this, so that a node learns of a leaving endpoint in
-/// time over a new one.
-const FEED_SLACK: Duration = Duration::from_millis(600);
 /// A connection that was idle for longer may have gone silent; a new one costs
 /// less than a call that hangs.
 const IDLE: Duration = Duration::from_secs(4);
@@ -418,108 +413,6 @@
     })
 }
 
-impl Feed for Client {
-    async fn snapshot(&self, table: &str) -> Result<Snapshot, Fault> {
-        let mut snapshot = Snapshot::default();
-        let mut from = String::new();
-        loop {
-            let range = Range {
-                from: &from,
-                to: "",
-                limit: PAGE,
-            };
-            let answer = self.rows(table, range).await?;
-            if snapshot.version == 0 {
-                // Later pages may be newer; following on from the first page
-                // tells their changes once more, which is harmless.
-                snapshot.version = answer.ver;
-                snapshot.clock = answer.now_ms;
-            }
-            for entry in &answer.rows {
-                snapshot.rows.push(Row {
-                    key: entry.key.clone(),
-                    version: entry.ver,
-                    value: value_of(table, &entry.value)?,
-                });
-            }
-            match answer.rows.last() {
-                Some(last) if answer.truncated => from = behind(&last.key),
-                _ => return Ok(snapshot),
-            }
-        }
-    }
-
-    async fn changes(&self, table: &str, version: u64, wait: Duration) -> Result<Changes, Lapse> {
-        let path = format!(
-            "/-/rows-feed?table={}&after={version}&wait_ms={}",
-            escape(table),
-            wait.as_millis()
-        );
-        let answer = self
-            .call(Method::GET, &path, Bytes::new(), wait + FEED_SLACK)
-            .await
-            .map_err(Lapse::Fault)?;
-        match answer.status {
-            StatusCode::OK => {}
-            StatusCode::GONE => return Err(Lapse::Gone),
-            status => return Err(Lapse::Fault(unexpected(&path, status))),
-        }
-        let answer: RowsAnswer = parse(&path, &answer.body).map_err(Lapse::Fault)?;
-        let mut changes = Changes {
-            changes: Vec::with_capacity(answer.rows.len()),
-            version: answer.ver,
-            clock: answer.now_ms,
-            age: Duration::ZERO,
-            failed_ago: None,
-        };
-        for entry in answer.rows {
-            let value = if entry.removed {
-                None
-            } else {
-                Some(value_of(&path, &entry.value).map_err(Lapse::Fault)?)
-            };
-            changes.changes.push(Change {
-                key: entry.key,
-                version: entry.ver,
-                value,
-            });
-        }
-        Ok(changes)
-    }
-}
-
-impl Store for Client {
-    async fn put(&self, name: &str, value: Bytes) -> Result<(), Fault> {
-        let path = format!("/-/blob-put/{}", escape(name));
-        let answer = self.object(Method::PUT, path.clone(), value).await?;
-        if answer.status.is_success() {
-            return Ok(());
-        }
-        Err(unexpected(&path, answer.status))
-    }
-
-    async fn get(&self, name: &str) -> Result<Option<Bytes>, Fault> {
-        let path = format!("/-/blob-get/{}", escape(name));
-        let answer = self.object(Method::GET, path.clone(), Bytes::new()).await?;
-        match answer.status {
-            StatusCode::OK => Ok(Some(answer.body)),
-            StatusCode::NOT_FOUND => Ok(None),
-            status => Err(unexpected(&path, status)),
-        }
-    }
-
-    async fn delete(&self, name: &str) -> Result<(), Fault> {
-        let path = format!("/-/blob-drop/{}", escape(name));
-        let answer = self
-            .object(Method::DELETE, path.clone(), Bytes::new())
-            .await?;
-        match answer.status {
-            status if status.is_success() || status == StatusCode::NOT_FOUND => Ok(()),
-            status => Err(unexpected(&path, status)),
-        }
-    }
-}
-
 impl Client {
     /// Reads one row; [`Table::get`] under a name that objects don't share.
     ///
--- /dev/null
+++ b/src/platform/store/feed.rs
@@ -0,0 +1,85 @@
+//! Following tables of the store.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+
+use super::row::RowsAnswer;
+use super::{Client, PAGE, Range, behind, escape, parse, unexpected, value_of};
+use crate::table::{Change, Changes, Fault, Feed, Lapse, Row, Snapshot};
+
+/// How much longer than it should wait a feed may take. A connection that went
+/// silent is found within this, so that a node learns of a leaving endpoint in
+/// time over a new one.
+const FEED_SLACK: Duration = Duration::from_millis(600);
+
+impl Feed for Client {
+    async fn snapshot(&self, table: &str) -> Result<Snapshot, Fault> {
+        let mut snapshot = Snapshot::default();
+        let mut from = String::new();
+        loop {
+            let range = Range {
+                from: &from,
+                to: "",
+                limit: PAGE,
+            };
+            let answer = self.rows(table, range).await?;
+            if snapshot.version == 0 {
+                // Later pages may be newer; following on from the first page
+                // tells their changes once more, which is harmless.
+                snapshot.version = answer.ver;
+                snapshot.clock = answer.now_ms;
+            }
+            for entry in &answer.rows {
+                snapshot.rows.push(Row {
+                    key: entry.key.clone(),
+                    version: entry.ver,
+                    value: value_of(table, &entry.value)?,
+                });
+            }
+            match answer.rows.last() {
+                Some(last) if answer.truncated => from = behind(&last.key),
+                _ => return Ok(snapshot),
+            }
+        }
+    }
+
+    async fn changes(&self, table: &str, version: u64, wait: Duration) -> Result<Changes, Lapse> {
+        let path = format!(
+            "/-/rows-feed?table={}&after={version}&wait_ms={}",
+            escape(table),
+            wait.as_millis()
+        );
+        let answer = self
+            .call(Method::GET, &path, Bytes::new(), wait + FEED_SLACK)
+            .await
+            .map_err(Lapse::Fault)?;
+        match answer.status {
+            StatusCode::OK => {}
+            StatusCode::GONE => return Err(Lapse::Gone),
+            status => return Err(Lapse::Fault(unexpected(&path, status))),
+        }
+        let answer: RowsAnswer = parse(&path, &answer.body).map_err(Lapse::Fault)?;
+        let mut changes = Changes {
+            changes: Vec::with_capacity(answer.rows.len()),
+            version: answer.ver,
+            clock: answer.now_ms,
+            age: Duration::ZERO,
+            failed_ago: None,
+        };
+        for entry in answer.rows {
+            let value = if entry.removed {
+                None
+            } else {
+                Some(value_of(&path, &entry.value).map_err(Lapse::Fault)?)
+            };
+            changes.changes.push(Change {
+                key: entry.key,
+                version: entry.ver,
+                value,
+            });
+        }
+        Ok(changes)
+    }
+}
