--- a/src/edge.rs
+++ b/src/edge.rs
@@ -62,16 +62,16 @@
 /// The tables that nodes follow for each other. A configuration is to be in
 /// force within seconds, so it is read on at once; endpoints leave and jobs grow
 /// by many changes a second, which are cheaper read together.
-const SHARED: &[desk::Shared] = &[
-    desk::Shared {
+const TOPICS: &[desk::Topic] = &[
+    desk::Topic {
         table: config::TABLE,
         gap: Duration::from_millis(50),
     },
-    desk::Shared {
+    desk::Topic {
         table: endpoint::TABLE,
         gap: Duration::from_millis(100),
     },
-    desk::Shared {
+    desk::Topic {
         table: batch::record::TABLE,
         gap: Duration::from_millis(150),
     },
@@ -271,7 +271,7 @@
             log::error!("{} why=\"{error}\"", event::LISTEN_FAILED);
         }
     });
-    let desk = desk::Desk::new(shared.clock, Client::new(address), SHARED);
+    let desk = desk::Desk::new(shared.clock, Client::new(address), TOPICS);
     actix_rt::spawn(answer(asked, Rc::clone(&learner), desk));
     let store = Client::new(address);
     let roster = Rc::new(roster::Registered::new(store, setup.me.vm()));
--- a/src/feed/desk.rs
+++ b/src/feed/desk.rs
@@ -27,7 +27,7 @@
 /// A table that may be asked about, and the least time between two readings of
 /// its changes.
 #[derive(Clone, Copy, Debug)]
-pub struct Shared {
+pub struct Topic {
     /// The table's name.
     pub table: &'static str,
     /// The least time between two readings.
@@ -38,7 +38,7 @@
 pub struct Desk<F> {
     clock: Clock,
     feed: F,
-    tables: &'static [Shared],
+    tables: &'static [Topic],
     followed: RefCell<HashMap<&'static str, Rc<Followed>>>,
 }
 
@@ -54,7 +54,7 @@
     F: Feed + Clone + 'static,
 {
     /// Follows nothing yet.
-    pub fn new(clock: Clock, feed: F, tables: &'static [Shared]) -> Rc<Self> {
+    pub fn new(clock: Clock, feed: F, tables: &'static [Topic]) -> Rc<Self> {
         Rc::new(Self {
             clock,
             feed,
@@ -66,11 +66,11 @@
     /// What followed on `version` of a table. Waits for the next news of the
     /// store when nothing is known yet.
     pub async fn tell(self: &Rc<Self>, table: &str, version: u64) -> Told {
-        let Some(shared) = self.tables.iter().find(|shared| shared.table == table) else {
+        let Some(topic) = self.tables.iter().find(|topic| topic.table == table) else {
             log::warn!("{} table={table}", event::FEED_REFUSED);
             return Told::Foreign;
         };
-        let followed = self.followed(*shared, version);
+        let followed = self.followed(*topic, version);
         followed.asked.set(self.clock.now());
         let until = Instant::now() + ANSWER_WAIT;
         loop {
@@ -102,8 +102,8 @@
         self.followed.borrow().contains_key(table)
     }
 
-    fn followed(self: &Rc<Self>, shared: Shared, version: u64) -> Rc<Followed> {
-        if let Some(followed) = self.followed.borrow().get(shared.table) {
+    fn followed(self: &Rc<Self>, topic: Topic, version: u64) -> Rc<Followed> {
+        if let Some(followed) = self.followed.borrow().get(topic.table) {
             return Rc::clone(followed);
         }
         let followed = Rc::new(Followed {
@@ -112,27 +112,27 @@
             asked: Cell::new(self.clock.now()),
         });
         let mut all = self.followed.borrow_mut();
-        all.insert(shared.table, Rc::clone(&followed));
+        all.insert(topic.table, Rc::clone(&followed));
         log::info!(
             "{} table={} version={version}",
             event::FEED_STARTED,
-            shared.table
+            topic.table
         );
-        actix_rt::spawn(Rc::clone(self).follow(shared, Rc::clone(&followed)));
+        actix_rt::spawn(Rc::clone(self).follow(topic, Rc::clone(&followed)));
         followed
     }
 
-    async fn follow(self: Rc<Self>, shared: Shared, followed: Rc<Followed>) {
+    async fn follow(self: Rc<Self>, topic: Topic, followed: Rc<Followed>) {
         let why = loop {
             if self.clock.now().since(followed.asked.get()) > UNUSED {
                 break "unused";
             }
             let version = followed.shelf.borrow().version();
-            let pause = match self.feed.changes(shared.table, version, READ_WAIT).await {
+            let pause = match self.feed.changes(topic.table, version, READ_WAIT).await {
                 Ok(changes) => {
                     let now = self.clock.now();
                     followed.shelf.borrow_mut().add(now, changes);
-                    shared.gap
+                    topic.gap
                 }
                 Err(Lapse::Gone) => break "history_dropped",
                 Err(Lapse::Fault(fault)) => {
@@ -146,8 +146,8 @@
             followed.news.notify_waiters();
             sleep(pause).await;
         };
-        log::info!("{} table={} why={why}", event::FEED_ENDED, shared.table);
-        self.followed.borrow_mut().remove(shared.table);
+        log::info!("{} table={} why={why}", event::FEED_ENDED, topic.table);
+        self.followed.borrow_mut().remove(topic.table);
         // Whoever waits asks the store.
         followed.shelf.borrow_mut().fail(self.clock.now());
         followed.news.notify_waiters();
--- a/tests/feed_fleet.rs
+++ b/tests/feed_fleet.rs
@@ -10,7 +10,7 @@
 use auburnspoke::clock::{Clock, Time};
 use auburnspoke::edge::count::Count;
 use auburnspoke::edge::learn::{News, follow};
-use auburnspoke::feed::desk::{Desk, Shared};
+use auburnspoke::feed::desk::{Desk, Topic};
 use auburnspoke::feed::source::{Ask, Setup, Source};
 use auburnspoke::member::{Member, State, View};
 use auburnspoke::name::Name;
@@ -23,7 +23,7 @@
 use tokio::time::{sleep, timeout};
 
 const TABLE: &str = "job";
-const TABLES: &[Shared] = &[Shared {
+const TABLES: &[Topic] = &[Topic {
     table: TABLE,
     gap: Duration::from_millis(150),
 }];
