--- a/src/platform/store/feed.rs
+++ b/src/platform/store/feed.rs
@@ -31,7 +31,9 @@
             let answer = match self.rows(table, range).await {
                 // Only this page is asked for again: at 3,000 endpoints there are
                 // six, and to begin with the first one would double the bytes.
-                Err(Fault::Unknown) if tries < PAGE_TRIES => {
+                // A first page that is lost is told: entries may lapse while the
+                // store is away, and who follows must know that it was.
+                Err(Fault::Unknown) if tries < PAGE_TRIES && !from.is_empty() => {
                     tries += 1;
                     continue;
                 }
