Tell in the log when an answer began

Cause: whether a late answer waited for a place or at the endpoint could not be told from the lines of its id: only the wait for a place and the end were logged.

Change: E520 has first_ms.

--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -107,6 +107,8 @@
     pieces: mpsc::Sender<Piece>,
     avoid: Vec<Name>,
     error: Option<Response<Bytes>>,
+    /// How long after its arrival the answer began.
+    first: Option<Duration>,
 }
 
 impl Relay {
@@ -137,6 +139,7 @@
             pieces,
             avoid: Vec::new(),
             error: None,
+            first: None,
         }
     }
 
@@ -375,6 +378,7 @@
         self.attempt.begin();
         let took = self.node.clock.now().since(self.call.arrived);
         self.node.count.first_event(took);
+        self.first = Some(took);
         self.finish_head(head.headers_mut());
         // A failure means that the caller has gone; the next piece tells.
         let _ = sender.send(Head::Stream(std::mem::take(head)));
@@ -455,10 +459,11 @@
     fn log_done(&self, endpoint: &Name) {
         let took = self.node.clock.now().since(self.call.arrived);
         log::info!(
-            "{} id={} route={} endpoint={endpoint} took_ms={} last={:?}",
+            "{} id={} route={} endpoint={endpoint} first_ms={:?} took_ms={} last={:?}",
             event::REQUEST_DONE,
             self.call.forward.id,
             self.call.route.name,
+            self.first.map(|first| first.as_millis()),
             took.as_millis(),
             self.attempt.last(),
         );
