Ask a store that is away less and less often

Cause: while the store is away for all, each of 295 nodes asked it for each of three tables every 150 to 200 ms.

Ruled out: the readers' own calls, which are ten nodes' and must find the return soonest.

Change: each further failure doubles the pause, up to 600 ms. The readers keep theirs. follow_calls_while_store_is_away fails without it (1,507 calls a second for one table, 607 with it) and holds that all nodes know of the return within a second. Tests for readers that are cut off, slow, and too slow passed before the change and after; nothing had shown these cases.

--- a/src/edge/learn.rs
+++ b/src/edge/learn.rs
@@ -27,8 +27,15 @@
 /// How long a feed waits for a change. A connection that went silent is noticed
 /// one call's timeout after this.
 const FEED_WAIT: Duration = Duration::from_millis(800);
-/// Pause after a failed call.
+/// Pause after a failed call; each further failure doubles it.
 const FAILED_PAUSE: Duration = Duration::from_millis(150);
+/// Longest such pause. A store that was away is noticed within it, and a job can't
+/// be accepted before. While it is away for all of 300 nodes they make 607 calls a
+/// second a table, and made 1,507 with the first pause alone
+/// (`tests/feed_fleet.rs`).
+const MOST_PAUSE: Duration = Duration::from_millis(600);
+/// After so many doublings the pause is at its longest.
+const MOST_DOUBLINGS: u32 = 2;
 /// Least time between two readings of the endpoints' changes; far below the
 /// time within which a leaving endpoint must get no more work.
 const ENDPOINT_GAP: Duration = Duration::from_millis(150);
@@ -73,6 +80,7 @@
 {
     let mut known = 0;
     let mut whole = true;
+    let mut failures = 0;
     loop {
         let news = if whole {
             feed.snapshot(table).await.map(News::Snapshot)
@@ -100,23 +108,28 @@
                 }
                 known = version;
                 whole = false;
+                failures = 0;
                 sink(news);
                 sleep(gap).await;
             }
             Err(fault) => {
                 log::debug!("{} table={table} why=\"{fault}\"", event::STORE_LOST);
                 sink(News::Failed);
-                sleep(pause(&fault)).await;
+                sleep(pause(&fault, failures)).await;
+                failures += 1;
             }
         }
     }
 }
 
-fn pause(fault: &Fault) -> Duration {
-    match fault {
+/// How long to wait after `failures` calls in a row had failed before this one.
+fn pause(fault: &Fault, failures: u32) -> Duration {
+    let first = match fault {
         Fault::Refused { retry_after } => *retry_after,
         Fault::Conflict { .. } | Fault::Unknown => FAILED_PAUSE,
-    }
+    };
+    let longer = first * 2_u32.pow(failures.min(MOST_DOUBLINGS));
+    longer.min(MOST_PAUSE.max(first))
 }
 
 /// What one node tells another that can't reach the store.
--- a/tests/feed_fleet.rs
+++ b/tests/feed_fleet.rs
@@ -45,6 +45,18 @@
     refused: RefCell<Vec<usize>>,
 }
 
+/// What is wrong with the nodes' links.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+enum Harm {
+    /// Nothing.
+    #[default]
+    None,
+    /// No answer comes.
+    Frozen,
+    /// Each answer comes so much later.
+    Slow(Duration),
+}
+
 impl Store {
     fn version(&self) -> u64 {
         u64::try_from(self.log.borrow().len()).unwrap()
@@ -122,8 +134,8 @@
 #[derive(Default)]
 struct Net {
     desks: RefCell<BTreeMap<Name, Rc<Desk<Client>>>>,
-    /// Nodes that answer nothing.
-    frozen: RefCell<Vec<Name>>,
+    /// Nodes that answer late or not at all.
+    harmed: RefCell<BTreeMap<Name, Harm>>,
 }
 
 #[derive(Clone)]
@@ -134,14 +146,23 @@
         let Query::Changes { table, after } = query else {
             return None;
         };
-        if self.0.frozen.borrow().contains(link) {
-            sleep(wait).await;
-            return None;
-        }
-        sleep(DELAY).await;
+        let harm = self.0.harmed.borrow().get(link).copied();
+        let late = match harm.unwrap_or_default() {
+            Harm::None => Duration::ZERO,
+            Harm::Frozen => {
+                sleep(wait).await;
+                return None;
+            }
+            Harm::Slow(late) => late,
+        };
         let desk = Rc::clone(self.0.desks.borrow().get(link)?);
-        let told = timeout(wait, desk.tell(&table, after)).await.ok()?;
-        sleep(DELAY).await;
+        let answer = async {
+            sleep(DELAY).await;
+            let told = desk.tell(&table, after).await;
+            sleep(DELAY + late).await;
+            told
+        };
+        let told = timeout(wait, answer).await.ok()?;
         Some(Reply::Changes(told))
     }
 }
@@ -243,6 +264,12 @@
         }
     }
 
+    /// Harms the links of some nodes.
+    fn harm(&self, nodes: &[usize], harm: Harm) {
+        let mut harmed = self.net.harmed.borrow_mut();
+        harmed.extend(nodes.iter().map(|at| (link(*at), harm)));
+    }
+
     /// The nodes that read the store for others.
     fn readers(&self) -> Vec<usize> {
         let version = self.store.version();
@@ -298,7 +325,7 @@
     run(300, |fleet| async move {
         fleet.change(Duration::from_secs(2)).await;
         let readers = fleet.readers();
-        *fleet.net.frozen.borrow_mut() = readers.iter().map(|at| link(*at)).collect();
+        fleet.harm(&readers, Harm::Frozen);
         fleet.store.write();
         let took = fleet.spread(&[]).await;
         expect_that!(took, lt(Duration::from_millis(2_500)));
@@ -336,3 +363,65 @@
         expect_that!(rate, lt(150.0));
     });
 }
+
+#[gtest]
+fn follow_calls_while_store_is_away() {
+    // The store is away for seven seconds. Every call costs the operators, also
+    // one that is refused, and a store that comes back under all of them at once
+    // may go again. The nodes must learn of its return within a second all the
+    // same: until then they can't accept jobs.
+    run(300, |fleet| async move {
+        fleet.change(Duration::from_secs(2)).await;
+        *fleet.store.refused.borrow_mut() = (0..300).collect();
+        let rate = fleet.change(Duration::from_secs(7)).await;
+        expect_that!(rate, lt(800.0));
+        fleet.store.refused.borrow_mut().clear();
+        expect_that!(fleet.spread(&[]).await, lt(Duration::from_secs(1)));
+    });
+}
+
+#[gtest]
+fn follow_readers_cut_off() {
+    // All readers lose the store and the other nodes at once. The others must
+    // learn of a change in time, and the readers once they are back.
+    run(300, |fleet| async move {
+        fleet.change(Duration::from_secs(2)).await;
+        let readers = fleet.readers();
+        fleet.harm(&readers, Harm::Frozen);
+        fleet.store.refused.borrow_mut().clone_from(&readers);
+        fleet.store.write();
+        let took = fleet.spread(&readers).await;
+        expect_that!(took, lt(Duration::from_millis(2_500)));
+        fleet.harm(&readers, Harm::None);
+        fleet.store.refused.borrow_mut().clear();
+        expect_that!(fleet.spread(&[]).await, lt(Duration::from_secs(1)));
+    });
+}
+
+#[gtest]
+fn follow_readers_slow() {
+    // The readers' VMs turn slow: each answer of theirs comes 0.4 s later. News
+    // come later by that, and nobody goes over to reading the store by himself.
+    run(300, |fleet| async move {
+        fleet.change(Duration::from_secs(2)).await;
+        let readers = fleet.readers();
+        fleet.harm(&readers, Harm::Slow(Duration::from_millis(400)));
+        let rate = fleet.change(Duration::from_secs(10)).await;
+        expect_that!(rate, lt(75.0));
+        expect_that!(fleet.spread(&[]).await, lt(Duration::from_millis(1_300)));
+    });
+}
+
+#[gtest]
+fn follow_readers_too_slow() {
+    // Their answers come after nobody waits for them any more. That is as if
+    // they were frozen, and no node may stay behind.
+    run(300, |fleet| async move {
+        fleet.change(Duration::from_secs(2)).await;
+        let readers = fleet.readers();
+        fleet.harm(&readers, Harm::Slow(Duration::from_millis(1_500)));
+        fleet.store.write();
+        let took = fleet.spread(&[]).await;
+        expect_that!(took, lt(Duration::from_millis(2_500)));
+    });
+}
