--- a/src/batch/accept.rs
+++ b/src/batch/accept.rs
@@ -160,7 +160,7 @@
     /// kept. Were it tried all the same, each node that is cut off would hold a
     /// caller up for the half second that a connection is waited for, of the 0.8 s
     /// within which a job is to be accepted.
-    pub fn is_away(&self) -> bool {
+    fn is_away(&self) -> bool {
         let heard = self.ledger.borrow().heard_at();
         heard.is_none_or(|at| self.now().since(at) > AWAY)
     }
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -22,9 +22,8 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use super::body::Body;
-use super::directory::{self, Own};
 use super::node::Node;
-use super::{relay, stay};
+use super::{directory, relay, stay};
 use crate::catalog::{Kind, Limits, Route};
 use crate::clock::Time;
 use crate::event;
@@ -156,12 +155,9 @@
 
 /// Tells a caller where to connect.
 fn resolve(node: &Node, place: &Place) -> Response<Bytes> {
-    let own = Own {
-        address: &node.site.listen.callers.to_string(),
-        leaving: node.is_leaving(),
-        away: node.jobs.is_away(),
-    };
-    let addresses = directory::addresses(&node.view.read(), &node.site.zones, place, own);
+    let own = node.site.listen.callers.to_string();
+    let without = node.is_leaving().then_some(&*own);
+    let addresses = directory::addresses(&node.view.read(), &node.site.zones, place, without);
     call::resolved(&addresses, stay::directory_ttl(&node.site.bounds))
 }
 
