--- /dev/null
+++ b/tests/support/pool.rs
@@ -0,0 +1,58 @@
+//! A pool and its endpoints as tests need them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use auburnspoke::catalog::Endpoint;
+use auburnspoke::clock::Time;
+use auburnspoke::pool::message::{Ask, Class};
+use auburnspoke::pool::{Key, Pool};
+
+/// Slots of each endpoint.
+pub const SLOTS: u32 = 8;
+
+/// An endpoint; every third one is in the same zone.
+pub fn endpoint(at: usize) -> Arc<Endpoint> {
+    Arc::new(Endpoint {
+        id: format!("e{at}").into(),
+        service: "s".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        zone: ["a", "b", "c"][at % 3].into(),
+        slots: SLOTS,
+        ready: true,
+        incarnation: 0,
+    })
+}
+
+/// The key of a request of the one gateway.
+pub fn key(seq: u64) -> Key {
+    let gateway = SocketAddr::from(([127, 0, 0, 1], 7));
+    Key { gateway, seq }
+}
+
+/// What a request of the zone `a` asks that waits for 230 ms.
+pub fn ask(class: Class, due_ms: u64) -> Ask {
+    Ask {
+        class,
+        priority: 0,
+        zone: "a".into(),
+        patience: Duration::from_millis(230),
+        due: Duration::from_millis(due_ms),
+        prefix: 0,
+        avoid: Vec::new(),
+    }
+}
+
+/// A pool with so many endpoints.
+pub fn pool(endpoints: usize) -> Pool {
+    let mut pool = Pool::default();
+    let all: Vec<_> = (0..endpoints).map(endpoint).collect();
+    pool.set_endpoints(all.iter());
+    pool
+}
+
+/// A time of the test, in milliseconds.
+pub fn at(millis: u64) -> Time {
+    Time::from_millis(10_000 + millis)
+}
