Let the soak wait for the logs' last lines before it reads them

A lost line: the node was not killed, paused or stopped.

Change: the check waits for the 0.4 s within which a line is written, as it does for nodes that are killed; every request must still have its lines. Nothing is passed over that was not before.

--- a/standin/src/soak/check.rs
+++ b/standin/src/soak/check.rs
@@ -99,6 +99,9 @@
     texts.join("\n")
 }
 
+/// A line is written at most so long after what it tells.
+pub const WRITTEN: Duration = Duration::from_millis(400);
+
 impl Report {
     /// Notes a broken promise.
     pub fn broke(&mut self, what: String) {
@@ -128,8 +131,6 @@
     /// A node that is killed, or was paused before, loses the lines of its last
     /// moments, which are passed over.
     pub fn check_logs(&mut self, asked: &[Asked], struck: &[Instant], logs: &[String]) {
-        /// A line is written at most so long after what it tells.
-        const WRITTEN: Duration = Duration::from_millis(400);
         let mut lines: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
         for line in logs.iter().flat_map(|log| log.lines()) {
             if let Some(id) = line.split(" id=").nth(1) {
--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -18,7 +18,7 @@
 use tokio::time::sleep;
 
 use super::Plan;
-use super::check::{Asked, Job, Report};
+use super::check::{self, Asked, Job, Report};
 use super::{caller, fault};
 use crate::site::proxy::Proxy;
 use crate::site::replica::{Register, Replica};
@@ -259,6 +259,9 @@
     for caller in callers {
         caller.abort();
     }
+    // The nodes still run. Read at once, their logs would lack the end of an answer
+    // that a caller got in the last moment.
+    sleep(check::WRITTEN).await;
     let report = report(&world);
     if report.broken.is_empty() {
         std::fs::remove_dir_all(&folder)?;
