Log which request each attempt is, and what became of an endpoint that lost a run

On-call could not tell a request that brings endpoints down from endpoints that end by themselves: the log names attempts only. E521 and E302 now carry a fingerprint of host, organisation, path and body, and E525 says of each lost run whether the endpoint still listens and how its entry stood.

--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -13,6 +13,7 @@
 use super::shell::{Asking, Jobs};
 use super::work::{Slot, Work};
 use crate::connect;
+use crate::edge::loss;
 use crate::event;
 use crate::permit::{Permit, Want};
 use crate::platform::forward::{self, Forward, Verdict};
@@ -89,6 +90,11 @@
     if is_first && matches!(ended, Ended::Done) {
         jobs.pace.learn(work.items[item].tokens, took);
     }
+    if let Ended::Broken(End::Error, why) = &ended {
+        let catalog = jobs.setup.catalog.take();
+        let id = &work.items[item].id;
+        loss::examine(&catalog, &permit.endpoint, id, work.print(item), why).await;
+    }
     finish(&jobs, &work, item, attempts, permit, &ended);
 }
 
--- a/src/batch/work.rs
+++ b/src/batch/work.rs
@@ -13,6 +13,7 @@
 use crate::clock::Time;
 use crate::edge::body::Guard;
 use crate::name::Name;
+use crate::quarantine::Fingerprint;
 
 /// How long items take, learned from those that ran without a stop.
 #[derive(Debug)]
@@ -177,6 +178,14 @@
         name.map_or(0, |name| xxh3_64(name.as_bytes()))
     }
 
+    /// Which request an item is, whatever its id.
+    pub(super) fn print(&self, item: usize) -> Fingerprint {
+        let entry = self.entry.borrow();
+        let record = &entry.record;
+        let Item { path, body, .. } = &self.items[item];
+        Fingerprint::of(&record.host, record.organisation.as_deref(), path, body)
+    }
+
     /// Items that ask for a place or run.
     pub(super) fn busy(&self) -> usize {
         let busy = |slot: &&Slot| matches!(slot, Slot::Busy { .. });
--- a/src/connect.rs
+++ b/src/connect.rs
@@ -6,6 +6,7 @@
 //! docs/design/platform.md.
 
 use std::fmt;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -52,6 +53,28 @@
     }
 }
 
+/// What became of an attempt to connect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listener {
+    /// Something accepts connections.
+    Open,
+    /// Nothing does: no process listens there any more.
+    Refused,
+    /// No answer; the VM may be off, or the path cut.
+    Silent,
+}
+
+/// Looks whether anything listens at `address`, without sending a byte.
+pub async fn probe(address: SocketAddr, limit: Duration) -> Listener {
+    match timeout(limit, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Listener::Open,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Listener::Refused,
+        // The error of an unreachable network, or of no descriptors left, tells nothing
+        // of the other side.
+        Ok(Err(_)) | Err(_) => Listener::Silent,
+    }
+}
+
 /// Opens a connection.
 ///
 /// # Errors
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -45,6 +45,7 @@
 mod doubt;
 pub mod front;
 pub mod learn;
+pub mod loss;
 pub mod node;
 pub mod relay;
 mod reload;
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -35,6 +35,7 @@
 use crate::platform::call::{self, Call, Place};
 use crate::platform::forward::{self, Forward};
 use crate::platform::organisation;
+use crate::quarantine::Fingerprint;
 
 /// How much longer than the operators' bound an idle connection is kept, so
 /// that a caller within it never meets a close.
@@ -365,7 +366,9 @@
         .uri
         .path_and_query()
         .map_or_else(|| parts.uri.path().to_owned(), ToString::to_string);
+    let print = Fingerprint::of(&route.host, name, &path, &body);
     let call = relay::Call {
+        print,
         forward: Forward {
             method: parts.method,
             path,
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -17,10 +17,11 @@
 use tokio::time::timeout;
 
 use super::body::{Body, Broken, Guard, Piece};
+use super::loss;
 use super::node::Node;
 use crate::attempt::{Attempt, Failure, Next, Repeat};
 use crate::catalog::keyring::Organisation;
-use crate::catalog::{Kind, Route};
+use crate::catalog::{Endpoint, Kind, Route};
 use crate::clock::{Time, Uptime};
 use crate::connect::{self, Conn};
 use crate::event;
@@ -31,6 +32,7 @@
 use crate::platform::call;
 use crate::platform::forward::{self, Forward, Verdict};
 use crate::pool::message::End;
+use crate::quarantine::Fingerprint;
 use crate::split::Splitter;
 
 mod admit;
@@ -57,6 +59,8 @@
 
 /// A request for an endpoint, read whole.
 pub struct Call {
+    /// Which request it is, whatever its id.
+    pub print: Fingerprint,
     /// The request.
     pub forward: Forward,
     /// Its route.
@@ -195,7 +199,11 @@
                     )
                 }
                 Ended::Failed(failure, end, why) => {
+                    let lost_at = (failure == Failure::Lost).then(|| Arc::clone(&permit.endpoint));
                     permit.finish(end);
+                    if let Some(endpoint) = lost_at {
+                        self.examine(&endpoint, why).await;
+                    }
                     let now = self.node.clock.now();
                     let next = self.attempt.failed(now, failure);
                     self.spend(!self.attempt.is_unrun());
@@ -203,9 +211,10 @@
                 }
             };
             log::info!(
-                "{} id={} endpoint={endpoint} why={why} next={next:?} last={:?} left_ms={}",
+                "{} id={} print={} endpoint={endpoint} why={why} next={next:?} last={:?} left_ms={}",
                 event::REQUEST_RETRIED,
                 self.call.forward.id,
+                self.call.print,
                 self.attempt.last(),
                 left.as_millis(),
             );
@@ -354,6 +363,13 @@
         Ended::Whole
     }
 
+    /// Looks whether the endpoint that lost the request is still there.
+    async fn examine(&self, endpoint: &Endpoint, why: &'static str) {
+        let catalog = self.node.catalog.take();
+        let Call { forward, print, .. } = &self.call;
+        loss::examine(&catalog, endpoint, &forward.id, *print, why).await;
+    }
+
     fn may_resume(&self) -> bool {
         matches!(
             self.call.route.kind,
@@ -439,9 +455,10 @@
         let now = self.node.clock.now();
         let catalog = self.node.catalog.read();
         log::info!(
-            "{} id={} organisation={} endpoint={endpoint} waited_ms={} behind={:?} known_ms={} config={} vouched_ms={:?}",
+            "{} id={} print={} organisation={} endpoint={endpoint} waited_ms={} behind={:?} known_ms={} config={} vouched_ms={:?}",
             event::REQUEST_GRANTED,
             self.call.forward.id,
+            self.call.print,
             self.call.organisation.as_ref().map_or("-", |it| &it.name),
             now.since(self.call.arrived).as_millis(),
             self.attempt.last(),
--- a/src/event.rs
+++ b/src/event.rs
@@ -85,6 +85,7 @@
     522 LIMIT_ALONE "limit_alone";
     523 REQUEST_ENDED "request_ended";
     524 REQUEST_TURNED_AWAY "request_turned_away";
+    525 RUN_LOST "run_lost";
     530 JOB_ACCEPTED "job_accepted";
     531 JOB_REFUSED "job_refused";
     532 JOB_TAKEN "job_taken";
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod placement;
 pub mod platform;
 pub mod pool;
+pub mod quarantine;
 pub mod request;
 pub mod retry;
 pub mod route;
--- /dev/null
+++ b/src/quarantine/fingerprint.rs
@@ -0,0 +1,40 @@
+//! Which request a request is, whatever its id.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+/// The identity of a request over attempts, callers' retries and nodes: its host,
+/// organisation, path and body. The event behind which a stream goes on is no part
+/// of it. Of a cryptographic digest, so that nobody can make a request that is
+/// taken for another's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// Of a request's parts.
+    pub fn of(host: &str, organisation: Option<&str>, path: &str, body: &[u8]) -> Self {
+        let mut hash = Sha256::new();
+        for part in [
+            host.as_bytes(),
+            organisation.unwrap_or_default().as_bytes(),
+            path.as_bytes(),
+            body,
+        ] {
+            // Lengths keep the parts apart.
+            hash.update(part.len().to_be_bytes());
+            hash.update(part);
+        }
+        let digest = hash.finalize();
+        let first = digest.iter().take(size_of::<u64>());
+        Self(first.fold(0, |value, byte| value << 8 | u64::from(*byte)))
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
