--- a/standin/src/site/proxy.rs
+++ b/standin/src/site/proxy.rs
@@ -32,6 +32,7 @@
     pub address: SocketAddr,
     mode: Rc<Cell<Mode>>,
     open: Rc<RefCell<Vec<JoinHandle<()>>>>,
+    accept: JoinHandle<()>,
 }
 
 impl Proxy {
@@ -45,7 +46,7 @@
         let mode = Rc::new(Cell::new(Mode::Pass));
         let open: Rc<RefCell<Vec<JoinHandle<()>>>> = Rc::default();
         let (modes, tasks) = (Rc::clone(&mode), Rc::clone(&open));
-        actix_rt::spawn(async move {
+        let accept = actix_rt::spawn(async move {
             while let Ok((near, _)) = listener.accept().await {
                 if modes.get() == Mode::Refuse {
                     continue;
@@ -65,9 +66,16 @@
             address,
             mode,
             open,
+            accept,
         })
     }
 
+    /// Stops listening, as the server's own port does when its process ends.
+    pub fn close(&self) {
+        self.accept.abort();
+        self.reset();
+    }
+
     /// Treats bytes so from now on, on open connections as well.
     pub fn set(&self, mode: Mode) {
         self.mode.set(mode);
--- a/standin/src/site/replica.rs
+++ b/standin/src/site/replica.rs
@@ -25,6 +25,10 @@
 
 /// Requests that may wait for a slot.
 const QUEUE: usize = 8;
+/// A path with this in it crashes the replica that runs it.
+pub const KILLS: &str = "kills";
+/// After so many steps.
+const KILL_STEPS: u32 = 4;
 /// Tokens in one event.
 pub const STRIDE: u64 = 10;
 
@@ -78,6 +82,7 @@
     step: Duration,
     slots: Semaphore,
     waiting: Cell<usize>,
+    down: Cell<bool>,
     register: Register,
     tasks: RefCell<Vec<JoinHandle<()>>>,
 }
@@ -111,6 +116,7 @@
             step,
             slots: Semaphore::new(slots),
             waiting: Cell::new(0),
+            down: Cell::new(false),
             register,
             tasks: RefCell::default(),
         });
@@ -138,8 +144,14 @@
         Ok((replica, address))
     }
 
+    /// True once it has crashed.
+    pub fn is_down(&self) -> bool {
+        self.down.get()
+    }
+
     /// Ends it as a crash does.
     pub fn crash(&self) {
+        self.down.set(true);
         for task in self.tasks.borrow_mut().drain(..) {
             task.abort();
         }
@@ -187,6 +199,14 @@
         if path.contains("fails") {
             return Ok(failed(StatusCode::INTERNAL_SERVER_ERROR, &id));
         }
+        if path.contains(KILLS) {
+            let replica = Rc::clone(self);
+            let after = self.step * KILL_STEPS;
+            actix_rt::spawn(async move {
+                sleep(after).await;
+                replica.crash();
+            });
+        }
         let total = events(out.unwrap_or(0));
         let (pieces, body) = mpsc::channel(4);
         let step = self.step * fault.slow;
--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -27,6 +27,12 @@
         ))
         .arg(number("nodes", "4", "Nodes"))
         .arg(number("replicas", "3", "Replicas"))
+        .arg(number(
+            "killers",
+            "0",
+            "Requests that crash the replicas that run them, sent again and again",
+        ))
+        .arg(number("faults", "1", "0 to inject no other faults"))
 }
 
 fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
@@ -48,6 +54,10 @@
     pub nodes: usize,
     /// Replicas.
     pub replicas: usize,
+    /// Requests that crash the replicas that run them, sent again and again.
+    pub killers: usize,
+    /// False where only the killers do harm.
+    pub faults: bool,
 }
 
 /// Runs the seeds and prints a line for each.
@@ -64,6 +74,8 @@
             length: Duration::from_secs(get("seconds")),
             nodes: count("nodes"),
             replicas: count("replicas"),
+            killers: count("killers"),
+            faults: get("faults") > 0,
         };
         let report = actix_rt::System::new().block_on(fleet::play(plan))?;
         println!("{report}");
--- a/standin/src/soak/caller.rs
+++ b/standin/src/soak/caller.rs
@@ -20,6 +20,7 @@
 
 use super::check::{Asked, End, Job, whole_stream};
 use super::fleet::{HOST, KEY, World};
+use crate::site::replica::KILLS;
 
 /// Most time to connect.
 const CONNECT: Duration = Duration::from_secs(1);
@@ -103,6 +104,27 @@
     }
 }
 
+/// Sends a request that crashes whatever runs it again and again, with an id of its
+/// own each time, at nodes drawn by chance, until the run closes.
+pub async fn kill(world: Rc<World>, at: usize) {
+    let path = format!("/q/{KILLS}/{at}");
+    while world.open.get() {
+        sleep(Duration::from_millis(120)).await;
+        let id = format!("k{:x}", world.fresh());
+        let headers = vec![
+            ("x-attempt-id", id),
+            ("x-token-count", format!("300,{TOKENS}")),
+            ("x-timeout-ms", "5000".to_owned()),
+        ];
+        let (world, path) = (Rc::clone(&world), path.clone());
+        // The next one does not wait for its answer.
+        actix_rt::spawn(async move {
+            let answer = call_any(&world, "POST", &path, headers, "question").await;
+            world.killed.borrow_mut().push(answer.map(|it| it.0));
+        });
+    }
+}
+
 /// A connection to one of the addresses that the directory names, and whose it is.
 async fn open(world: &World) -> Option<(usize, Conn)> {
     let first = draw(world, world.plan.nodes);
--- a/standin/src/soak/check.rs
+++ b/standin/src/soak/check.rs
@@ -1,10 +1,10 @@
 //! What was seen, and which promises it breaks.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::{Duration, Instant};
 
-use crate::site::replica::{Register, events, text};
+use crate::site::replica::{KILLS, Register, Run, events, text};
 
 /// How a request of a caller ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -73,6 +73,8 @@
     pub items: usize,
     /// Faults injected.
     pub faults: usize,
+    /// Replicas that a request crashed.
+    pub crashed: usize,
     /// Calls to the store.
     pub calls: u64,
     /// Promises that were broken.
@@ -83,8 +85,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "seed {}: {} faults, requests {:?}, {} jobs, {} items, {} store calls",
-            self.seed, self.faults, self.ends, self.jobs, self.items, self.calls
+            "seed {}: {} faults, requests {:?}, {} jobs, {} items, {} crashed, {} store calls",
+            self.seed, self.faults, self.ends, self.jobs, self.items, self.crashed, self.calls
         )?;
         if self.broken.is_empty() {
             return f.write_str(": kept");
@@ -179,6 +181,41 @@
         }
     }
 
+    /// Checks that a request that crashes replicas is hardly sent to any more once it
+    /// has crashed three and every node has had time to hear of it.
+    pub fn check_killers(&mut self, register: &Register) {
+        const CRASHES: usize = 3;
+        const CONTACT: Duration = Duration::from_secs(3);
+        const MORE: usize = 3;
+        let register = register.borrow();
+        let mut runs: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
+        for run in register.values().flatten() {
+            if run.path.contains(KILLS) {
+                runs.entry(&run.path).or_default().push(run);
+            }
+        }
+        for (path, mut runs) in runs {
+            runs.sort_by_key(|run| run.began);
+            let mut crashed = BTreeSet::new();
+            let known = runs.iter().find_map(|run| {
+                crashed.insert(&run.replica);
+                (crashed.len() >= CRASHES).then_some(run.began + CONTACT)
+            });
+            let replicas: BTreeSet<_> = runs.iter().map(|run| &run.replica).collect();
+            self.crashed += replicas.len();
+            let late = runs
+                .iter()
+                .filter(|run| known.is_some_and(|at| run.began > at));
+            let late = late.count();
+            if late > MORE {
+                self.broke(format!(
+                    "{path} had crashed {CRASHES} replicas and was sent to {late} more; {} ended in all",
+                    replicas.len()
+                ));
+            }
+        }
+    }
+
     /// Checks that endpoints were told whose each request is and were never shown a
     /// key, and that no node wrote one.
     pub fn check_keys(
--- a/standin/src/soak/fault.rs
+++ b/standin/src/soak/fault.rs
@@ -261,6 +261,35 @@
     world.add_replica().await
 }
 
+/// Replaces replicas that a request crashed, for as long as the run lasts.
+pub async fn revive(world: Rc<World>) {
+    /// How long a crashed replica's entry stays, and until another one comes.
+    const DOWN: Duration = Duration::from_secs(2);
+    loop {
+        sleep(Duration::from_millis(2)).await;
+        let down = {
+            let mut replicas = world.replicas.borrow_mut();
+            let id = replicas
+                .iter()
+                .find(|(_, behind)| behind.replica.is_down())
+                .map(|(id, _)| id.clone());
+            id.and_then(|id| Some((id.clone(), replicas.remove(&id)?)))
+        };
+        let Some((id, behind)) = down else {
+            continue;
+        };
+        behind.proxy.close();
+        let world = Rc::clone(&world);
+        actix_rt::spawn(async move {
+            sleep(DOWN).await;
+            world.store.remove("servers", &id);
+            if let Err(error) = world.add_replica().await {
+                world.broke(format!("a replica can't be replaced: {error}"));
+            }
+        });
+    }
+}
+
 /// A replica says that it leaves, serves on for a while, and goes.
 async fn leave(world: &World, length: Duration) -> Result<()> {
     world.add_replica().await?;
--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use eyre::{Result, WrapErr as _, ensure};
+use hyper::StatusCode;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use rustix::process::{Pid, Signal, kill_process};
@@ -83,6 +84,8 @@
     pub register: Register,
     /// Requests of callers.
     pub asked: RefCell<Vec<Asked>>,
+    /// What callers of killers were told.
+    pub killed: RefCell<Vec<Option<StatusCode>>>,
     /// Jobs of callers.
     pub jobs: RefCell<Vec<Rc<RefCell<Job>>>>,
     /// Promises seen broken while it runs.
@@ -256,7 +259,15 @@
     for _ in 0..SUBMITTERS {
         callers.push(actix_rt::spawn(caller::submit(Rc::clone(&world))));
     }
-    fault::inject(&world).await?;
+    for at in 0..plan.killers {
+        callers.push(actix_rt::spawn(caller::kill(Rc::clone(&world), at)));
+    }
+    actix_rt::spawn(fault::revive(Rc::clone(&world)));
+    if plan.faults {
+        fault::inject(&world).await?;
+    } else {
+        sleep(plan.length).await;
+    }
     fault::heal(&world)?;
     // What was served before is served again.
     sleep(Duration::from_secs(3)).await;
@@ -289,6 +300,7 @@
         ..Report::default()
     };
     report.check_requests(&world.asked.borrow(), &world.register);
+    report.check_killers(&world.register);
     let strikes: Vec<Strike> = world
         .nodes
         .iter()
@@ -340,6 +352,7 @@
         replicas: RefCell::default(),
         register: Register::default(),
         asked: RefCell::default(),
+        killed: RefCell::default(),
         jobs: RefCell::default(),
         broken: RefCell::default(),
         open: Cell::new(true),
--- a/standin/tests/soak_short.rs
+++ b/standin/tests/soak_short.rs
@@ -11,6 +11,8 @@
         length: Duration::from_secs(6),
         nodes: 3,
         replicas: 3,
+        killers: 0,
+        faults: true,
     };
     let report = actix_rt::System::new().block_on(fleet::play(plan)).unwrap();
     expect_that!(report.broken, is_empty(), "{report}");
