Quarantine requests that crash the endpoints that run them

Cause: how a run was lost was judged within one attempt only. A broken stream was the endpoint's fault, so the request was sent to the next endpoint, and its repeats came as new requests at every node.

Now a node that loses a run looks whether the endpoint's process still listens; a crash is told to all nodes with the fingerprints of what ran there. Three crashes that no other condemned request explains condemn a request. Suspects run once at a time and apart from each other, so that crashes tell them apart. Verdicts stand in the store, because all nodes may start anew; they end after 15 minutes, and one more crash brings them back for longer. A condemned request is answered 400 at once, runs under way are stopped, a batch item waits for its job's end.

--- a/src/batch/orphan.rs
+++ b/src/batch/orphan.rs
@@ -3,14 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
 use super::ledger::Entry;
 use super::record::{self, Record};
 use super::shell::Jobs;
 use crate::event;
 use crate::leave::Phase;
-use crate::member::{State, View};
 use crate::name::Name;
 use crate::table::{Expect, Table as _, Transaction};
 
@@ -58,7 +55,7 @@
             continue;
         }
         let since = *orphans.entry(job.clone()).or_insert(now);
-        let turn = rank(job, &jobs.setup.me, &view);
+        let turn = view.rank(job, &jobs.setup.me);
         let pause = jobs.claim_after.borrow().get(job).copied();
         if now.since(since) >= TURN * turn && pause.is_none_or(|until| now >= until) {
             mine.push((job.clone(), entry.clone()));
@@ -75,18 +72,6 @@
     }
 }
 
-/// How many members go before this one for a job.
-pub(super) fn rank(job: &Name, me: &Name, view: &View) -> u32 {
-    let score =
-        |name: &Name| xxh3_64_with_seed(name.as_bytes(), xxh3_64_with_seed(job.as_bytes(), 0));
-    let own = score(me);
-    let before = view
-        .usable()
-        .filter(|member| member.state == State::Alive && score(&member.name) > own)
-        .count();
-    u32::try_from(before).unwrap_or(u32::MAX)
-}
-
 async fn take(jobs: &Rc<Jobs>, job: &Name, entry: Entry) {
     let entry = if jobs.is_mine(&entry.record) {
         entry
--- a/src/batch/retire.rs
+++ b/src/batch/retire.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::orphan::rank;
 use super::record;
 use super::shell::Jobs;
 use crate::event;
@@ -41,7 +40,7 @@
         .iter()
         .filter(|(_, entry)| entry.record.is_over())
         .filter(|(_, entry)| now.saturating_sub(entry.record.accepted) > kept)
-        .filter(|(job, _)| rank(job, &jobs.setup.me, &view) == 0)
+        .filter(|(job, _)| view.rank(job, &jobs.setup.me) == 0)
         .map(|(job, _)| job.clone())
         .take(JOBS)
         .collect()
--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -13,11 +13,12 @@
 use super::shell::{Asking, Jobs};
 use super::work::{Slot, Work};
 use crate::connect;
-use crate::edge::loss;
 use crate::event;
 use crate::permit::{Permit, Want};
 use crate::platform::forward::{self, Forward, Verdict};
 use crate::pool::message::{Ask, Class, End};
+use crate::quarantine::evidence::Standing;
+use crate::quarantine::ward::Run;
 use crate::split::{self, Splitter};
 
 /// Most time to connect to an endpoint.
@@ -41,6 +42,8 @@
     Broken(End, &'static str),
     /// The pool wanted the place back.
     Stopped,
+    /// It crashes endpoints.
+    Condemned,
 }
 
 /// Runs an item once; what it brought stays in the job's memory.
@@ -49,6 +52,14 @@
         drop(asking);
         return back(&jobs, &work, item, "no_route");
     };
+    let ward = Rc::clone(&jobs.setup.ward);
+    let request = work.print(item);
+    let suspect = match ward.standing(request) {
+        Standing::Condemned => return condemned(&jobs, &work, item),
+        Standing::Held(_) => return back(&jobs, &work, item, "held"),
+        Standing::Suspect => request.0,
+        Standing::Clear => 0,
+    };
     let now = jobs.now();
     let want = Want {
         service,
@@ -60,6 +71,7 @@
             due: work.urgency(now, item, &jobs.pace).since(now),
             prefix: 0,
             organisation: work.organisation(),
+            suspect,
             avoid: work.failed_at.borrow()[item].clone(),
         },
     };
@@ -83,6 +95,7 @@
         // A slot that is wanted back goes first.
         biased;
         () = permit.stopped() => Ended::Stopped,
+        () = ward.condemned(request) => Ended::Condemned,
         ended = exchange(&work, item, &forward, &permit) => ended,
     };
     let took = jobs.now().since(began);
@@ -90,10 +103,13 @@
     if is_first && matches!(ended, Ended::Done) {
         jobs.pace.learn(work.items[item].tokens, took);
     }
-    if let Ended::Broken(End::Error, why) = &ended {
-        let catalog = jobs.setup.catalog.take();
-        let id = &work.items[item].id;
-        loss::examine(&catalog, &permit.endpoint, id, work.print(item), why).await;
+    match &ended {
+        Ended::Broken(End::Error, why) => {
+            let id = &work.items[item].id;
+            ward.lost(&permit.endpoint, Run { id, request, why }).await;
+        }
+        Ended::Done => ward.sound(request),
+        _ => {}
     }
     finish(&jobs, &work, item, attempts, permit, &ended);
 }
@@ -231,6 +247,10 @@
             permit.finish(*end);
             back(jobs, work, item, why);
         }
+        Ended::Condemned => {
+            permit.finish(End::Left);
+            condemned(jobs, work, item);
+        }
         Ended::Stopped => {
             permit.finish(End::Stopped);
             jobs.setup.count.item("stopped");
@@ -269,6 +289,13 @@
     work.set(item, Slot::Ready(jobs.now() + FAILED_PAUSE));
 }
 
+/// The item crashes endpoints. It is not run any more, and listed as failed when its
+/// job's lifetime ends: until then its caller is owed that it is tried.
+fn condemned(jobs: &Rc<Jobs>, work: &Rc<Work>, item: usize) {
+    stopped(jobs, work, item, "condemned");
+    work.set(item, Slot::Ready(work.expires));
+}
+
 /// Tells that a run ended without an outcome.
 fn stopped(jobs: &Jobs, work: &Work, item: usize, why: &'static str) {
     log::info!(
--- a/src/batch/shell.rs
+++ b/src/batch/shell.rs
@@ -27,6 +27,7 @@
 use crate::name::Name;
 use crate::permit::Desk;
 use crate::platform::store::Client;
+use crate::quarantine::Ward;
 use crate::snapshot::Cell;
 use crate::table::{Changes, Feed};
 
@@ -63,6 +64,8 @@
     pub results: Duration,
     /// Admission.
     pub desk: Rc<Desk>,
+    /// The quarantine.
+    pub ward: Rc<Ward>,
     /// Configuration and endpoints.
     pub catalog: Arc<Cell<Catalog>>,
     /// The members.
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -26,7 +26,7 @@
 use crate::leave::Phase;
 use crate::link::Pool;
 use crate::link::server::{Asked, Desk as LinkDesk};
-use crate::member::shell::{Counts, Handle, Setup};
+use crate::member::shell::{Counts, Event, Handle, Setup};
 use crate::member::tuning::Tuning;
 use crate::member::{Member, State, View};
 use crate::name::Name;
@@ -34,9 +34,11 @@
 use crate::platform::settings;
 use crate::platform::store::Client;
 use crate::platform::{config, endpoint};
+use crate::quarantine::{self, Ward, ward};
 use crate::site::Site;
 use crate::snapshot::Cell;
 use crate::table::{Table as _, Transaction};
+use crate::wire::control::Note;
 use crate::wire::query::{Query, Reply};
 
 pub mod body;
@@ -45,7 +47,6 @@
 mod doubt;
 pub mod front;
 pub mod learn;
-pub mod loss;
 pub mod node;
 pub mod relay;
 mod reload;
@@ -62,6 +63,8 @@
 const STOP_POLL: Duration = Duration::from_millis(50);
 /// Questions of other nodes that may wait.
 const QUESTIONS: usize = 64;
+/// Notes that may wait between the threads.
+const NOTES: usize = 256;
 /// The tables that nodes follow for each other. A configuration is to be in
 /// force within seconds, so it is read on at once; endpoints leave and jobs grow
 /// by many changes a second, which are cheaper read together.
@@ -78,6 +81,10 @@
         table: batch::record::TABLE,
         gap: Duration::from_millis(150),
     },
+    desk::Topic {
+        table: quarantine::record::TABLE,
+        gap: Duration::from_millis(100),
+    },
 ];
 
 /// Runs a node until it is told to stop.
@@ -172,6 +179,8 @@
         busy: Arc::default(),
     };
     let (stop, stopped) = watch::channel(false);
+    let (notes, mut observed) = mpsc::channel(NOTES);
+    let (heard, inbox) = mpsc::channel(NOTES);
     let thread = Traffic {
         shared: shared.clone(),
         callers: sockets.callers,
@@ -179,6 +188,8 @@
         directory: sockets.directory,
         desk: sockets.desk,
         stopped,
+        notes,
+        heard: inbox,
         metrics: metrics_port.map(|port| SocketAddr::new(site.listen.ip(), port)),
     };
     Arbiter::new().spawn_fn(move || {
@@ -198,7 +209,22 @@
         view: Arc::clone(&shared.view),
         counts,
     };
-    let members = control(&shared, setup, sockets.control, sockets.pool, sockets.link)?;
+    let (members, mut events) =
+        control(&shared, setup, sockets.control, sockets.pool, sockets.link)?;
+    let teller = members.clone();
+    actix_rt::spawn(async move {
+        while let Some(note) = observed.recv().await {
+            teller.note(note);
+        }
+    });
+    actix_rt::spawn(async move {
+        while let Some(event) = events.recv().await {
+            if let Event::Note(note) = event {
+                // A full channel is as good as a lost datagram.
+                let _ = heard.try_send(note);
+            }
+        }
+    });
     log::info!(
         "{} node={} zone={} callers={} boot={boot:08x}",
         event::NODE_STARTED,
@@ -242,7 +268,7 @@
     control: UdpSocket,
     pool: UdpSocket,
     link: TcpListener,
-) -> Result<Handle> {
+) -> Result<(Handle, mpsc::Receiver<Event>)> {
     let address = shared.site.store.address;
     let learner = Learner::new(shared.clock, Arc::clone(&shared.catalog));
     let links = Pool::new(shared.me.clone());
@@ -287,11 +313,9 @@
     let registering = Rc::clone(&roster);
     actix_rt::spawn(async move { registering.keep_registering().await });
     let socket = tokio::net::UdpSocket::from_std(control)?;
-    let (members, mut events) = crate::member::shell::start(setup, socket, roster);
-    // Nothing here depends on notes; the channel must not fill up.
-    actix_rt::spawn(async move { while events.recv().await.is_some() {} });
+    let (members, events) = crate::member::shell::start(setup, socket, roster);
     actix_rt::spawn(learn::tell(learner, members.clone()));
-    Ok(members)
+    Ok((members, events))
 }
 
 /// Answers other nodes' questions.
@@ -331,6 +355,10 @@
     directory: TcpListener,
     desk: UdpSocket,
     stopped: watch::Receiver<bool>,
+    /// What this node observed of crashes, for the others.
+    notes: mpsc::Sender<Note>,
+    /// What others observed.
+    heard: mpsc::Receiver<Note>,
     metrics: Option<SocketAddr>,
 }
 
@@ -347,6 +375,18 @@
             tolerance: shared.site.bounds.tolerance,
         });
         actix_rt::spawn(Rc::clone(&desk).run());
+        let ward = Ward::new(ward::Setup {
+            me: shared.me.clone(),
+            clock: shared.clock,
+            store: Client::new(shared.site.store.address),
+            catalog: Arc::clone(&shared.catalog),
+            view: Arc::clone(&shared.view),
+            notes: self.notes,
+            count: shared.count.clone(),
+        });
+        let links = Pool::new(shared.me.clone());
+        let verdicts = shared.source(Rc::clone(&links));
+        actix_rt::spawn(Rc::clone(&ward).run(verdicts, self.heard));
         let jobs = Jobs::new(batch::Setup {
             me: shared.me.clone(),
             zone: shared.site.zone.clone(),
@@ -355,12 +395,12 @@
             row_bytes: shared.site.store.row_bytes,
             results: shared.site.bounds.results,
             desk: Rc::clone(&desk),
+            ward: Rc::clone(&ward),
             catalog: Arc::clone(&shared.catalog),
             view: Arc::clone(&shared.view),
             phase: Arc::clone(&shared.phase),
             count: shared.count.clone(),
         });
-        let links = Pool::new(shared.me.clone());
         actix_rt::spawn(Rc::clone(&jobs).run(shared.source(links)));
         let node = Rc::new(Node {
             zone: shared.site.zone.clone(),
@@ -371,6 +411,7 @@
             phase: shared.phase,
             desk: Rc::clone(&desk),
             count: shared.count,
+            ward,
             jobs: Rc::clone(&jobs),
         });
         actix_rt::spawn(doubt::watch(Rc::clone(&node)));
--- a/src/edge/count.rs
+++ b/src/edge/count.rs
@@ -33,6 +33,8 @@
     first_event: Histogram,
     request: Histogram,
     over_limit: Largest,
+    blamed: Counter,
+    condemned: Counter,
 }
 
 impl Default for Count {
@@ -82,6 +84,18 @@
             "From a request's arrival to the end of its answer",
             request.clone(),
         );
+        let blamed = Counter::default();
+        registry.register(
+            "blamed",
+            "Runs lost here because their endpoint ended",
+            blamed.clone(),
+        );
+        let condemned = Counter::default();
+        registry.register(
+            "condemned",
+            "Verdicts reached here on requests that crash endpoints",
+            condemned.clone(),
+        );
         let over_limit = Largest::default();
         registry.register_collector(Box::new(over_limit.clone()));
         more(&mut registry);
@@ -95,9 +109,21 @@
             first_event,
             request,
             over_limit,
+            blamed,
+            condemned,
         }
     }
 
+    /// Counts a run that was lost because its endpoint ended.
+    pub fn blame(&self) {
+        self.blamed.inc();
+    }
+
+    /// Counts a verdict.
+    pub fn condemn(&self) {
+        self.condemned.inc();
+    }
+
     /// Counts a refusal.
     pub fn refuse(&self, reason: &'static str) {
         self.refused.get_or_create(&Cause { reason }).inc();
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -12,6 +12,7 @@
 use crate::member::View;
 use crate::name::Name;
 use crate::permit::Desk;
+use crate::quarantine::Ward;
 use crate::site::Site;
 use crate::snapshot::Cell;
 
@@ -33,6 +34,8 @@
     pub desk: Rc<Desk>,
     /// The counters.
     pub count: Count,
+    /// The quarantine.
+    pub ward: Rc<Ward>,
     /// The batch jobs.
     pub jobs: Rc<Jobs>,
 }
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -14,10 +14,9 @@
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::{Response, StatusCode};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::body::{Body, Broken, Guard, Piece};
-use super::loss;
 use super::node::Node;
 use crate::attempt::{Attempt, Failure, Next, Repeat};
 use crate::catalog::keyring::Organisation;
@@ -33,6 +32,8 @@
 use crate::platform::forward::{self, Forward, Verdict};
 use crate::pool::message::End;
 use crate::quarantine::Fingerprint;
+use crate::quarantine::evidence::Standing;
+use crate::quarantine::ward::Run;
 use crate::split::Splitter;
 
 mod admit;
@@ -162,11 +163,22 @@
     }
 
     async fn run(mut self) {
+        let ward = Rc::clone(&self.node.ward);
+        let request = self.call.print;
         loop {
             let now = self.node.clock.now();
             let left = self.attempt.deadline().since(now);
+            if let Standing::Held(wait) = ward.standing(request) {
+                sleep(wait.min(left)).await;
+            }
+            let left = self.attempt.deadline().since(self.node.clock.now());
             let want = self.want(now, left);
-            let permit = match timeout(left, self.admit(want)).await {
+            let admitted = tokio::select! {
+                biased;
+                () = ward.condemned(request) => return self.condemned().await,
+                admitted = timeout(left, self.admit(want)) => admitted,
+            };
+            let permit = match admitted {
                 Ok(Ok(permit)) => permit,
                 Ok(Err(Denied::Place(refusal))) => return self.refused(refusal).await,
                 Ok(Err(Denied::Count(Denial::Over(until_room)))) => {
@@ -179,9 +191,15 @@
             };
             let endpoint = permit.endpoint.id.clone();
             self.log_granted(&endpoint);
-            let (next, why) = match self.exchange(&permit).await {
+            let ended = tokio::select! {
+                biased;
+                () = ward.condemned(request) => return self.condemned().await,
+                ended = self.exchange(&permit) => ended,
+            };
+            let (next, why) = match ended {
                 Ended::Whole => {
                     permit.finish(End::Done);
+                    ward.sound(request);
                     return self.log_done(&endpoint);
                 }
                 Ended::Left => return,
@@ -202,7 +220,7 @@
                     let lost_at = (failure == Failure::Lost).then(|| Arc::clone(&permit.endpoint));
                     permit.finish(end);
                     if let Some(endpoint) = lost_at {
-                        self.examine(&endpoint, why).await;
+                        self.look_into(&endpoint, why).await;
                     }
                     let now = self.node.clock.now();
                     let next = self.attempt.failed(now, failure);
@@ -363,11 +381,14 @@
         Ended::Whole
     }
 
-    /// Looks whether the endpoint that lost the request is still there.
-    async fn examine(&self, endpoint: &Endpoint, why: &'static str) {
-        let catalog = self.node.catalog.take();
-        let Call { forward, print, .. } = &self.call;
-        loss::examine(&catalog, endpoint, &forward.id, *print, why).await;
+    /// Before it is run again, it must be known whether it ended the endpoint.
+    async fn look_into(&self, endpoint: &Arc<Endpoint>, why: &'static str) {
+        let run = Run {
+            id: &self.call.forward.id,
+            request: self.call.print,
+            why,
+        };
+        self.node.ward.lost(endpoint, run).await;
     }
 
     fn may_resume(&self) -> bool {
@@ -412,6 +433,17 @@
         self.give_up(next, why, retry_after).await;
     }
 
+    /// The request crashed endpoints. Its caller is told so and not to come again.
+    async fn condemned(mut self) {
+        const WHY: &str = "condemned";
+        self.error = Some(call::error(
+            StatusCode::BAD_REQUEST,
+            "endpoints that run this request crash; it is not run any more, so don't send it again",
+        ));
+        let next = self.attempt.give_up(true);
+        self.give_up(next, WHY, Duration::ZERO).await;
+    }
+
     async fn give_up(mut self, next: Next, why: &'static str, retry_after: Duration) {
         let now = self.node.clock.now();
         log::info!(
--- a/src/edge/relay/admit.rs
+++ b/src/edge/relay/admit.rs
@@ -16,6 +16,7 @@
 use crate::permit::{Permit, Refusal, Want};
 use crate::platform::call;
 use crate::pool::message::{Ask, Class};
+use crate::quarantine::evidence::Standing;
 
 /// Why there is no place.
 pub(super) enum Denied {
@@ -82,11 +83,20 @@
                 prefix: self.call.prefix,
                 // Its limit keeps an organisation from taking others' places.
                 organisation: 0,
+                suspect: self.suspect(),
                 avoid: self.avoid.clone(),
             },
         }
     }
 
+    fn suspect(&self) -> u64 {
+        let request = self.call.print;
+        match self.node.ward.standing(request) {
+            Standing::Clear => 0,
+            Standing::Suspect | Standing::Held(_) | Standing::Condemned => request.0,
+        }
+    }
+
     /// An organisation's own priority goes before its route's.
     pub(super) fn priority(&self) -> u8 {
         let own = self.call.organisation.as_ref().and_then(|it| it.priority);
--- a/src/event.rs
+++ b/src/event.rs
@@ -86,6 +86,8 @@
     523 REQUEST_ENDED "request_ended";
     524 REQUEST_TURNED_AWAY "request_turned_away";
     525 RUN_LOST "run_lost";
+    526 REQUEST_CONDEMNED "request_condemned";
+    527 REQUEST_CLEARED "request_cleared";
     530 JOB_ACCEPTED "job_accepted";
     531 JOB_REFUSED "job_refused";
     532 JOB_TAKEN "job_taken";
--- a/src/member.rs
+++ b/src/member.rs
@@ -6,6 +6,7 @@
 use std::collections::{HashMap, HashSet};
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::name::Name;
 use crate::table::Vm;
@@ -88,6 +89,19 @@
             .filter(|member| matches!(member.state, State::Alive | State::Suspect))
     }
 
+    /// How many live members go before this one for a matter that one of them is to
+    /// see to.
+    pub fn rank(&self, matter: &str, me: &str) -> u32 {
+        let seed = xxh3_64_with_seed(matter.as_bytes(), 0);
+        let score = |name: &str| xxh3_64_with_seed(name.as_bytes(), seed);
+        let own = score(me);
+        let before = self
+            .usable()
+            .filter(|member| member.state == State::Alive && score(&member.name) > own)
+            .count();
+        u32::try_from(before).unwrap_or(u32::MAX)
+    }
+
     /// The processes that may own work: not known to be gone, and not replaced by
     /// a later process at the same address. A leaving one still hands its work on.
     /// Each node looks five times a second, so members are not compared with each
--- a/src/permit.rs
+++ b/src/permit.rs
@@ -244,6 +244,7 @@
         let (reply, answer) = oneshot::channel();
         let class = want.ask.class;
         let organisation = want.ask.organisation;
+        let suspect = want.ask.suspect;
         let due = now + want.ask.due;
         let mut waiting = Waiting {
             want,
@@ -275,6 +276,7 @@
                 endpoint: granted.endpoint.id.clone(),
                 class,
                 organisation,
+                suspect,
                 due: Duration::ZERO,
                 begun: false,
             },
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -73,6 +73,8 @@
     class: Class,
     /// Whose work it is, 0 for nobody's.
     organisation: u64,
+    /// The request if it is suspected of crashing endpoints, else 0.
+    suspect: u64,
     /// When the work is due.
     due: Time,
     granted: Time,
@@ -229,6 +231,7 @@
             endpoint: hold.endpoint.clone(),
             class: hold.class,
             organisation: hold.organisation,
+            suspect: hold.suspect,
             due: now + hold.due,
             granted: now,
             mentioned: now,
--- a/src/pool/grant.rs
+++ b/src/pool/grant.rs
@@ -23,6 +23,14 @@
         let slots: u32 = self.places.values().map(Place::slots).sum();
         let mut ahead = 0_u32;
         for (key, waiting) in waiting {
+            if self.is_running(&waiting.ask) {
+                if now.since(waiting.arrived) > waiting.ask.patience {
+                    actions.push(Action::Refuse(key, RETRY_MIN));
+                } else {
+                    self.online.push((key, waiting));
+                }
+                continue;
+            }
             let place = self
                 .best(now, &waiting.ask)
                 .or_else(|| self.stop_one(now, &waiting.ask, actions));
@@ -76,6 +84,7 @@
         let waiting = self.fair_order();
         for (key, waiting) in waiting {
             if room > 0
+                && !self.is_running(&waiting.ask)
                 && let Some(id) = self.best(now, &waiting.ask)
             {
                 self.grant(now, key, &waiting, &id, actions);
@@ -136,6 +145,7 @@
             endpoint: id.clone(),
             class: waiting.ask.class,
             organisation: waiting.ask.organisation,
+            suspect: waiting.ask.suspect,
             due: waiting.due,
             granted: now,
             mentioned: now,
@@ -154,12 +164,39 @@
                 .places
                 .iter()
                 .any(|(id, place)| place.slots() > 0 && fresh(id));
+        let suspects = self.suspects(ask);
         self.places
             .iter()
             .filter(|(id, place)| place.free(now) > 0 && (fresh(id) || !any_fresh))
-            .map(|(id, place)| (place.score(ask), self.draw(id), id))
-            .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
-            .map(|(_, _, id)| id.clone())
+            .map(|(id, place)| {
+                let beside = suspects.get(id).copied().unwrap_or(0);
+                (beside, place.score(ask), self.draw(id), id)
+            })
+            .min_by(|a, b| {
+                let score = a.1.total_cmp(&b.1);
+                a.0.cmp(&b.0).then(score).then(a.2.cmp(&b.2))
+            })
+            .map(|(_, _, _, id)| id.clone())
+    }
+
+    /// Suspects that run at each endpoint, for a request that is one itself. Two that
+    /// ran at one endpoint when it ended could not be told apart.
+    fn suspects(&self, ask: &Ask) -> BTreeMap<&Name, usize> {
+        let mut suspects = BTreeMap::new();
+        if ask.suspect != 0 {
+            let permits = self.permits.values();
+            for permit in permits.filter(|permit| permit.suspect != 0) {
+                *suspects.entry(&permit.endpoint).or_default() += 1;
+            }
+        }
+        suspects
+    }
+
+    /// True while another run of a suspected request goes on: repeats at several
+    /// gateways would otherwise end as many endpoints at once.
+    fn is_running(&self, ask: &Ask) -> bool {
+        let same = |permit: &Permit| permit.suspect == ask.suspect;
+        ask.suspect != 0 && self.permits.values().any(same)
     }
 
     /// A number that is as good as random, and the same each time.
--- a/src/pool/message.rs
+++ b/src/pool/message.rs
@@ -51,18 +51,21 @@
     /// Stands for the organisation whose work it is, 0 for none.
     #[serde(rename = "o", default, skip_serializing_if = "is_none")]
     pub organisation: u64,
+    /// Stands for the request if it is suspected of crashing endpoints, else 0.
+    #[serde(rename = "s", default, skip_serializing_if = "is_none")]
+    pub suspect: u64,
     /// Endpoints that failed it.
     #[serde(rename = "a", default, skip_serializing_if = "Vec::is_empty")]
     pub avoid: Vec<Name>,
 }
 
-/// True where no organisation is named.
+/// True where no organisation or suspect is named.
 #[expect(
     clippy::trivially_copy_pass_by_ref,
     reason = "serde passes a reference"
 )]
-fn is_none(organisation: &u64) -> bool {
-    *organisation == 0
+fn is_none(value: &u64) -> bool {
+    *value == 0
 }
 
 /// A gateway mentions a place that it holds.
@@ -83,6 +86,9 @@
     /// Stands for the organisation whose work it is, 0 for none.
     #[serde(rename = "o", default, skip_serializing_if = "is_none")]
     pub organisation: u64,
+    /// Stands for the request if it is suspected of crashing endpoints, else 0.
+    #[serde(rename = "u", default, skip_serializing_if = "is_none")]
+    pub suspect: u64,
     /// True once the endpoint has begun to answer.
     #[serde(rename = "b", default, skip_serializing_if = "std::ops::Not::not")]
     pub begun: bool,
--- /dev/null
+++ b/src/quarantine/evidence.rs
@@ -0,0 +1,269 @@
+//! Which requests are to blame for endpoints that ended, as a decision.
+//!
+//! Each crash is kept with the requests that ran there. A request that several
+//! crashes have in common is condemned; a crash that a condemned request explains
+//! blames nobody else. Nodes tell each other single observations, which can come
+//! late, twice and in any order, so that every node comes to the same verdict and
+//! no node has to live for it.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use super::Fingerprint;
+use crate::clock::Time;
+use crate::name::Name;
+
+/// Crashes after which a request is condemned.
+pub const CRASHES: usize = 3;
+/// Crashes after which it is, although another one ran at each of them as well.
+const CRASHES_TIED: usize = 5;
+/// How long a verdict waits for what other nodes saw of the last crash.
+const SETTLE: Duration = Duration::from_millis(300);
+/// How long a crash is remembered.
+const CRASH_MEMORY: Duration = Duration::from_secs(600);
+/// How long a first verdict lasts; each further one doubles it.
+const FIRST_TERM: Duration = Duration::from_secs(900);
+/// Most doublings.
+const MOST_DOUBLINGS: u32 = 5;
+/// Most crashes, requests of one crash, and verdicts that are remembered.
+const MAX_CRASHES: usize = 256;
+const MAX_REQUESTS: usize = 64;
+const MAX_VERDICTS: usize = 4_096;
+
+/// An endpoint's process that ended.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Crash {
+    /// The endpoint.
+    pub endpoint: Name,
+    /// Its process.
+    pub incarnation: u64,
+}
+
+/// How a request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It may run like any other.
+    Clear,
+    /// Endpoints ended while it ran there: it runs apart from other suspects, and
+    /// once at a time.
+    Suspect,
+    /// It is about to be condemned; it does not run for so long.
+    Held(Duration),
+    /// It does not run any more.
+    Condemned,
+}
+
+/// A request that was condemned, and the crashes it is condemned for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Conviction {
+    /// The request.
+    pub request: Fingerprint,
+    /// The endpoints that ended under it.
+    pub crashes: Vec<Crash>,
+    /// How long it lasts.
+    pub term: Duration,
+    /// How many verdicts there were, with this one.
+    pub times: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Case {
+    since: Time,
+    requests: BTreeSet<Fingerprint>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Verdict {
+    until: Time,
+    times: u32,
+}
+
+impl Verdict {
+    fn is_active(&self, now: Time) -> bool {
+        now < self.until
+    }
+}
+
+/// What the crashes without an explanation say about a request.
+#[derive(Clone, Copy, Debug)]
+struct Blame {
+    crashes: usize,
+    newest: Time,
+    /// Another one ran at one of them that is to blame as much or more.
+    is_outranked: bool,
+}
+
+/// What one node knows of crashes and verdicts.
+#[derive(Debug, Default)]
+pub struct Evidence {
+    cases: BTreeMap<Crash, Case>,
+    verdicts: HashMap<Fingerprint, Verdict>,
+    blame: HashMap<Fingerprint, Blame>,
+}
+
+impl Evidence {
+    /// How a request stands.
+    pub fn standing(&self, now: Time, request: Fingerprint) -> Standing {
+        let verdict = self.verdicts.get(&request);
+        if verdict.is_some_and(|verdict| verdict.is_active(now)) {
+            return Standing::Condemned;
+        }
+        match self.blame.get(&request) {
+            Some(blame) if self.is_due(request, blame) => {
+                let settled = blame.newest + SETTLE;
+                Standing::Held(settled.since(now))
+            }
+            Some(_) => Standing::Suspect,
+            None if verdict.is_some() => Standing::Suspect,
+            None => Standing::Clear,
+        }
+    }
+
+    /// True when nothing else than time is missing for a verdict. One that was
+    /// condemned before needs one crash only.
+    fn is_due(&self, request: Fingerprint, blame: &Blame) -> bool {
+        self.verdicts.contains_key(&request)
+            || blame.crashes >= CRASHES_TIED
+            || blame.crashes >= CRASHES && !blame.is_outranked
+    }
+
+    /// An endpoint ended while the request ran there; false when that is known.
+    pub fn add(&mut self, now: Time, crash: Crash, request: Fingerprint) -> bool {
+        let case = self.cases.entry(crash).or_insert_with(|| Case {
+            since: now,
+            requests: BTreeSet::new(),
+        });
+        if case.requests.len() >= MAX_REQUESTS || !case.requests.insert(request) {
+            return false;
+        }
+        if self.cases.len() > MAX_CRASHES {
+            self.drop_oldest();
+        }
+        self.weigh(now);
+        true
+    }
+
+    fn drop_oldest(&mut self) {
+        let oldest = self.cases.iter().min_by_key(|(_, case)| case.since);
+        if let Some(crash) = oldest.map(|(crash, _)| crash.clone()) {
+            self.cases.remove(&crash);
+        }
+    }
+
+    /// True when the request ran at an endpoint that ended.
+    pub fn is_known(&self, request: Fingerprint) -> bool {
+        let ran = |case: &Case| case.requests.contains(&request);
+        self.cases.values().any(ran)
+    }
+
+    /// The request ran to its end: what ended while it ran elsewhere had another
+    /// cause.
+    pub fn clear(&mut self, now: Time, request: Fingerprint) {
+        for case in self.cases.values_mut() {
+            case.requests.remove(&request);
+        }
+        self.cases.retain(|_, case| !case.requests.is_empty());
+        self.weigh(now);
+    }
+
+    /// Takes a verdict that stands in the store and lasts until `until`; one that is
+    /// over is remembered all the same.
+    pub fn convict(&mut self, now: Time, request: Fingerprint, until: Time, times: u32) {
+        let verdict = Verdict { until, times };
+        let known = self.verdicts.entry(request).or_insert(verdict);
+        if known.until < until {
+            *known = verdict;
+        }
+        while self.verdicts.len() > MAX_VERDICTS {
+            let first = self.verdicts.iter().min_by_key(|(_, it)| it.until);
+            let Some(request) = first.map(|(request, _)| *request) else {
+                break;
+            };
+            self.verdicts.remove(&request);
+        }
+        self.weigh(now);
+    }
+
+    /// Reaches the verdicts that are due, and forgets what is old.
+    pub fn step(&mut self, now: Time) -> Vec<Conviction> {
+        self.expire(now);
+        let mut reached = Vec::new();
+        while let Some(conviction) = self.next(now) {
+            let Conviction { term, times, .. } = conviction;
+            self.verdicts.remove(&conviction.request);
+            self.convict(now, conviction.request, now + term, times);
+            reached.push(conviction);
+        }
+        reached
+    }
+
+    /// The request that is to blame most, if a verdict on it is due. What it
+    /// explains blames nobody else, so the others are weighed anew after it.
+    fn next(&self, now: Time) -> Option<Conviction> {
+        let due = self.blame.iter().filter(|(request, blame)| {
+            self.is_due(**request, blame) && blame.newest + SETTLE <= now
+        });
+        let (request, _) = due.max_by_key(|(request, blame)| (blame.crashes, **request))?;
+        let before = self.verdicts.get(request).map_or(0, |it| it.times);
+        let crashes = self.open_cases(now);
+        let crashes = crashes.filter(|(_, case)| case.requests.contains(request));
+        Some(Conviction {
+            request: *request,
+            crashes: crashes.map(|(crash, _)| crash.clone()).collect(),
+            term: FIRST_TERM * 2_u32.pow(before.min(MOST_DOUBLINGS)),
+            times: before + 1,
+        })
+    }
+
+    fn expire(&mut self, now: Time) {
+        let before = (self.cases.len(), self.verdicts.len());
+        self.cases
+            .retain(|_, case| now.since(case.since) < CRASH_MEMORY);
+        self.verdicts
+            .retain(|_, verdict| now < verdict.until + FIRST_TERM);
+        if before != (self.cases.len(), self.verdicts.len()) {
+            self.weigh(now);
+        }
+    }
+
+    /// The crashes that no condemned request explains.
+    fn open_cases(&self, now: Time) -> impl Iterator<Item = (&Crash, &Case)> {
+        let explains = move |request: &Fingerprint| {
+            let verdict = self.verdicts.get(request);
+            verdict.is_some_and(|verdict| verdict.is_active(now))
+        };
+        self.cases
+            .iter()
+            .filter(move |(_, case)| !case.requests.iter().any(explains))
+    }
+
+    fn weigh(&mut self, now: Time) {
+        let mut blame: HashMap<Fingerprint, Blame> = HashMap::new();
+        for (_, case) in self.open_cases(now) {
+            for request in &case.requests {
+                let blame = blame.entry(*request).or_insert(Blame {
+                    crashes: 0,
+                    newest: case.since,
+                    is_outranked: false,
+                });
+                blame.crashes += 1;
+                blame.newest = blame.newest.max(case.since);
+            }
+        }
+        let mut outranked = BTreeSet::new();
+        for (_, case) in self.open_cases(now) {
+            let crashes = |request: &Fingerprint| blame[request].crashes;
+            let most = case.requests.iter().map(crashes).max().unwrap_or(0);
+            let at_top = case.requests.iter().filter(|it| crashes(it) == most);
+            let is_shared = at_top.count() > 1;
+            let below = |it: &&Fingerprint| crashes(it) < most || is_shared;
+            outranked.extend(case.requests.iter().filter(below).copied());
+        }
+        for request in outranked {
+            if let Some(blame) = blame.get_mut(&request) {
+                blame.is_outranked = true;
+            }
+        }
+        self.blame = blame;
+    }
+}
--- a/standin/tests/support/fleet.rs
+++ b/standin/tests/support/fleet.rs
@@ -18,11 +18,13 @@
 use auburnspoke::permit::{self, Desk};
 use auburnspoke::platform::store::Client;
 use auburnspoke::pool;
+use auburnspoke::quarantine::{Ward, ward};
 use auburnspoke::snapshot::Cell;
 use bytes::Bytes;
 use hyper::StatusCode;
 use standin::site::replica::{Register, Replica};
 use standin::site::store::Store;
+use tokio::sync::mpsc;
 use tokio::time::sleep;
 
 #[path = "../../../tests/support/member.rs"]
@@ -147,6 +149,16 @@
                 tolerance: Tolerance::default(),
             });
             actix_rt::spawn(Rc::clone(&desk).run());
+            let (told, _) = mpsc::channel(1);
+            let ward = Ward::new(ward::Setup {
+                me: me.clone(),
+                clock,
+                store: Client::new(store.listen(at).await.unwrap()),
+                catalog: Arc::clone(&catalog),
+                view: Arc::clone(&view),
+                notes: told,
+                count: Count::default(),
+            });
             let phase = Arc::new(Cell::new(Phase::Starting));
             let jobs = Jobs::new(Setup {
                 me,
@@ -156,6 +168,7 @@
                 row_bytes: 65_536,
                 results: Duration::from_secs(120),
                 desk,
+                ward,
                 catalog: Arc::clone(&catalog),
                 view,
                 phase: Arc::clone(&phase),
--- a/tests/permit_owner.rs
+++ b/tests/permit_owner.rs
@@ -111,6 +111,7 @@
             due: Duration::from_secs(5),
             prefix: 0,
             organisation: 0,
+            suspect: 0,
             avoid: Vec::new(),
         },
     }
--- a/tests/permit_zones.rs
+++ b/tests/permit_zones.rs
@@ -99,6 +99,7 @@
         due: Duration::from_secs(5),
         prefix: 0,
         organisation: 0,
+        suspect: 0,
         avoid: Vec::new(),
     };
     let want = Want {
--- a/tests/pool_admission.rs
+++ b/tests/pool_admission.rs
@@ -159,6 +159,7 @@
             endpoint: "e0".into(),
             class: Class::Batch,
             organisation: 0,
+            suspect: 0,
             due: Duration::from_secs(9),
             begun: false,
         };
@@ -382,6 +383,7 @@
 fn ask_batch_between_organisations() {
     let of = |organisation, due_ms| Ask {
         organisation,
+        suspect: 0,
         ..ask(Class::Batch, due_ms)
     };
     let mut pool = pool(2);
--- a/tests/pool_replay.rs
+++ b/tests/pool_replay.rs
@@ -105,6 +105,7 @@
                     class: *class,
                     due: Duration::from_secs(18),
                     organisation: 0,
+                    suspect: 0,
                     begun: now >= began + 40 && !failing.contains(seq),
                 };
                 pool.hold(at(now), key(*seq), &hold, &mut actions);
--- /dev/null
+++ b/tests/quarantine_evidence.rs
@@ -0,0 +1,276 @@
+//! Which request is to blame for endpoints that ended, and for how long.
+
+use std::time::Duration;
+
+use auburnspoke::clock::Time;
+use auburnspoke::connect::Listener;
+use auburnspoke::pool::message::{Ask, Class, End};
+use auburnspoke::pool::{Action, Key, Pool};
+use auburnspoke::quarantine::Fingerprint;
+use auburnspoke::quarantine::evidence::{Crash, Evidence, Standing};
+use auburnspoke::quarantine::loss::{Entry, Finding, judge, judge_later};
+use auburnspoke::quarantine::record::Observation;
+use googletest::prelude::*;
+
+#[path = "support/pool.rs"]
+mod support;
+
+use support::{ask, at, key, pool};
+
+const KILLER: Fingerprint = Fingerprint(1);
+const OTHER: Fingerprint = Fingerprint(2);
+/// A first verdict's term.
+const TERM: u64 = 900_000;
+
+fn crash(number: u64) -> Crash {
+    Crash {
+        endpoint: format!("e{number}").into(),
+        incarnation: number,
+    }
+}
+
+fn crashed(evidence: &mut Evidence, now: Time, number: u64, requests: &[Fingerprint]) {
+    for request in requests {
+        evidence.add(now, crash(number), *request);
+    }
+}
+
+fn verdicts(evidence: &mut Evidence, now: Time) -> Vec<Fingerprint> {
+    let reached = evidence.step(now);
+    reached.into_iter().map(|it| it.request).collect()
+}
+
+#[gtest]
+fn step_three_crashes() {
+    let mut evidence = Evidence::default();
+    for number in 0..3 {
+        crashed(&mut evidence, at(number), number, &[KILLER]);
+    }
+    expect_that!(
+        evidence.standing(at(2), KILLER),
+        matches_pattern!(Standing::Held(_))
+    );
+    expect_that!(verdicts(&mut evidence, at(2)), is_empty());
+    expect_that!(verdicts(&mut evidence, at(400)), elements_are![eq(&KILLER)]);
+    expect_that!(evidence.standing(at(400), KILLER), eq(Standing::Condemned));
+}
+
+/// One crash is seen by several nodes, and told more than once.
+#[gtest]
+fn add_same_crash() {
+    let mut evidence = Evidence::default();
+    for _ in 0..5 {
+        crashed(&mut evidence, at(0), 1, &[KILLER]);
+    }
+    expect_that!(verdicts(&mut evidence, at(1_000)), is_empty());
+    expect_that!(evidence.standing(at(1_000), KILLER), eq(Standing::Suspect));
+}
+
+/// Another request ran beside the killer at each endpoint but one: it is not to blame.
+#[gtest]
+fn step_neighbour_innocent() {
+    let mut evidence = Evidence::default();
+    for number in 0..3 {
+        crashed(&mut evidence, at(0), number, &[KILLER, OTHER]);
+    }
+    crashed(&mut evidence, at(0), 3, &[KILLER]);
+    expect_that!(verdicts(&mut evidence, at(400)), elements_are![eq(&KILLER)]);
+    expect_that!(evidence.standing(at(400), OTHER), eq(Standing::Clear));
+}
+
+/// Two that ran together each time can't be told apart: both run on, one by one, until
+/// a crash tells which it was.
+#[gtest]
+fn step_tied() {
+    let mut evidence = Evidence::default();
+    for number in 0..3 {
+        crashed(&mut evidence, at(0), number, &[KILLER, OTHER]);
+    }
+    expect_that!(verdicts(&mut evidence, at(400)), is_empty());
+    expect_that!(evidence.standing(at(400), KILLER), eq(Standing::Suspect));
+    crashed(&mut evidence, at(500), 3, &[KILLER]);
+    expect_that!(verdicts(&mut evidence, at(900)), elements_are![eq(&KILLER)]);
+    expect_that!(evidence.standing(at(900), OTHER), eq(Standing::Clear));
+}
+
+/// Two killers that never run together are both found, in one step.
+#[gtest]
+fn step_two_killers() {
+    let mut evidence = Evidence::default();
+    for number in 0..3 {
+        crashed(&mut evidence, at(0), number, &[KILLER]);
+        crashed(&mut evidence, at(0), 10 + number, &[OTHER]);
+    }
+    let mut found = verdicts(&mut evidence, at(400));
+    found.sort();
+    expect_that!(found, elements_are![eq(&KILLER), eq(&OTHER)]);
+}
+
+/// An answer that came whole speaks for a request: endpoints that end by themselves
+/// would condemn one that is sent often.
+#[gtest]
+fn clear_whole_answer() {
+    let mut evidence = Evidence::default();
+    crashed(&mut evidence, at(0), 1, &[OTHER]);
+    crashed(&mut evidence, at(0), 2, &[OTHER]);
+    evidence.clear(at(10), OTHER);
+    expect_that!(evidence.standing(at(10), OTHER), eq(Standing::Clear));
+    crashed(&mut evidence, at(20), 3, &[OTHER]);
+    expect_that!(verdicts(&mut evidence, at(1_000)), is_empty());
+}
+
+/// The fault in the model may have been mended: a verdict ends, and one crash more
+/// brings it back for longer.
+#[gtest]
+fn step_verdict_ends() {
+    let mut evidence = Evidence::default();
+    for number in 0..3 {
+        crashed(&mut evidence, at(0), number, &[KILLER]);
+    }
+    evidence.step(at(400));
+    let ended = 400 + TERM;
+    evidence.step(at(ended));
+    expect_that!(evidence.standing(at(ended), KILLER), eq(Standing::Suspect));
+    crashed(&mut evidence, at(ended + 10), 9, &[KILLER, OTHER]);
+    let again = evidence.step(at(ended + 400));
+    expect_that!(again, len(eq(1)));
+    expect_that!(again[0].request, eq(KILLER));
+    expect_that!(again[0].term, eq(Duration::from_millis(2 * TERM)));
+}
+
+/// A node that has just started knows of no crash, only what the store has.
+#[gtest]
+fn convict_from_store() {
+    let mut evidence = Evidence::default();
+    evidence.convict(at(0), KILLER, at(5_000), 1);
+    expect_that!(evidence.standing(at(0), KILLER), eq(Standing::Condemned));
+    expect_that!(evidence.standing(at(5_000), KILLER), eq(Standing::Suspect));
+}
+
+/// A flood of different requests that each crash an endpoint must not take memory
+/// without end, nor push out what is known of the newest.
+#[gtest]
+fn add_flood() {
+    let mut evidence = Evidence::default();
+    for number in 0..2_000 {
+        crashed(
+            &mut evidence,
+            at(number),
+            number,
+            &[Fingerprint(100 + number)],
+        );
+    }
+    let known = (0..2_000).filter(|it| evidence.is_known(Fingerprint(100 + it)));
+    expect_that!(known.count(), le(256));
+    expect_that!(evidence.is_known(Fingerprint(100 + 1_999)), eq(true));
+}
+
+/// A lost answer, a reset or cut path, and an endpoint that leaves as planned are no
+/// crash.
+#[gtest]
+fn judge_causes() {
+    use Finding::{Crashed, Innocent, Open};
+    let now = [
+        (Entry::Ready, Listener::Refused, Crashed),
+        (Entry::Replaced, Listener::Open, Crashed),
+        (Entry::Ready, Listener::Open, Open),
+        (Entry::Ready, Listener::Silent, Open),
+        (Entry::Draining, Listener::Refused, Innocent),
+        (Entry::Gone, Listener::Refused, Innocent),
+    ];
+    for (entry, listener, finding) in now {
+        expect_that!(
+            judge(entry, listener),
+            eq(finding),
+            "{entry:?} {listener:?}"
+        );
+    }
+    let later = [
+        (Entry::Ready, Listener::Open, Open),
+        (Entry::Replaced, Listener::Open, Crashed),
+        (Entry::Gone, Listener::Silent, Crashed),
+        (Entry::Gone, Listener::Open, Innocent),
+        (Entry::Draining, Listener::Refused, Innocent),
+    ];
+    for (entry, listener, finding) in later {
+        expect_that!(
+            judge_later(entry, listener),
+            eq(finding),
+            "{entry:?} {listener:?}"
+        );
+    }
+}
+
+#[gtest]
+fn note_round() {
+    for observation in [
+        Observation::Crashed(KILLER, crash(7)),
+        Observation::Sound(OTHER),
+    ] {
+        let note = observation.note(1);
+        expect_that!(Observation::read(&note), some(eq(&observation)));
+    }
+}
+
+#[gtest]
+fn fingerprint_parts() {
+    let one = Fingerprint::of("h", Some("a"), "/q/", b"body");
+    expect_that!(Fingerprint::of("h", Some("a"), "/q/", b"body"), eq(one));
+    for other in [
+        Fingerprint::of("i", Some("a"), "/q/", b"body"),
+        Fingerprint::of("h", Some("b"), "/q/", b"body"),
+        Fingerprint::of("h", None, "/q/", b"body"),
+        Fingerprint::of("h", Some("a"), "/q/b", b"ody"),
+        Fingerprint::of("h", Some("a"), "/q/", b"bodies"),
+    ] {
+        expect_that!(other, not(eq(one)));
+    }
+}
+
+fn suspect(request: u64) -> Ask {
+    Ask {
+        suspect: request,
+        ..ask(Class::Online, 5_000)
+    }
+}
+
+/// The endpoints granted at `now`, by request.
+fn granted(pool: &mut Pool, now: Time) -> Vec<(Key, String)> {
+    let mut actions = Vec::new();
+    pool.step(now, &mut actions);
+    let grants = actions.into_iter().filter_map(|action| match action {
+        Action::Grant(key, endpoint) => Some((key, endpoint.id.to_string())),
+        _ => None,
+    });
+    grants.collect()
+}
+
+/// Repeats of a suspect at several gateways must not end as many endpoints at once.
+#[gtest]
+fn ask_suspect_twice() {
+    let mut pool = pool(4);
+    let mut actions = Vec::new();
+    for seq in 0..3 {
+        pool.ask(at(0), key(seq), suspect(7), &mut actions);
+    }
+    let first = granted(&mut pool, at(0));
+    expect_that!(first, len(eq(1)));
+    pool.release(at(50), first[0].0, End::Error);
+    expect_that!(granted(&mut pool, at(50)), len(eq(1)));
+}
+
+/// Two suspects at one endpoint could not be told apart when it ends.
+#[gtest]
+fn ask_suspects_apart() {
+    let mut pool = pool(3);
+    let mut actions = Vec::new();
+    for seq in 0..3 {
+        pool.ask(at(0), key(seq), suspect(seq + 1), &mut actions);
+    }
+    let mut places: Vec<String> = granted(&mut pool, at(0))
+        .into_iter()
+        .map(|(_, endpoint)| endpoint)
+        .collect();
+    places.sort();
+    expect_that!(places, elements_are![eq("e0"), eq("e1"), eq("e2")]);
+}
--- a/tests/support/pool.rs
+++ b/tests/support/pool.rs
@@ -41,6 +41,7 @@
         due: Duration::from_millis(due_ms),
         prefix: 0,
         organisation: 0,
+        suspect: 0,
         avoid: Vec::new(),
     }
 }
