Let the pool hold suspects apart and at rest, and tell killers from what runs beside them

Callers still lost up to 19 endpoints to three killers at once, and the explorer (new, virtual time) found requests that are repeated by nature condemned beside a killer: in the first storm they ran at every endpoint that ended, nodes reached the verdict before all had told what ran there, and a tie was broken by the number.

Now the pool hears of a crash with the release of the place, before any other node does; suspects never share an endpoint, run once at a time, and rest from their second crash on. A verdict waits 0.8 s after the last observation and needs a request that is to blame more than all that ran beside it. A request that ran to its end within 30 s is not blamed, and whoever knows so tells the others.

Ruled out: condemning ties by weight alone (the explorer condemned innocents), a shorter wait (the same).

--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -18,6 +18,7 @@
 use crate::platform::forward::{self, Forward, Verdict};
 use crate::pool::message::{Ask, Class, End};
 use crate::quarantine::evidence::Standing;
+use crate::quarantine::loss::Finding;
 use crate::quarantine::ward::Run;
 use crate::split::{self, Splitter};
 
@@ -57,8 +58,8 @@
     let suspect = match ward.standing(request) {
         Standing::Condemned => return condemned(&jobs, &work, item),
         Standing::Held(_) => return back(&jobs, &work, item, "held"),
-        Standing::Suspect => request.0,
-        Standing::Clear => 0,
+        Standing::Suspect => true,
+        Standing::Clear => false,
     };
     let now = jobs.now();
     let want = Want {
@@ -71,6 +72,7 @@
             due: work.urgency(now, item, &jobs.pace).since(now),
             prefix: 0,
             organisation: work.organisation(),
+            request,
             suspect,
             avoid: work.failed_at.borrow()[item].clone(),
         },
@@ -103,14 +105,25 @@
     if is_first && matches!(ended, Ended::Done) {
         jobs.pace.learn(work.items[item].tokens, took);
     }
-    match &ended {
+    let ended = match ended {
         Ended::Broken(End::Error, why) => {
-            let id = &work.items[item].id;
-            ward.lost(&permit.endpoint, Run { id, request, why }).await;
+            let run = Run {
+                id: &work.items[item].id,
+                request,
+                ran: took,
+                why,
+            };
+            match ward.lost(&permit.endpoint, run).await {
+                Finding::Crashed => Ended::Broken(End::Crashed, why),
+                Finding::Innocent | Finding::Open => Ended::Broken(End::Error, why),
+            }
         }
-        Ended::Done => ward.sound(request),
-        _ => {}
-    }
+        Ended::Done => {
+            ward.sound(request);
+            Ended::Done
+        }
+        ended => ended,
+    };
     finish(&jobs, &work, item, attempts, permit, &ended);
 }
 
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -33,6 +33,7 @@
 use crate::pool::message::End;
 use crate::quarantine::Fingerprint;
 use crate::quarantine::evidence::Standing;
+use crate::quarantine::loss::Finding;
 use crate::quarantine::ward::Run;
 use crate::split::Splitter;
 
@@ -191,6 +192,7 @@
             };
             let endpoint = permit.endpoint.id.clone();
             self.log_granted(&endpoint);
+            let began = self.node.clock.now();
             let ended = tokio::select! {
                 biased;
                 () = ward.condemned(request) => return self.condemned().await,
@@ -217,11 +219,11 @@
                     )
                 }
                 Ended::Failed(failure, end, why) => {
-                    let lost_at = (failure == Failure::Lost).then(|| Arc::clone(&permit.endpoint));
+                    let end = match failure {
+                        Failure::Lost => self.look_into(&permit.endpoint, began, why).await,
+                        Failure::NotRun | Failure::Answered => end,
+                    };
                     permit.finish(end);
-                    if let Some(endpoint) = lost_at {
-                        self.look_into(&endpoint, why).await;
-                    }
                     let now = self.node.clock.now();
                     let next = self.attempt.failed(now, failure);
                     self.spend(!self.attempt.is_unrun());
@@ -382,13 +384,17 @@
     }
 
     /// Before it is run again, it must be known whether it ended the endpoint.
-    async fn look_into(&self, endpoint: &Arc<Endpoint>, why: &'static str) {
+    async fn look_into(&self, endpoint: &Arc<Endpoint>, began: Time, why: &'static str) -> End {
         let run = Run {
             id: &self.call.forward.id,
             request: self.call.print,
+            ran: self.node.clock.now().since(began),
             why,
         };
-        self.node.ward.lost(endpoint, run).await;
+        match self.node.ward.lost(endpoint, run).await {
+            Finding::Crashed => End::Crashed,
+            Finding::Innocent | Finding::Open => End::Error,
+        }
     }
 
     fn may_resume(&self) -> bool {
--- a/src/edge/relay/admit.rs
+++ b/src/edge/relay/admit.rs
@@ -83,18 +83,15 @@
                 prefix: self.call.prefix,
                 // Its limit keeps an organisation from taking others' places.
                 organisation: 0,
-                suspect: self.suspect(),
+                request: self.call.print,
+                suspect: self.is_suspect(),
                 avoid: self.avoid.clone(),
             },
         }
     }
 
-    fn suspect(&self) -> u64 {
-        let request = self.call.print;
-        match self.node.ward.standing(request) {
-            Standing::Clear => 0,
-            Standing::Suspect | Standing::Held(_) | Standing::Condemned => request.0,
-        }
+    fn is_suspect(&self) -> bool {
+        self.node.ward.standing(self.call.print) != Standing::Clear
     }
 
     /// An organisation's own priority goes before its route's.
--- a/src/permit.rs
+++ b/src/permit.rs
@@ -216,15 +216,22 @@
     /// [`Refusal`] when it would take too long, or nothing is known.
     pub async fn acquire(self: &Rc<Self>, want: Want) -> Result<Permit, Refusal> {
         let shards = shard::shards(&self.catalog.read(), &want.service);
-        let first =
-            shard::prefer(&shards, &want.ask.zone, rand::random()).unwrap_or(want.service.clone());
+        // All gateways ask the same pool for a suspect, or each would run it once.
+        let (first, point) = if want.ask.suspect {
+            let point = want.ask.request.0;
+            (shard::choose(&shards, point, None), point)
+        } else {
+            let first = shard::prefer(&shards, &want.ask.zone, rand::random());
+            (first, rand::random())
+        };
+        let first = first.unwrap_or(want.service.clone());
         // One zone may be full while another has room.
-        let Some(other) = shard::choose(&shards, rand::random(), Some(&first)) else {
+        let Some(other) = shard::choose(&shards, point, Some(&first)) else {
             return self.acquire_from(first, Stay::Wait, want).await;
         };
         let stay = match want.ask.class {
-            Class::Online => Stay::Leave,
-            Class::Batch => Stay::Wait,
+            Class::Online if !want.ask.suspect => Stay::Leave,
+            Class::Online | Class::Batch => Stay::Wait,
         };
         match self.acquire_from(first, stay, want.clone()).await {
             Ok(permit) => Ok(permit),
@@ -244,7 +251,7 @@
         let (reply, answer) = oneshot::channel();
         let class = want.ask.class;
         let organisation = want.ask.organisation;
-        let suspect = want.ask.suspect;
+        let (request, suspect) = (want.ask.request, want.ask.suspect);
         let due = now + want.ask.due;
         let mut waiting = Waiting {
             want,
@@ -276,6 +283,7 @@
                 endpoint: granted.endpoint.id.clone(),
                 class,
                 organisation,
+                request,
                 suspect,
                 due: Duration::ZERO,
                 begun: false,
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -18,6 +18,7 @@
 use crate::catalog::Endpoint;
 use crate::clock::Time;
 use crate::name::Name;
+use crate::quarantine::Fingerprint;
 
 pub mod action;
 mod fault;
@@ -26,10 +27,12 @@
 mod place;
 pub mod serve;
 pub mod shard;
+mod suspect;
 
 pub use action::{Action, Gauge, Judgement, Key};
 use message::{Ask, Class, End, Hold};
 use place::Place;
+use suspect::Suspects;
 
 /// A permit that its gateway does not mention for so long is free again: the
 /// gateway is gone. Gateways mention what they hold every 400 ms.
@@ -73,8 +76,7 @@
     class: Class,
     /// Whose work it is, 0 for nobody's.
     organisation: u64,
-    /// The request if it is suspected of crashing endpoints, else 0.
-    suspect: u64,
+    request: Fingerprint,
     /// When the work is due.
     due: Time,
     granted: Time,
@@ -103,6 +105,7 @@
     permits: BTreeMap<Key, Permit>,
     online: Vec<(Key, Waiting)>,
     batch: Vec<(Key, Waiting)>,
+    suspects: Suspects,
     hold: Duration,
     /// Spreads the return of refused requests.
     refused: u32,
@@ -132,6 +135,7 @@
             permits: BTreeMap::new(),
             online: Vec::new(),
             batch: Vec::new(),
+            suspects: Suspects::default(),
             hold: FIRST_HOLD,
             refused: 0,
             swept: Time::ZERO,
@@ -166,6 +170,9 @@
     /// A gateway asks for a place, or asks again.
     pub fn ask(&mut self, now: Time, key: Key, ask: Ask, actions: &mut Vec<Action>) {
         self.started.get_or_insert(now);
+        if ask.suspect {
+            self.suspects.add(now, ask.request);
+        }
         if let Some(permit) = self.permits.get_mut(&key) {
             // The grant was lost.
             permit.mentioned = now;
@@ -209,6 +216,9 @@
     /// A gateway mentions what it holds.
     pub fn hold(&mut self, now: Time, key: Key, hold: &Hold, actions: &mut Vec<Action>) {
         self.started.get_or_insert(now);
+        if hold.suspect {
+            self.suspects.add(now, hold.request);
+        }
         if let Some(permit) = self.permits.get_mut(&key)
             && permit.endpoint == hold.endpoint
         {
@@ -231,7 +241,7 @@
             endpoint: hold.endpoint.clone(),
             class: hold.class,
             organisation: hold.organisation,
-            suspect: hold.suspect,
+            request: hold.request,
             due: now + hold.due,
             granted: now,
             mentioned: now,
@@ -264,6 +274,7 @@
         };
         match end {
             End::Done => {
+                self.suspects.remove(permit.request);
                 if !permit.begun {
                     self.answered(&permit.endpoint, permit.class);
                 }
@@ -274,6 +285,10 @@
                 }
             }
             End::Error => self.judge(now, &permit),
+            End::Crashed => {
+                self.suspect_all(now, &permit);
+                self.leave_out(now, &permit.endpoint);
+            }
             End::Failed => self.leave_out(now, &permit.endpoint),
             End::Full => {
                 if let Some(place) = self.places.get_mut(&permit.endpoint) {
@@ -284,6 +299,15 @@
         }
     }
 
+    /// An endpoint's process ended: whatever ran there may have ended it.
+    fn suspect_all(&mut self, now: Time, ended: &Permit) {
+        self.suspects.crashed(now, ended.request);
+        let there = self.permits.values();
+        for permit in there.filter(|permit| permit.endpoint == ended.endpoint) {
+            self.suspects.add(now, permit.request);
+        }
+    }
+
     /// An endpoint answers.
     fn answered(&mut self, endpoint: &Name, class: Class) {
         if let Some(place) = self.places.get_mut(endpoint)
@@ -367,6 +391,7 @@
     }
 
     fn expire(&mut self, now: Time) {
+        self.suspects.expire(now);
         self.permits
             .retain(|_, permit| now.since(permit.mentioned) < FORGET_PERMIT);
         self.online
--- a/src/pool/grant.rs
+++ b/src/pool/grant.rs
@@ -1,6 +1,6 @@
 //! Who gets a place next, and which batch run makes room for it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +14,10 @@
 use crate::clock::Time;
 use crate::name::Name;
 
+/// What the risk costs of running beside a suspect, in the measure of a place's score:
+/// half of the endpoint's slots.
+const RISK_COST: f64 = 0.5;
+
 impl Pool {
     pub(super) fn serve_online(&mut self, now: Time, actions: &mut Vec<Action>) {
         if self.online.is_empty() {
@@ -23,7 +27,7 @@
         let slots: u32 = self.places.values().map(Place::slots).sum();
         let mut ahead = 0_u32;
         for (key, waiting) in waiting {
-            if self.is_running(&waiting.ask) {
+            if self.waits(now, &waiting.ask) {
                 if now.since(waiting.arrived) > waiting.ask.patience {
                     actions.push(Action::Refuse(key, RETRY_MIN));
                 } else {
@@ -84,7 +88,7 @@
         let waiting = self.fair_order();
         for (key, waiting) in waiting {
             if room > 0
-                && !self.is_running(&waiting.ask)
+                && !self.waits(now, &waiting.ask)
                 && let Some(id) = self.best(now, &waiting.ask)
             {
                 self.grant(now, key, &waiting, &id, actions);
@@ -145,7 +149,7 @@
             endpoint: id.clone(),
             class: waiting.ask.class,
             organisation: waiting.ask.organisation,
-            suspect: waiting.ask.suspect,
+            request: waiting.ask.request,
             due: waiting.due,
             granted: now,
             mentioned: now,
@@ -164,39 +168,42 @@
                 .places
                 .iter()
                 .any(|(id, place)| place.slots() > 0 && fresh(id));
-        let suspects = self.suspects(ask);
+        let is_suspect = self.suspects.has(ask.request);
+        let beside = self.suspects_running();
         self.places
             .iter()
             .filter(|(id, place)| place.free(now) > 0 && (fresh(id) || !any_fresh))
+            .filter(|(id, _)| !(is_suspect && beside.contains(id)))
             .map(|(id, place)| {
-                let beside = suspects.get(id).copied().unwrap_or(0);
-                (beside, place.score(ask), self.draw(id), id)
-            })
-            .min_by(|a, b| {
-                let score = a.1.total_cmp(&b.1);
-                a.0.cmp(&b.0).then(score).then(a.2.cmp(&b.2))
+                let risk = if beside.contains(id) { RISK_COST } else { 0.0 };
+                (place.score(ask) + risk, self.draw(id), id)
             })
-            .map(|(_, _, _, id)| id.clone())
+            .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
+            .map(|(_, _, id)| id.clone())
     }
 
-    /// Suspects that run at each endpoint, for a request that is one itself. Two that
-    /// ran at one endpoint when it ended could not be told apart.
-    fn suspects(&self, ask: &Ask) -> BTreeMap<&Name, usize> {
-        let mut suspects = BTreeMap::new();
-        if ask.suspect != 0 {
-            let permits = self.permits.values();
-            for permit in permits.filter(|permit| permit.suspect != 0) {
-                *suspects.entry(&permit.endpoint).or_default() += 1;
-            }
+    /// The endpoints at which suspects run. Two that ran at one endpoint when it ended
+    /// could not be told apart, and whatever else runs there ends with it.
+    fn suspects_running(&self) -> BTreeSet<&Name> {
+        if self.suspects.is_empty() {
+            return BTreeSet::new();
         }
-        suspects
+        let permits = self.permits.values();
+        let suspects = permits.filter(|permit| self.suspects.has(permit.request));
+        suspects.map(|permit| &permit.endpoint).collect()
     }
 
-    /// True while another run of a suspected request goes on: repeats at several
-    /// gateways would otherwise end as many endpoints at once.
-    fn is_running(&self, ask: &Ask) -> bool {
-        let same = |permit: &Permit| permit.suspect == ask.suspect;
-        ask.suspect != 0 && self.permits.values().any(same)
+    /// True while a suspected request has to wait: it rests, or another run of it goes
+    /// on. Repeats at several gateways would otherwise end as many endpoints at once.
+    fn waits(&self, now: Time, ask: &Ask) -> bool {
+        if self.suspects.is_empty() || !self.suspects.has(ask.request) {
+            return false;
+        }
+        if self.suspects.rests(now, ask.request) {
+            return true;
+        }
+        let same = |permit: &Permit| permit.request == ask.request;
+        self.permits.values().any(same)
     }
 
     /// A number that is as good as random, and the same each time.
--- a/src/pool/message.rs
+++ b/src/pool/message.rs
@@ -9,6 +9,7 @@
 
 use crate::limit::keeper;
 use crate::name::Name;
+use crate::quarantine::Fingerprint;
 
 /// Largest datagram in bytes, below the smallest usual path limit.
 pub const MAX_DATAGRAM: usize = 1_200;
@@ -51,15 +52,18 @@
     /// Stands for the organisation whose work it is, 0 for none.
     #[serde(rename = "o", default, skip_serializing_if = "is_none")]
     pub organisation: u64,
-    /// Stands for the request if it is suspected of crashing endpoints, else 0.
-    #[serde(rename = "s", default, skip_serializing_if = "is_none")]
-    pub suspect: u64,
+    /// Which request it is, whatever its id.
+    #[serde(rename = "f")]
+    pub request: Fingerprint,
+    /// True when an endpoint ended while it ran there, as far as the gateway knows.
+    #[serde(rename = "s", default, skip_serializing_if = "std::ops::Not::not")]
+    pub suspect: bool,
     /// Endpoints that failed it.
     #[serde(rename = "a", default, skip_serializing_if = "Vec::is_empty")]
     pub avoid: Vec<Name>,
 }
 
-/// True where no organisation or suspect is named.
+/// True where no organisation is named.
 #[expect(
     clippy::trivially_copy_pass_by_ref,
     reason = "serde passes a reference"
@@ -86,9 +90,12 @@
     /// Stands for the organisation whose work it is, 0 for none.
     #[serde(rename = "o", default, skip_serializing_if = "is_none")]
     pub organisation: u64,
-    /// Stands for the request if it is suspected of crashing endpoints, else 0.
-    #[serde(rename = "u", default, skip_serializing_if = "is_none")]
-    pub suspect: u64,
+    /// Which request it is, whatever its id.
+    #[serde(rename = "f")]
+    pub request: Fingerprint,
+    /// True when an endpoint ended while it ran there, as far as the gateway knows.
+    #[serde(rename = "u", default, skip_serializing_if = "std::ops::Not::not")]
+    pub suspect: bool,
     /// True once the endpoint has begun to answer.
     #[serde(rename = "b", default, skip_serializing_if = "std::ops::Not::not")]
     pub begun: bool,
@@ -104,6 +111,9 @@
     /// be at fault, or the path, as well.
     #[serde(rename = "e")]
     Error,
+    /// The endpoint's process ended during the run.
+    #[serde(rename = "c")]
+    Crashed,
     /// The endpoint takes no connections, or another one has its address.
     #[serde(rename = "f")]
     Failed,
--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -13,12 +13,18 @@
 use crate::clock::Time;
 use crate::name::Name;
 
-/// Crashes after which a request is condemned.
-pub const CRASHES: usize = 3;
-/// Crashes after which it is, although another one ran at each of them as well.
-const CRASHES_TIED: usize = 5;
+/// Weight of crashes from which a request is condemned: three soon after it began.
+const CONDEMNED: u32 = 6;
+/// A run that lasted so long was more likely there by chance when its endpoint ended;
+/// batch items run for seconds, and are run again after each crash.
+const SOON: Duration = Duration::from_secs(2);
 /// How long a verdict waits for what other nodes saw of the last crash.
-const SETTLE: Duration = Duration::from_millis(300);
+const SETTLE: Duration = Duration::from_millis(800);
+/// A request that ran to its end so long ago is not blamed: it was there by chance.
+/// One that is sent often runs at many endpoints at once, and so where they end.
+const SOUND: Duration = Duration::from_secs(30);
+/// How often others are told so.
+const TELL_SOUND: Duration = Duration::from_secs(1);
 /// How long a crash is remembered.
 const CRASH_MEMORY: Duration = Duration::from_secs(600);
 /// How long a first verdict lasts; each further one doubles it.
@@ -29,6 +35,8 @@
 const MAX_CRASHES: usize = 256;
 const MAX_REQUESTS: usize = 64;
 const MAX_VERDICTS: usize = 4_096;
+/// Most requests of which it is remembered that they ran to their end.
+const MAX_SOUND: usize = 4_096;
 
 /// An endpoint's process that ended.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -53,6 +61,40 @@
     Condemned,
 }
 
+/// When in a run its endpoint ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Moment {
+    /// Later than [`SOON`] after it began.
+    Late,
+    /// Soon after it began.
+    Soon,
+}
+
+impl Moment {
+    /// Of a run that had lasted for `ran`.
+    pub fn of(ran: Duration) -> Self {
+        if ran < SOON { Self::Soon } else { Self::Late }
+    }
+
+    fn weight(self) -> u32 {
+        match self {
+            Self::Late => 1,
+            Self::Soon => 2,
+        }
+    }
+}
+
+/// What an observation of a crash was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Added {
+    /// News.
+    New,
+    /// Nothing new, or more than is remembered.
+    Nothing,
+    /// Wrong: the request has run to its end lately. True when others are to be told.
+    Refuted(bool),
+}
+
 /// A request that was condemned, and the crashes it is condemned for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Conviction {
@@ -69,7 +111,9 @@
 #[derive(Clone, Debug)]
 struct Case {
     since: Time,
-    requests: BTreeSet<Fingerprint>,
+    /// When an observation of it last came.
+    told: Time,
+    requests: BTreeMap<Fingerprint, Moment>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -84,10 +128,16 @@
     }
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Sound {
+    at: Time,
+    told: Time,
+}
+
 /// What the crashes without an explanation say about a request.
 #[derive(Clone, Copy, Debug)]
 struct Blame {
-    crashes: usize,
+    weight: u32,
     newest: Time,
     /// Another one ran at one of them that is to blame as much or more.
     is_outranked: bool,
@@ -99,6 +149,10 @@
     cases: BTreeMap<Crash, Case>,
     verdicts: HashMap<Fingerprint, Verdict>,
     blame: HashMap<Fingerprint, Blame>,
+    /// When requests last ran to their end.
+    sound: HashMap<Fingerprint, Sound>,
+    /// Something was added that is not weighed yet.
+    is_stale: bool,
 }
 
 impl Evidence {
@@ -122,25 +176,38 @@
     /// True when nothing else than time is missing for a verdict. One that was
     /// condemned before needs one crash only.
     fn is_due(&self, request: Fingerprint, blame: &Blame) -> bool {
-        self.verdicts.contains_key(&request)
-            || blame.crashes >= CRASHES_TIED
-            || blame.crashes >= CRASHES && !blame.is_outranked
+        self.verdicts.contains_key(&request) || blame.weight >= CONDEMNED && !blame.is_outranked
     }
 
-    /// An endpoint ended while the request ran there; false when that is known.
-    pub fn add(&mut self, now: Time, crash: Crash, request: Fingerprint) -> bool {
+    /// An endpoint ended while the request ran there. It counts from the next
+    /// [`Self::weigh`] or [`Self::step`] on: in a storm the observations of all nodes
+    /// come together.
+    pub fn add(&mut self, now: Time, crash: Crash, request: Fingerprint, moment: Moment) -> Added {
+        if let Some(sound) = self.sound.get_mut(&request)
+            && now.since(sound.at) < SOUND
+        {
+            let tells = now.since(sound.told) >= TELL_SOUND;
+            if tells {
+                sound.told = now;
+            }
+            return Added::Refuted(tells);
+        }
         let case = self.cases.entry(crash).or_insert_with(|| Case {
             since: now,
-            requests: BTreeSet::new(),
+            told: now,
+            requests: BTreeMap::new(),
         });
-        if case.requests.len() >= MAX_REQUESTS || !case.requests.insert(request) {
-            return false;
+        let known = case.requests.get(&request).copied();
+        if known >= Some(moment) || known.is_none() && case.requests.len() >= MAX_REQUESTS {
+            return Added::Nothing;
         }
+        case.requests.insert(request, moment);
+        case.told = now;
         if self.cases.len() > MAX_CRASHES {
             self.drop_oldest();
         }
-        self.weigh(now);
-        true
+        self.is_stale = true;
+        Added::New
     }
 
     fn drop_oldest(&mut self) {
@@ -150,20 +217,32 @@
         }
     }
 
-    /// True when the request ran at an endpoint that ended.
+    /// True when the request ran at an endpoint that ended, as far as is known.
     pub fn is_known(&self, request: Fingerprint) -> bool {
-        let ran = |case: &Case| case.requests.contains(&request);
+        let ran = |case: &Case| case.requests.contains_key(&request);
         self.cases.values().any(ran)
     }
 
     /// The request ran to its end: what ended while it ran elsewhere had another
-    /// cause.
-    pub fn clear(&mut self, now: Time, request: Fingerprint) {
+    /// cause. True when that is news to tell.
+    pub fn clear(&mut self, now: Time, request: Fingerprint) -> bool {
+        let known = self.is_known(request);
+        let told = match self.sound.get(&request) {
+            Some(sound) if !known => sound.told,
+            _ => now,
+        };
+        if self.sound.len() < MAX_SOUND || self.sound.contains_key(&request) {
+            self.sound.insert(request, Sound { at: now, told });
+        }
+        if !known {
+            return false;
+        }
         for case in self.cases.values_mut() {
             case.requests.remove(&request);
         }
         self.cases.retain(|_, case| !case.requests.is_empty());
         self.weigh(now);
+        true
     }
 
     /// Takes a verdict that stands in the store and lasts until `until`; one that is
@@ -187,6 +266,9 @@
     /// Reaches the verdicts that are due, and forgets what is old.
     pub fn step(&mut self, now: Time) -> Vec<Conviction> {
         self.expire(now);
+        if self.is_stale {
+            self.weigh(now);
+        }
         let mut reached = Vec::new();
         while let Some(conviction) = self.next(now) {
             let Conviction { term, times, .. } = conviction;
@@ -203,10 +285,10 @@
         let due = self.blame.iter().filter(|(request, blame)| {
             self.is_due(**request, blame) && blame.newest + SETTLE <= now
         });
-        let (request, _) = due.max_by_key(|(request, blame)| (blame.crashes, **request))?;
+        let (request, _) = due.max_by_key(|(request, blame)| (blame.weight, **request))?;
         let before = self.verdicts.get(request).map_or(0, |it| it.times);
         let crashes = self.open_cases(now);
-        let crashes = crashes.filter(|(_, case)| case.requests.contains(request));
+        let crashes = crashes.filter(|(_, case)| case.requests.contains_key(request));
         Some(Conviction {
             request: *request,
             crashes: crashes.map(|(crash, _)| crash.clone()).collect(),
@@ -216,6 +298,7 @@
     }
 
     fn expire(&mut self, now: Time) {
+        self.sound.retain(|_, sound| now.since(sound.at) < SOUND);
         let before = (self.cases.len(), self.verdicts.len());
         self.cases
             .retain(|_, case| now.since(case.since) < CRASH_MEMORY);
@@ -234,30 +317,32 @@
         };
         self.cases
             .iter()
-            .filter(move |(_, case)| !case.requests.iter().any(explains))
+            .filter(move |(_, case)| !case.requests.keys().any(explains))
     }
 
-    fn weigh(&mut self, now: Time) {
+    /// Weighs anew who is to blame for what.
+    pub fn weigh(&mut self, now: Time) {
+        self.is_stale = false;
         let mut blame: HashMap<Fingerprint, Blame> = HashMap::new();
         for (_, case) in self.open_cases(now) {
-            for request in &case.requests {
+            for (request, moment) in &case.requests {
                 let blame = blame.entry(*request).or_insert(Blame {
-                    crashes: 0,
-                    newest: case.since,
+                    weight: 0,
+                    newest: case.told,
                     is_outranked: false,
                 });
-                blame.crashes += 1;
-                blame.newest = blame.newest.max(case.since);
+                blame.weight += moment.weight();
+                blame.newest = blame.newest.max(case.told);
             }
         }
         let mut outranked = BTreeSet::new();
         for (_, case) in self.open_cases(now) {
-            let crashes = |request: &Fingerprint| blame[request].crashes;
-            let most = case.requests.iter().map(crashes).max().unwrap_or(0);
-            let at_top = case.requests.iter().filter(|it| crashes(it) == most);
+            let weight = |request: &Fingerprint| blame[request].weight;
+            let most = case.requests.keys().map(weight).max().unwrap_or(0);
+            let at_top = case.requests.keys().filter(|it| weight(it) == most);
             let is_shared = at_top.count() > 1;
-            let below = |it: &&Fingerprint| crashes(it) < most || is_shared;
-            outranked.extend(case.requests.iter().filter(below).copied());
+            let below = |it: &&Fingerprint| weight(it) < most || is_shared;
+            outranked.extend(case.requests.keys().filter(below).copied());
         }
         for request in outranked {
             if let Some(blame) = blame.get_mut(&request) {
--- a/src/quarantine/record.rs
+++ b/src/quarantine/record.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Fingerprint;
-use super::evidence::Crash;
+use super::evidence::{Crash, Moment};
 use crate::name::Name;
 use crate::wire;
 use crate::wire::control::Note;
@@ -16,11 +16,14 @@
 /// Stands in a note's key in place of a crash.
 const SOUND: &str = "sound";
 
+/// The value of a note about a run that had lasted for long.
+const LATE: &[u8] = b"l";
+
 /// One observation of one node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Observation {
     /// An endpoint ended while the request ran there.
-    Crashed(Fingerprint, Crash),
+    Crashed(Fingerprint, Crash, Moment),
     /// The request ran to its end.
     Sound(Fingerprint),
 }
@@ -29,16 +32,20 @@
     /// The note that tells it, the `version`th of its key.
     pub fn note(&self, version: u64) -> Note {
         let key = match self {
-            Self::Crashed(request, crash) => {
+            Self::Crashed(request, crash, _) => {
                 format!("{request}/{:x}/{}", crash.incarnation, crash.endpoint)
             }
             Self::Sound(request) => format!("{request}/{SOUND}"),
         };
+        let value = match self {
+            Self::Crashed(_, _, Moment::Late) => LATE,
+            Self::Crashed(_, _, Moment::Soon) | Self::Sound(_) => &[],
+        };
         Note {
             topic: TOPIC,
             key: key.into(),
             version,
-            value: Bytes::new(),
+            value: Bytes::from_static(value),
         }
     }
 
@@ -57,7 +64,12 @@
             endpoint: endpoint.into(),
             incarnation: u64::from_str_radix(incarnation, 16).ok()?,
         };
-        Some(Self::Crashed(request, crash))
+        let moment = if note.value == LATE {
+            Moment::Late
+        } else {
+            Moment::Soon
+        };
+        Some(Self::Crashed(request, crash, moment))
     }
 }
 
--- a/src/quarantine/ward.rs
+++ b/src/quarantine/ward.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use super::Fingerprint;
-use super::evidence::{Conviction, Crash, Evidence, Standing};
+use super::evidence::{Added, Conviction, Crash, Evidence, Moment, Standing};
 use super::loss::{self, Finding};
 use super::record::{self, Observation, Row};
 use crate::catalog::{Catalog, Endpoint};
@@ -70,6 +70,8 @@
     pub id: &'a Name,
     /// Which request it was.
     pub request: Fingerprint,
+    /// How long it had lasted.
+    pub ran: Duration,
     /// How it was lost.
     pub why: &'static str,
 }
@@ -129,9 +131,9 @@
         }
     }
 
-    /// Looks into a run that `endpoint` did not end, and returns once it is known
-    /// whether the endpoint's process is still there, or that it has to be watched.
-    pub async fn lost(self: &Rc<Self>, endpoint: &Arc<Endpoint>, run: Run<'_>) {
+    /// Looks into a run that `endpoint` did not end, and returns what is known of the
+    /// endpoint's process; one whose end is still open is watched.
+    pub async fn lost(self: &Rc<Self>, endpoint: &Arc<Endpoint>, run: Run<'_>) -> Finding {
         let entry = loss::entry(&self.setup.catalog.read(), endpoint);
         let mut listener = loss::probe(endpoint).await;
         if listener == Listener::Open {
@@ -139,24 +141,28 @@
             listener = loss::probe(endpoint).await;
         }
         log::info!(
-            "{} id={} print={} endpoint={} incarnation={} why={} listener={listener:?} entry={entry:?}",
+            "{} id={} print={} endpoint={} incarnation={} ran_ms={} why={} listener={listener:?} entry={entry:?}",
             event::RUN_LOST,
             run.id,
             run.request,
             endpoint.id,
             endpoint.incarnation,
+            run.ran.as_millis(),
             run.why,
         );
-        match loss::judge(entry, listener) {
-            Finding::Crashed => self.blame(endpoint, run.request),
+        let moment = Moment::of(run.ran);
+        let finding = loss::judge(entry, listener);
+        match finding {
+            Finding::Crashed => self.blame(endpoint, run.request, moment),
             Finding::Innocent => {}
-            Finding::Open => self.watch(endpoint, run.request),
+            Finding::Open => self.watch(endpoint, run.request, moment),
         }
+        finding
     }
 
     /// Watches an endpoint whose process may have ended unseen: behind a cut path, or
     /// without closing its connections.
-    fn watch(self: &Rc<Self>, endpoint: &Arc<Endpoint>, request: Fingerprint) {
+    fn watch(self: &Rc<Self>, endpoint: &Arc<Endpoint>, request: Fingerprint, moment: Moment) {
         if self.watched.get() >= MOST_WATCHED {
             return;
         }
@@ -164,7 +170,7 @@
         let (ward, endpoint) = (Rc::clone(self), Arc::clone(endpoint));
         actix_rt::spawn(async move {
             if ward.watch_to_end(&endpoint).await == Finding::Crashed {
-                ward.blame(&endpoint, request);
+                ward.blame(&endpoint, request, moment);
             }
             ward.watched.set(ward.watched.get() - 1);
         });
@@ -187,26 +193,33 @@
         Finding::Innocent
     }
 
-    fn blame(&self, endpoint: &Endpoint, request: Fingerprint) {
+    fn blame(&self, endpoint: &Endpoint, request: Fingerprint, moment: Moment) {
         let crash = Crash {
             endpoint: endpoint.id.clone(),
             incarnation: endpoint.incarnation,
         };
         let now = self.now();
-        if self.evidence.borrow_mut().add(now, crash.clone(), request) {
-            self.setup.count.blame();
-            self.tell(&Observation::Crashed(request, crash), 1);
+        let mut evidence = self.evidence.borrow_mut();
+        match evidence.add(now, crash.clone(), request, moment) {
+            Added::New => {
+                evidence.weigh(now);
+                self.setup.count.blame();
+                self.tell(&Observation::Crashed(request, crash, moment), 1);
+            }
+            Added::Nothing | Added::Refuted(_) => {}
         }
     }
 
     /// A run of the request ended as it should.
     pub fn sound(&self, request: Fingerprint) {
-        if !self.evidence.borrow().is_known(request) {
-            return;
-        }
-        log::info!("{} print={request}", event::REQUEST_CLEARED);
         let now = self.now();
-        self.evidence.borrow_mut().clear(now, request);
+        if self.evidence.borrow_mut().clear(now, request) {
+            log::info!("{} print={request}", event::REQUEST_CLEARED);
+            self.tell_sound(request);
+        }
+    }
+
+    fn tell_sound(&self, request: Fingerprint) {
         self.tell(&Observation::Sound(request), unix_millis());
     }
 
@@ -220,10 +233,16 @@
     pub fn take(&self, note: &Note) {
         let now = self.now();
         match Observation::read(note) {
-            Some(Observation::Crashed(request, crash)) => {
-                self.evidence.borrow_mut().add(now, crash, request);
+            Some(Observation::Crashed(request, crash, moment)) => {
+                let mut evidence = self.evidence.borrow_mut();
+                if evidence.add(now, crash, request, moment) == Added::Refuted(true) {
+                    self.tell_sound(request);
+                }
+            }
+            // Whoever told it has told all others.
+            Some(Observation::Sound(request)) => {
+                self.evidence.borrow_mut().clear(now, request);
             }
-            Some(Observation::Sound(request)) => self.evidence.borrow_mut().clear(now, request),
             None => {}
         }
     }
