--- a/standin/src/soak/caller.rs
+++ b/standin/src/soak/caller.rs
@@ -104,19 +104,27 @@
     }
 }
 
-/// Sends a request that crashes whatever runs it again and again, with an id of its
-/// own each time, at nodes drawn by chance, until the run closes.
+/// Harms replicas with a request that crashes whatever runs it, until the run closes:
+/// by turns one that may be gone on with, one that may not, and an item of a job.
 pub async fn kill(world: Rc<World>, at: usize) {
-    let path = format!("/q/{KILLS}/{at}");
+    match at % 3 {
+        0 => kill_again(&world, &format!("/q/{KILLS}/{at}")).await,
+        1 => kill_again(&world, &format!("/v/{KILLS}/{at}")).await,
+        _ => submit_killer(&world, &format!("/n/{KILLS}/{at}")).await,
+    }
+}
+
+/// Sends a request again and again, with an id of its own each time, at nodes drawn by
+/// chance.
+async fn kill_again(world: &Rc<World>, path: &str) {
     while world.open.get() {
         sleep(Duration::from_millis(120)).await;
-        let id = format!("k{:x}", world.fresh());
         let headers = vec![
-            ("x-attempt-id", id),
+            ("x-attempt-id", format!("k{:x}", world.fresh())),
             ("x-token-count", format!("300,{TOKENS}")),
             ("x-timeout-ms", "5000".to_owned()),
         ];
-        let (world, path) = (Rc::clone(&world), path.clone());
+        let (world, path) = (Rc::clone(world), path.to_owned());
         // The next one does not wait for its answer.
         actix_rt::spawn(async move {
             let answer = call_any(&world, "POST", &path, headers, "question").await;
@@ -125,6 +133,23 @@
     }
 }
 
+/// Submits a job of one item that crashes whatever runs it.
+async fn submit_killer(world: &World, path: &str) {
+    let job = RefCell::new(Job {
+        id: format!("j{:x}", world.fresh()),
+        items: vec![(
+            format!("t{:x}", world.fresh()),
+            path.to_owned(),
+            ITEM_TOKENS,
+        )],
+        accepted: None,
+        refused: false,
+        ended: None,
+        results: BTreeMap::new(),
+    });
+    send(world, &job).await;
+}
+
 /// A connection to one of the addresses that the directory names, and whose it is.
 async fn open(world: &World) -> Option<(usize, Conn)> {
     let first = draw(world, world.plan.nodes);
