Quarantine questions that crash engines on the product's own interface

The dispatcher of an endpoint, which sees every run there, looks whether its process still listens and names its end; the refusal carries that to the gateway, so that the next attempt knows of it. One thread decides with the same evidence and publishes it. Not kept in the store here: after all nodes have started anew, three crashes more are needed (docs/design/quarantine.md). Batch items had a bound before, by running alone.

--- a/src/dispatch/shell.rs
+++ b/src/dispatch/shell.rs
@@ -17,14 +17,20 @@
 use super::handle::{Event, Submit};
 use super::run::{self, Progress};
 use super::{Action, End, Id, Input, Load, Offer, Queue, Setting};
-use crate::clock::{Clock, Time};
+use crate::clock::{Clock, Time, unix_millis};
 use crate::config::Document;
 use crate::config::follow::Force;
+use crate::connect::{self, Listener};
+use crate::endpoint::Target;
+use crate::event;
 use crate::gateway::Shared;
 use crate::leave::Phase;
 use crate::name::Name;
 use crate::node::work::{Guard, Work};
 use crate::outcome::{Outcome, Reason, Refusal};
+use crate::quarantine::evidence::{Crash, Moment};
+use crate::quarantine::record::Observation;
+use crate::quarantine::standings as quarantine;
 use crate::request::{Answer, Body, Request};
 use crate::snapshot;
 
@@ -32,6 +38,8 @@
 const IDLE_TICK: Duration = Duration::from_millis(100);
 /// How fresh the published loads are.
 const PUBLISH_EVERY: Duration = Duration::from_millis(20);
+/// Most time for a connection that only tells whether an endpoint's process runs.
+const PROBE: Duration = Duration::from_millis(60);
 /// Characters that make up a token, roughly, for estimates of prompts.
 const CHARS_PER_TOKEN: usize = 4;
 
@@ -41,6 +49,7 @@
     force: Arc<snapshot::Cell<Force>>,
     work: Work,
     phase: Arc<snapshot::Cell<Phase>>,
+    quarantine: quarantine::Handle,
     client: awc::Client,
     state: RefCell<State>,
     /// Wakes the timer when an earlier time became due.
@@ -60,6 +69,9 @@
     queue: Queue,
     setting: Setting,
     entries: HashMap<Id, Entry>,
+    /// When its process seems to have ended, in Unix milliseconds, which tells its
+    /// ends apart; none while it answers.
+    outage: Option<u64>,
 }
 
 struct Entry {
@@ -94,6 +106,7 @@
             force: Arc::clone(&shared.force),
             work: shared.dispatched.clone(),
             phase: Arc::clone(&shared.phase),
+            quarantine: shared.quarantine.clone(),
             client: crate::http::client(shared.timeouts.connect),
             state: RefCell::default(),
             changed: Notify::new(),
@@ -235,6 +248,7 @@
                 queue: Queue::new(now, setting),
                 setting,
                 entries: HashMap::new(),
+                outage: None,
             });
         let progress = Progress::resumed(&request);
         let entry = Entry {
@@ -312,8 +326,10 @@
         };
         entry.runs += 1;
         entry.run = Some(actix_rt::spawn(async move {
-            let left = deadline.since(shell.clock.now());
+            let began = shell.clock.now();
+            let left = deadline.since(began);
             let tokens = |count| {
+                shell.answers(&name);
                 shell.feed(&name, shell.clock.now(), Input::Tokens { id, count });
                 let state = shell.state.borrow();
                 let stand = state.stands.get(&name);
@@ -328,11 +344,60 @@
                 left,
                 tokens,
             );
-            let (outcome, end) = running.await;
+            let (mut outcome, end) = running.await;
+            if let Outcome::MayHaveRun(refusal) = &mut outcome
+                && refusal.reason == Reason::EndpointFailed
+            {
+                refusal.crash = shell.look_into(&name, &target, &request, began).await;
+            }
             shell.finish(&name, id, outcome, end);
         }));
     }
 
+    /// The endpoint sends tokens, so its process runs.
+    fn answers(&self, endpoint: &Name) {
+        if let Some(stand) = self.state.borrow_mut().stands.get_mut(endpoint) {
+            stand.outage = None;
+        }
+    }
+
+    /// Before it is run elsewhere, it must be known whether a request ended the process
+    /// that ran it.
+    async fn look_into(
+        &self,
+        name: &Name,
+        target: &Target,
+        request: &Request,
+        began: Time,
+    ) -> Option<Crash> {
+        let ran = self.clock.now().since(began);
+        let address = target.address.parse().ok()?;
+        // Told before the look: others that ended with it must be of the same end.
+        let incarnation = {
+            let mut state = self.state.borrow_mut();
+            let stand = state.stands.get_mut(name)?;
+            *stand.outage.get_or_insert_with(unix_millis)
+        };
+        let print = request.fingerprint();
+        let listener = connect::probe(address, PROBE).await;
+        log::info!(
+            "{} id={} print={print} endpoint={name} incarnation={incarnation} ran_ms={} why=broken listener={listener:?} entry=Ready",
+            event::RUN_LOST,
+            request.key,
+            ran.as_millis(),
+        );
+        if listener != Listener::Refused {
+            return None;
+        }
+        let crash = Crash {
+            endpoint: name.clone(),
+            incarnation,
+        };
+        let observation = Observation::Crashed(print, crash.clone(), Moment::of(ran));
+        self.quarantine.tell_first(observation).await;
+        Some(crash)
+    }
+
     /// Cancels a run; what it generated stays for the next start.
     fn stop(self: &Rc<Self>, endpoint: &Name, id: Id) {
         let run = {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -27,6 +27,10 @@
 use crate::node::work::Work;
 use crate::once::{self, Marks};
 use crate::outcome::{Outcome, Reason, Refusal};
+use crate::quarantine::Fingerprint;
+use crate::quarantine::evidence::Moment;
+use crate::quarantine::record::Observation;
+use crate::quarantine::standings as quarantine;
 use crate::request::{Answer, Body, Piece, Request};
 use crate::retry::{self, Budget};
 use crate::route::{Router, Target};
@@ -42,6 +46,8 @@
 const CAPACITY: u32 = 4_096;
 /// When to come back to a node that is not ready.
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
+/// How often a verdict that is due is looked for.
+const HELD_POLL: Duration = Duration::from_millis(50);
 /// How often limits are reported and changes are looked for.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
@@ -72,6 +78,8 @@
     pub limits: Limits,
     /// How long this node waits.
     pub timeouts: Timeouts,
+    /// Requests that crash endpoints.
+    pub quarantine: quarantine::Handle,
 }
 
 impl Shared {
@@ -271,11 +279,19 @@
         let mut stream = attempt::Stream::new(now, pieces);
         let mut tried = Tried::default();
         let mut ran = false;
+        let print = request.fingerprint();
         loop {
             let left = deadline.since(self.shared.clock.now());
             if left.is_zero() {
                 return verdict(ran, Refusal::new(Reason::Deadline));
             }
+            if self.is_condemned(print).await {
+                let refusal = Refusal::new(Reason::Invalid).because(
+                    "endpoints that run this request crash; it is not run any more, so don't \
+                     send it again",
+                );
+                return verdict(ran, refusal);
+            }
             request.time_left = left;
             stream.resume(&mut request);
             request.spills = tried.count == 0;
@@ -283,18 +299,21 @@
                 let refusal = Refusal::new(Reason::NoEndpoint).after(NOT_READY_RETRY);
                 return verdict(ran, refusal);
             };
+            let began = self.shared.clock.now();
             let outcome = self
                 .attempt(&config, &endpoint, &request, &mut stream, deadline)
                 .await;
             let failure = match outcome {
                 Outcome::Done(answer) => {
                     self.budget.borrow_mut().deposit();
+                    self.tell_sound(print);
                     stream.finish(&answer).await;
                     return Outcome::Done(answer);
                 }
                 Outcome::NotRun(refusal) => retry::Failure::NotRun(refusal),
                 Outcome::MayHaveRun(refusal) => {
                     ran = true;
+                    self.blame(print, &refusal, began).await;
                     retry::Failure::MayHaveRun(refusal)
                 }
             };
@@ -306,6 +325,38 @@
         }
     }
 
+    /// True when the request must not run. One that is about to be condemned waits for
+    /// the verdict.
+    async fn is_condemned(&self, request: Fingerprint) -> bool {
+        let standings = self.shared.quarantine.standings();
+        while standings.read().is_held(request) {
+            actix_rt::time::sleep(HELD_POLL).await;
+        }
+        standings.read().is_condemned(request)
+    }
+
+    /// Takes what the endpoint's dispatcher, which may be another node, found.
+    async fn blame(&self, request: Fingerprint, refusal: &Refusal, began: Time) {
+        if let Some(crash) = &refusal.crash {
+            let moment = Moment::of(self.shared.clock.now().since(began));
+            let crashed = Observation::Crashed(request, crash.clone(), moment);
+            self.shared.quarantine.tell_first(crashed).await;
+        }
+    }
+
+    fn tell_sound(&self, request: Fingerprint) {
+        if self
+            .shared
+            .quarantine
+            .standings()
+            .read()
+            .is_suspect(request)
+        {
+            let sound = Observation::Sound(request);
+            self.shared.quarantine.tell(sound);
+        }
+    }
+
     /// When to try again, or the refusal that is final.
     fn again(
         &self,
--- a/src/node.rs
+++ b/src/node.rs
@@ -28,6 +28,7 @@
 use crate::member::tuning::Tuning;
 use crate::member::{Member, State, View};
 use crate::metric::Metrics;
+use crate::quarantine::standings as quarantine;
 use crate::settings::Settings;
 use crate::snapshot::Cell;
 use crate::table::http::Client;
@@ -67,6 +68,8 @@
     pub const QUESTIONS: &str = "questions";
     /// [`super::work::Work`] that dispatchers hold.
     pub const DISPATCHED: &str = "dispatched";
+    /// Requests that crash endpoints.
+    pub const QUARANTINE: &str = "quarantine";
     /// [`crate::snapshot::Cell`] of [`crate::leave::Phase`].
     pub const PHASE: &str = "phase";
 }
@@ -181,7 +184,8 @@
     metrics.extend(|registry| batch_counts.register(registry));
     let threads = settings.traffic_threads;
     let (dispatch, desks) = Handle::new(threads);
-    let kernel = services(&own, dispatch, metrics);
+    let (crashes, observed) = quarantine::Handle::new();
+    let kernel = services(&own, dispatch, metrics, crashes);
     let shared = shared(settings, &own, clock, &kernel)?;
     let (callers_stop, callers_stopped) = watch::channel(false);
     let (drain, drained) = watch::channel(false);
@@ -238,6 +242,7 @@
         grants: grants_in,
         runner: batch.handle,
         drain,
+        observed,
     });
     actix_rt::spawn(inbox.serve(Rc::clone(&services)));
     log::info!(
@@ -266,7 +271,12 @@
 }
 
 /// Makes the services that threads share and registers each by its name.
-fn services(own: &Member, dispatch: Handle, metrics: Metrics) -> Kernel {
+fn services(
+    own: &Member,
+    dispatch: Handle,
+    metrics: Metrics,
+    crashes: quarantine::Handle,
+) -> Kernel {
     let view = View {
         members: vec![own.clone()],
     };
@@ -281,6 +291,7 @@
     kernel.register(service::METRICS, Arc::new(metrics));
     kernel.register(service::QUESTIONS, Arc::new(Work::default()));
     kernel.register(service::DISPATCHED, Arc::new(Work::default()));
+    kernel.register(service::QUARANTINE, Arc::new(crashes));
     kernel.register(service::PHASE, Arc::new(Cell::new(Phase::Starting)));
     kernel
 }
@@ -305,6 +316,7 @@
         phase: kernel.find(service::PHASE)?,
         limits: settings.limits,
         timeouts: settings.timeouts,
+        quarantine: quarantine::Handle::clone(&*kernel.find(service::QUARANTINE)?),
     })
 }
 
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -24,6 +24,7 @@
 use crate::name::Name;
 use crate::placement;
 use crate::placement::run::Site;
+use crate::quarantine::standings as quarantine;
 use crate::table::Vm;
 use crate::table::http::Client;
 use crate::wire::control::Note;
@@ -58,6 +59,8 @@
     pub runner: runner::Handle,
     /// Turns true when an operator drains this node.
     pub drain: watch::Sender<bool>,
+    /// What this node saw of endpoints that ended.
+    pub observed: mpsc::Receiver<quarantine::Told>,
 }
 
 /// The control thread's services.
@@ -71,6 +74,8 @@
     net: Net,
     runner: runner::Handle,
     drain: watch::Sender<bool>,
+    /// What other nodes saw of endpoints that ended.
+    crashes: mpsc::Sender<Note>,
 }
 
 /// Starts the control services on this thread.
@@ -79,6 +84,14 @@
     actix_rt::spawn(register(start.client.clone(), start.setup.me.vm()));
     let roster = Remembered::new(start.client.clone());
     let (members, events) = shell::start(start.setup, start.socket, roster.clone());
+    let (crashes, notes) = mpsc::channel(quarantine::WAITING);
+    actix_rt::spawn(quarantine::decide(
+        shared.clock,
+        members.clone(),
+        shared.quarantine.clone(),
+        start.observed,
+        notes,
+    ));
     let net = Net {
         node: shared.node.clone(),
         view: shared.view.clone(),
@@ -104,6 +117,7 @@
         net,
         runner: start.runner,
         drain: start.drain,
+        crashes,
     });
     actix_rt::spawn(watch.run());
     start_placement(&control.shared, start.boot, &placement);
@@ -155,7 +169,10 @@
             && let Some(id) = crate::job::Id::parse(&note.key)
         {
             self.runner.tell(runner::Input::Cancelled(id));
+            return;
         }
+        // A full channel is as good as a lost datagram.
+        let _ = self.crashes.try_send(note.clone());
     }
 
     /// A job of this service was accepted here.
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -10,6 +10,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::quarantine::evidence::Crash;
+
 /// The result of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome<T> {
@@ -31,6 +33,9 @@
     /// For people: what went wrong and what to do next. Empty takes
     /// [`Reason::advice`].
     pub message: String,
+    /// The endpoint's process that ended while it ran the request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub crash: Option<Crash>,
 }
 
 /// The causes of refusals and retries. Each has a label in the metrics and a
@@ -149,6 +154,7 @@
             reason,
             retry_after: None,
             message: String::new(),
+            crash: None,
         }
     }
 
--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -9,6 +9,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::Fingerprint;
 use crate::clock::Time;
 use crate::name::Name;
@@ -39,7 +41,7 @@
 const MAX_SOUND: usize = 4_096;
 
 /// An endpoint's process that ended.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Crash {
     /// The endpoint.
     pub endpoint: Name,
@@ -173,6 +175,11 @@
         }
     }
 
+    /// All requests that don't stand like any other.
+    pub fn requests(&self) -> impl Iterator<Item = Fingerprint> {
+        self.blame.keys().chain(self.verdicts.keys()).copied()
+    }
+
     /// True when nothing else than time is missing for a verdict. One that was
     /// condemned before needs one crash only.
     fn is_due(&self, request: Fingerprint, blame: &Blame) -> bool {
--- a/src/request.rs
+++ b/src/request.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::name::Name;
+use crate::quarantine::Fingerprint;
 
 /// The two kinds of work that share the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -76,6 +77,19 @@
     pub resume_text: Name,
 }
 
+impl Request {
+    /// Which request it is, whatever its key: the same service, organisation and body.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let organisation = Some(&*self.organisation);
+        match &self.body {
+            Body::Prompt { prompt, .. } => {
+                Fingerprint::of(&self.service, organisation, "", prompt.as_bytes())
+            }
+            Body::Call { path, body } => Fingerprint::of(&self.service, organisation, path, body),
+        }
+    }
+}
+
 /// A whole answer.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
--- /dev/null
+++ b/tests/drill_quarantine.rs
@@ -0,0 +1,50 @@
+//! Questions that crash the engines that run them, on real processes.
+
+use std::net::TcpStream;
+
+use googletest::prelude::*;
+use serde_json::{Value, json};
+
+#[path = "support/env.rs"]
+mod env;
+
+const ENGINES: usize = 6;
+const KILLER: &str = "kill-engine";
+
+fn question(prompt: &str, n: usize) -> Value {
+    json!({"service": "recipes", "prompt": prompt, "maxTokens": 20, "key": format!("k{n}")})
+}
+
+fn fleet() -> env::Fleet {
+    let mut fleet = env::Fleet::new();
+    for _ in 0..ENGINES {
+        fleet.engine(&["--faster", "20"]);
+    }
+    fleet.node("zone-0").node("zone-1").node("zone-2");
+    fleet.settle(3);
+    fleet.configure();
+    for engine in 0..ENGINES {
+        fleet.engine_fault(engine, &json!({"die_on": KILLER}));
+    }
+    fleet
+}
+
+fn dead(fleet: &env::Fleet) -> usize {
+    let engines = fleet.engines.iter();
+    let is_dead = |engine: &&env::Process| TcpStream::connect(engine.address("listening")).is_err();
+    engines.filter(is_dead).count()
+}
+
+/// One question crashes every engine that runs it, and its callers ask it again at
+/// every node: soon no engine is left for anybody else.
+#[gtest]
+fn question_kills_engines() {
+    let fleet = fleet();
+    for n in 0..6 {
+        let answer = fleet.caller(n % 3, "Ask", &question(KILLER, n));
+        expect_that!(answer, err(anything()));
+    }
+    expect_that!(dead(&fleet), le(3));
+    let answer = fleet.caller(0, "Ask", &question("good", 100));
+    expect_that!(answer, ok(anything()));
+}
