--- a/src/quarantine/ward.rs
+++ b/src/quarantine/ward.rs
@@ -39,7 +39,7 @@
 /// Endpoints watched at a time.
 const MOST_WATCHED: usize = 128;
 /// A member that is to store a verdict has so long until the next one does.
-const TURN: Duration = Duration::from_millis(1_500);
+const TURN: Duration = Duration::from_millis(300);
 /// Least time between two readings of the verdicts' changes.
 const FEED_GAP: Duration = Duration::from_millis(100);
 /// How long after its end a verdict's row stays, so that who reads late knows of it.
