Send the tokens before a broken stream, as a real engine does

Cause: actix-http discards what it has not written when a body fails. On a busy machine the four tokens and the fault are ready in one poll, so all four are still unwritten.

Change: the body is pending once between its last event and the error, and the server writes meanwhile.

--- a/src/embedded/engine/answer.rs
+++ b/src/embedded/engine/answer.rs
@@ -19,6 +19,11 @@
     cancel: C,
     is_complete: bool,
     is_closed: bool,
+    /// Events were returned since the stream was last pending, so the server may not have
+    /// written them yet.
+    has_unwritten: bool,
+    /// A fault that ends the stream once the events before it are written.
+    broken: Option<Broken>,
 }
 
 impl<C> Answer<C>
@@ -32,9 +37,28 @@
             cancel,
             is_complete: false,
             is_closed: false,
+            has_unwritten: false,
+            broken: None,
         }
     }
 
+    /// Ends the stream with an error. The server discards what it has not written when the body
+    /// fails, so it gets one chance to write the events before.
+    fn break_off(
+        &mut self,
+        cx: &Context<'_>,
+        broken: Broken,
+    ) -> Poll<Option<Result<Bytes, Broken>>> {
+        if self.has_unwritten {
+            self.has_unwritten = false;
+            self.broken = Some(broken);
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        self.is_closed = true;
+        Poll::Ready(Some(Err(broken)))
+    }
+
     /// Collects the complete answer into one event. Returns `None` if the run was broken off.
     pub async fn read_all(&mut self) -> Option<Event> {
         let mut collected: Option<Event> = None;
@@ -69,28 +93,29 @@
         if self.is_closed {
             return Poll::Ready(None);
         }
+        if let Some(broken) = self.broken.take() {
+            return self.break_off(cx, broken);
+        }
         match self.run.events.poll_recv(cx) {
-            Poll::Pending => Poll::Pending,
+            Poll::Pending => {
+                self.has_unwritten = false;
+                Poll::Pending
+            }
             Poll::Ready(Some(Ok(event))) => {
                 let last = event.choices.iter().any(|c| c.finish_reason.is_some());
                 self.is_complete |= last;
+                self.has_unwritten = true;
                 let text = serde_json::to_string(&event).unwrap_or_default();
                 Poll::Ready(Some(Ok(Bytes::from(format!("data: {text}\n\n")))))
             }
-            Poll::Ready(Some(Err(broken))) => {
-                self.is_closed = true;
-                Poll::Ready(Some(Err(broken)))
-            }
+            Poll::Ready(Some(Err(broken))) => self.break_off(cx, broken),
             Poll::Ready(None) if self.is_complete => {
                 self.is_closed = true;
                 Poll::Ready(Some(Ok(Bytes::from_static(b"data: [DONE]\n\n"))))
             }
             // Cancelled by request id: ending the body with an error shows the client that the
             // answer is incomplete.
-            Poll::Ready(None) => {
-                self.is_closed = true;
-                Poll::Ready(Some(Err(Broken)))
-            }
+            Poll::Ready(None) => self.break_off(cx, Broken),
         }
     }
 }
--- a/tests/engine_serve.rs
+++ b/tests/engine_serve.rs
@@ -22,11 +22,15 @@
 
 impl Env {
     fn start(setting: Setting) -> Self {
+        Self::start_at(SPEED_UP, setting)
+    }
+
+    fn start_at(speed_up: f64, setting: Setting) -> Self {
         let listener = http::listen("127.0.0.1:0".parse().unwrap()).unwrap();
         let address = listener.local_addr().unwrap();
         let (stop, stopped) = watch::channel(false);
         let setting = Setting {
-            parameters: Parameters::default().faster(SPEED_UP),
+            parameters: Parameters::default().faster(speed_up),
             ..setting
         };
         actix_rt::spawn(engine::serve(listener, stopped, setting));
@@ -136,6 +140,27 @@
     });
 }
 
+/// Tokens that are ready in the same instant as the fault must still reach the caller.
+#[gtest]
+fn complete_broken_at_once() {
+    run(async {
+        let fault = Fault {
+            break_after: 4,
+            ..Fault::default()
+        };
+        let setting = Setting {
+            fault,
+            ..Setting::default()
+        };
+        let env = Env::start_at(1_000_000.0, setting);
+        for _ in 0..20 {
+            let (_, events, is_complete) = env.ask(&question("scale it", 9)).await;
+            expect_that!(events.len(), eq(4));
+            expect_false!(is_complete);
+        }
+    });
+}
+
 #[gtest]
 fn complete_caller_disconnected() {
     // A caller disconnects in the middle of an answer. The run must be cancelled, or the engine
