Find a pool's best endpoint without looking at all of them

Seen: not by callers yet. A zone's coordinator of the whole fleet has 2,000 endpoints, and looked at each for every grant, summed their slots three times a step, and went through all pairs of them whenever one changed (2,000 squared comparisons, several times a second during a release).

Cause: the pool kept its endpoints in a map by id only.

Change: pool::candidates orders the ready endpoints by load, for each zone, and knows up to 32 that hold a prefix; slots are counted as they change. The choice is the same one: lowest score, then lowest tie-break; only where more than 32 endpoints of one pool hold a prefix, the others are no longer preferred for it.

--- a/src/pool.rs
+++ b/src/pool.rs
@@ -11,7 +11,7 @@
 //! can wait for seconds. So batch work takes every free slot, and is preempted
 //! in the same step in which an online request finds none free.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,6 +22,7 @@
 
 pub mod action;
 mod candidate;
+mod candidates;
 mod fault;
 mod grant;
 pub mod message;
@@ -30,7 +31,7 @@
 mod suspect;
 
 pub use action::{Action, Gauge, Key, Transition};
-use candidate::Candidate;
+use candidates::Candidates;
 use message::{Class, End, Renewal, Requirements};
 use suspect::Suspects;
 
@@ -98,10 +99,8 @@
 /// The pool of one service.
 #[derive(Debug)]
 pub struct Pool {
-    /// Seed of the tie-break between endpoints with equal scores.
-    salt: u64,
     started: Option<Time>,
-    candidates: BTreeMap<Name, Candidate>,
+    candidates: Candidates,
     permits: BTreeMap<Key, Permit>,
     online: Vec<(Key, Waiting)>,
     batch: Vec<(Key, Waiting)>,
@@ -129,9 +128,8 @@
     /// get a request of every node and the last ones none.
     pub fn new(salt: u64) -> Self {
         Self {
-            salt,
             started: None,
-            candidates: BTreeMap::new(),
+            candidates: Candidates::new(salt),
             permits: BTreeMap::new(),
             online: Vec::new(),
             batch: Vec::new(),
@@ -149,24 +147,32 @@
     where
         I: Iterator<Item = &'a Arc<Endpoint>>,
     {
-        let mut removed: Vec<Name> = self.candidates.keys().cloned().collect();
+        let mut present = BTreeSet::new();
         for endpoint in endpoints {
-            removed.retain(|id| *id != endpoint.id);
-            let candidate = self
-                .candidates
-                .entry(endpoint.id.clone())
-                .or_insert_with(|| Candidate::new(Arc::clone(endpoint)));
-            if candidate.update(endpoint) {
-                // Runs of the previous process hold no slots of the new one.
-                self.permits
-                    .retain(|_, permit| permit.endpoint != endpoint.id);
-            }
+            present.insert(&endpoint.id);
+            self.put_endpoint(endpoint);
         }
-        for id in removed {
-            self.candidates.remove(&id);
+        let ids = self.candidates.iter().map(|(id, _)| id);
+        let removed: Vec<Name> = ids.filter(|id| !present.contains(id)).cloned().collect();
+        for id in &removed {
+            self.candidates.remove(id);
         }
     }
 
+    /// Adds an endpoint, or updates it.
+    pub fn put_endpoint(&mut self, endpoint: &Arc<Endpoint>) {
+        if self.candidates.put(endpoint) {
+            // Runs of the previous process hold no slots of the new one.
+            self.permits
+                .retain(|_, permit| permit.endpoint != endpoint.id);
+        }
+    }
+
+    /// Removes an endpoint.
+    pub fn remove_endpoint(&mut self, id: &Name) {
+        self.candidates.remove(id);
+    }
+
     /// Handles a gateway's request for a slot, or a repetition of it.
     pub fn acquire(
         &mut self,
@@ -254,19 +260,17 @@
             answering: renewal.answering,
             stopping: None,
         };
-        if let Some(candidate) = self.candidates.get_mut(&permit.endpoint) {
-            candidate.occupy(permit.class);
-        }
+        self.candidates
+            .update(&permit.endpoint, |it| it.occupy(permit.class));
         self.permits.insert(key, permit);
     }
 
     /// Removes a permit and frees its slot.
     fn remove_permit(&mut self, key: Key) -> Option<Permit> {
         let permit = self.permits.remove(&key)?;
-        if permit.stopping.is_none()
-            && let Some(candidate) = self.candidates.get_mut(&permit.endpoint)
-        {
-            candidate.vacate(permit.class);
+        if permit.stopping.is_none() {
+            self.candidates
+                .update(&permit.endpoint, |it| it.vacate(permit.class));
         }
         Some(permit)
     }
@@ -298,9 +302,8 @@
             }
             End::Failed => self.eject(now, &permit.endpoint),
             End::Full => {
-                if let Some(candidate) = self.candidates.get_mut(&permit.endpoint) {
-                    candidate.pause_full(now);
-                }
+                self.candidates
+                    .update(&permit.endpoint, |it| it.pause_full(now));
             }
             End::Left | End::Stopped => {}
         }
@@ -318,9 +321,10 @@
 
     /// Records a good answer of an endpoint.
     fn record_answer(&mut self, endpoint: &Name, class: Class) {
-        if let Some(candidate) = self.candidates.get_mut(endpoint)
-            && candidate.record_success(class)
-        {
+        let restored = self
+            .candidates
+            .update(endpoint, |it| it.record_success(class));
+        if restored == Some(true) {
             let endpoint = endpoint.clone();
             self.transitions.push(Transition::Restored { endpoint });
         }
@@ -328,8 +332,9 @@
 
     /// Pauses an endpoint after a failure.
     fn eject(&mut self, now: Time, endpoint: &Name) {
-        if let Some(candidate) = self.candidates.get_mut(endpoint)
-            && let Some(pause) = candidate.pause(now)
+        let pause = self.candidates.update(endpoint, |it| it.pause(now));
+        if let Some(pause) = pause.flatten()
+            && let Some(candidate) = self.candidates.get(endpoint)
         {
             self.transitions.push(Transition::Ejected {
                 endpoint: endpoint.clone(),
@@ -344,17 +349,19 @@
     /// Records an error, and ejects the endpoint if its error rate is an outlier.
     fn record_error(&mut self, now: Time, permit: &Permit) {
         let class = permit.class;
+        let rate = self
+            .candidates
+            .update(&permit.endpoint, |it| it.record_error(class));
+        let Some(rate) = rate.filter(|rate| fault::may_be_outlier(*rate)) else {
+            return;
+        };
         let mut others: Vec<f64> = self
             .candidates
             .iter()
             .filter(|(id, candidate)| **id != permit.endpoint && candidate.slots() > 0)
             .map(|(_, candidate)| candidate.error_rate(class))
             .collect();
-        let Some(candidate) = self.candidates.get_mut(&permit.endpoint) else {
-            return;
-        };
-        candidate.record_error(class);
-        if fault::is_outlier(candidate.error_rate(class), &mut others) {
+        if fault::is_outlier(rate, &mut others) {
             self.eject(now, &permit.endpoint);
         }
     }
@@ -392,7 +399,7 @@
     /// Returns the totals of the pool, for tests and a status page.
     pub fn gauge(&self) -> Gauge {
         Gauge {
-            slots: self.candidates.values().map(Candidate::slots).sum(),
+            slots: self.candidates.slots(),
             held: self.permits.len(),
             online_waiting: self.online.len(),
             batch_waiting: self.batch.len(),
@@ -410,20 +417,17 @@
     }
 
     fn recount(&mut self, now: Time) {
-        for candidate in self.candidates.values_mut() {
-            candidate.online = 0;
-            candidate.batch = 0;
-        }
+        let mut used: BTreeMap<Name, (u32, u32)> = BTreeMap::new();
         for permit in self.permits.values() {
-            let Some(candidate) = self.candidates.get_mut(&permit.endpoint) else {
-                continue;
-            };
+            let (online, batch) = used.entry(permit.endpoint.clone()).or_default();
             match (permit.class, permit.stopping) {
-                (Class::Online, _) => candidate.online += 1,
+                (Class::Online, _) => *online += 1,
                 // Its slot is about to become free.
                 (Class::Batch, Some((since, _))) if now.since(since) < STOP_TIMEOUT => {}
-                (Class::Batch, _) => candidate.batch += 1,
+                (Class::Batch, _) => *batch += 1,
             }
         }
+        self.candidates.set_used(&used);
+        self.candidates.expire_pauses(now);
     }
 }
--- a/src/pool/candidate.rs
+++ b/src/pool/candidate.rs
@@ -8,6 +8,7 @@
 use super::message::{Class, Requirements};
 use crate::catalog::Endpoint;
 use crate::clock::Time;
+use crate::name::Name;
 
 /// How long an endpoint is paused after its first failure; each further one
 /// doubles it.
@@ -26,6 +27,15 @@
 /// Penalty on the score of an endpoint in another availability zone, in the same unit.
 const ZONE_COST: f64 = 0.05;
 
+/// Part of the score of endpoints in a zone.
+pub(super) fn zone_cost(zone: &Name, requirements: &Requirements) -> f64 {
+    if *zone == requirements.zone {
+        0.0
+    } else {
+        ZONE_COST
+    }
+}
+
 #[derive(Debug)]
 pub(super) struct Candidate {
     pub(super) endpoint: Arc<Endpoint>,
@@ -80,6 +90,17 @@
         self.endpoint.ready && now >= self.paused_until
     }
 
+    /// Slots that are not in use, also while the endpoint is paused or on trial.
+    pub(super) fn unused(&self) -> u32 {
+        self.slots().saturating_sub(self.online + self.batch)
+    }
+
+    /// True while fewer slots may be free than unused.
+    pub(super) fn is_impaired(&self) -> bool {
+        self.strikes > 0 || self.paused_until > Time::ZERO
+    }
+
+    /// Slots that can be granted now.
     pub(super) fn free(&self, now: Time) -> u32 {
         if !self.is_available(now) {
             return 0;
@@ -92,40 +113,53 @@
         slots.saturating_sub(self.online + self.batch)
     }
 
+    /// Part of the score that is the same for all requests: the share of the slots in use, and
+    /// more after failures.
+    pub(super) fn load(&self) -> f64 {
+        let load = f64::from(self.online + self.batch) / f64::from(self.slots().max(1));
+        load + f64::from(self.strikes)
+    }
+
     /// Score of the endpoint for a request; lower is better.
     pub(super) fn score(&self, requirements: &Requirements) -> f64 {
-        let load = f64::from(self.online + self.batch) / f64::from(self.slots().max(1));
-        let mut score = load + f64::from(self.strikes);
-        if requirements.class == Class::Online && self.prefixes.contains(&requirements.prefix) {
+        let mut score = self.load();
+        if requirements.class == Class::Online && self.has_prefix(requirements.prefix) {
             score -= PREFIX_BONUS;
         }
-        if self.endpoint.zone != requirements.zone {
-            score += ZONE_COST;
-        }
-        score
+        score + zone_cost(&self.endpoint.zone, requirements)
+    }
+
+    /// True if the catalog entry is that of another process than the current one.
+    pub(super) fn incarnation_differs(&self, endpoint: &Endpoint) -> bool {
+        self.endpoint.incarnation != endpoint.incarnation
     }
 
-    /// Updates the endpoint's catalog entry. Returns true when its process has
-    /// restarted, in which case all other state is reset. Failures, used slots and
-    /// cached prefixes of the previous process would misdirect requests.
-    pub(super) fn update(&mut self, endpoint: &Arc<Endpoint>) -> bool {
-        let restarted = self.endpoint.incarnation != endpoint.incarnation;
-        if restarted {
+    /// Updates the endpoint's catalog entry. If its process has restarted, all other state is
+    /// reset. Failures, used slots and cached prefixes of the previous process would misdirect
+    /// requests.
+    pub(super) fn update(&mut self, endpoint: &Arc<Endpoint>) {
+        if self.incarnation_differs(endpoint) {
             *self = Self::new(Arc::clone(endpoint));
         } else {
             self.endpoint = Arc::clone(endpoint);
         }
-        restarted
     }
 
-    pub(super) fn remember_prefix(&mut self, prefix: u64) {
-        if prefix == 0 || self.prefixes.contains(&prefix) {
-            return;
-        }
-        if self.prefixes.len() >= MAX_PREFIXES {
-            self.prefixes.pop_front();
-        }
+    pub(super) fn has_prefix(&self, prefix: u64) -> bool {
+        self.prefixes.contains(&prefix)
+    }
+
+    pub(super) fn prefixes(&self) -> impl Iterator<Item = u64> {
+        self.prefixes.iter().copied()
+    }
+
+    /// Records a cached prefix, and returns the one that it displaces.
+    pub(super) fn remember_prefix(&mut self, prefix: u64) -> Option<u64> {
         self.prefixes.push_back(prefix);
+        if self.prefixes.len() > MAX_PREFIXES {
+            return self.prefixes.pop_front();
+        }
+        None
     }
 
     /// Records a good answer. Returns true when it ends the endpoint's trial, which
@@ -140,8 +174,10 @@
         true
     }
 
-    pub(super) fn record_error(&mut self, class: Class) {
+    /// Records an error, and returns the error rate.
+    pub(super) fn record_error(&mut self, class: Class) -> f64 {
         self.error_rates.record(class, false);
+        self.error_rates.rate(class)
     }
 
     pub(super) fn error_rate(&self, class: Class) -> f64 {
--- a/src/pool/fault.rs
+++ b/src/pool/fault.rs
@@ -73,10 +73,15 @@
     }
 }
 
+/// True when an endpoint with this error rate is an outlier if the others' rates are low.
+pub(super) fn may_be_outlier(rate: f64) -> bool {
+    rate >= MIN_OUTLIER_RATE
+}
+
 /// True when an endpoint with this error rate is an outlier. Without other endpoints
 /// there is no alternative, so it never is.
 pub(super) fn is_outlier(rate: f64, others: &mut [f64]) -> bool {
-    if rate < MIN_OUTLIER_RATE || others.is_empty() {
+    if !may_be_outlier(rate) || others.is_empty() {
         return false;
     }
     let middle = others.len() / 2;
--- a/src/pool/grant.rs
+++ b/src/pool/grant.rs
@@ -4,9 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
-use super::candidate::Candidate;
 use super::message::{Class, Requirements};
 use super::{
     Action, Key, LEARNING_TIME, MAX_RETRY_DELAY, MIN_RETRY_DELAY, Permit, Pool, RESERVE_DIVISOR,
@@ -25,7 +22,7 @@
             return;
         }
         let waiting = std::mem::take(&mut self.online);
-        let slots: u32 = self.candidates.values().map(Candidate::slots).sum();
+        let slots = self.candidates.slots();
         let mut ahead = 0_u32;
         for (key, waiting) in waiting {
             if self.must_wait(now, &waiting.requirements) {
@@ -73,13 +70,8 @@
         let learning = self
             .started
             .is_none_or(|started| now.since(started) < LEARNING_TIME);
-        let slots: u32 = self.candidates.values().map(Candidate::slots).sum();
-        let reserve = slots.div_ceil(RESERVE_DIVISOR);
-        let free: u32 = self
-            .candidates
-            .values()
-            .map(|candidate| candidate.free(now))
-            .sum();
+        let reserve = self.candidates.slots().div_ceil(RESERVE_DIVISOR);
+        let free = self.candidates.free(now);
         let mut room = if learning {
             0
         } else {
@@ -146,12 +138,16 @@
         id: &Name,
         actions: &mut Vec<Action>,
     ) {
-        let Some(candidate) = self.candidates.get_mut(id) else {
+        let endpoint = self.candidates.update(id, |candidate| {
+            candidate.occupy(waiting.requirements.class);
+            Arc::clone(&candidate.endpoint)
+        });
+        let Some(endpoint) = endpoint else {
             return;
         };
-        candidate.occupy(waiting.requirements.class);
-        candidate.remember_prefix(waiting.requirements.prefix);
-        actions.push(Action::Grant(key, Arc::clone(&candidate.endpoint)));
+        self.candidates
+            .remember_prefix(id, waiting.requirements.prefix);
+        actions.push(Action::Grant(key, endpoint));
         let permit = Permit {
             endpoint: id.clone(),
             class: waiting.requirements.class,
@@ -177,20 +173,17 @@
                 .any(|(id, candidate)| candidate.slots() > 0 && untried(id));
         let is_suspect = self.suspects.contains(requirements.request);
         let with_suspects = self.suspects_running();
-        self.candidates
-            .iter()
-            .filter(|(id, candidate)| candidate.free(now) > 0 && (untried(id) || !any_untried))
-            .filter(|(id, _)| !(is_suspect && with_suspects.contains(id)))
-            .map(|(id, candidate)| {
-                let risk = if with_suspects.contains(id) {
-                    RISK_COST
-                } else {
-                    0.0
-                };
-                (candidate.score(requirements) + risk, self.tie_break(id), id)
-            })
-            .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
-            .map(|(_, _, id)| id.clone())
+        let is_allowed = |id: &Name| {
+            (untried(id) || !any_untried) && !(is_suspect && with_suspects.contains(id))
+        };
+        let risk = |id: &Name| {
+            if with_suspects.contains(id) {
+                RISK_COST
+            } else {
+                0.0
+            }
+        };
+        self.candidates.best(now, requirements, is_allowed, risk)
     }
 
     /// Returns the endpoints that run suspects. If an endpoint crashes while it runs
@@ -219,11 +212,6 @@
         self.permits.values().any(same)
     }
 
-    /// Returns a pseudo-random number that is stable for each endpoint.
-    pub(super) fn tie_break(&self, id: &Name) -> u64 {
-        xxh3_64_with_seed(id.as_bytes(), self.salt)
-    }
-
     /// Preempts the batch run that is due last, and returns its endpoint.
     pub(super) fn preempt_one(
         &mut self,
@@ -247,9 +235,8 @@
         permit.stopping = Some((now, now));
         actions.push(Action::Stop(*key));
         let id = permit.endpoint.clone();
-        if let Some(candidate) = self.candidates.get_mut(&id) {
-            candidate.vacate(Class::Batch);
-        }
+        self.candidates
+            .update(&id, |candidate| candidate.vacate(Class::Batch));
         Some(id)
     }
 
