Take over no job of an owner that this node has not met

Cause: a job whose owner is not among a node's members was taken for orphaned 0.9 s after that node's start. A node of a thousand knows half of the others then, and each takes the jobs of the rest.

Not ruled out as a further cause: preemption by a pool, which is logged at debug only.

Change: an owner is gone if this node knows that it died or was replaced, or has met all nodes on the list without finding it. A node that starts again takes the jobs of earlier processes of its own VM at once.

--- a/src/batch/orphan.rs
+++ b/src/batch/orphan.rs
@@ -8,6 +8,7 @@
 use super::shell::Jobs;
 use crate::event;
 use crate::leave::Phase;
+use crate::member::vm_name;
 use crate::name::Name;
 use crate::table::{Expect, Table as _, Transaction};
 
@@ -22,6 +23,11 @@
 const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(600);
 
 /// Claims the jobs without a live owner for which it is this node's turn.
+///
+/// An owner that this node has not met may be alive: of a thousand nodes that start
+/// together, each knows only some in the first seconds. If it claimed their jobs, runs would
+/// be aborted again and again. Only the jobs of earlier processes of its own VM are certain to
+/// have no owner.
 pub(super) fn claim_orphans(jobs: &Rc<Jobs>) {
     let now = jobs.now();
     if now.since(jobs.started) < MEMBERSHIP_SETTLE_TIME
@@ -48,14 +54,21 @@
             }
             continue;
         }
-        if let Some(owner) = &entry.record.owner
-            && owners.contains(owner)
+        let owner = entry.record.owner.as_ref();
+        let is_predecessor = owner.is_some_and(|owner| vm_name(owner) == vm_name(&jobs.setup.me));
+        if let Some(owner) = owner
+            && !is_predecessor
+            && !view.is_gone(&owners, owner)
         {
             orphans.remove(job);
             continue;
         }
         let since = *orphans.entry(job.clone()).or_insert(now);
-        let turn = view.rank(job, &jobs.setup.me);
+        let turn = if is_predecessor {
+            0
+        } else {
+            view.rank(job, &jobs.setup.me)
+        };
         let pause = jobs.claim_after.borrow().get(job).copied();
         if now.since(since) >= CLAIM_TURN * turn && pause.is_none_or(|until| now >= until) {
             claimable.push((job.clone(), entry.clone()));
--- a/standin/tests/batch_owners.rs
+++ b/standin/tests/batch_owners.rs
@@ -38,6 +38,21 @@
     expect_that!(runs, eq(usize::try_from(ATTEMPTS).unwrap()));
 }
 
+/// Guards against a node that takes over the jobs of every owner that it has not met yet, which
+/// aborts their runs while a large fleet starts.
+#[gtest]
+fn claim_owner_unknown() {
+    let runs = actix_rt::System::new().block_on(async {
+        let fleet = Fleet::start(ATTEMPTS).await;
+        fleet.slow_down(180);
+        fleet.submit("/n/works").await;
+        fleet.serve(1);
+        sleep(Duration::from_secs(3)).await;
+        fleet.runs()
+    });
+    expect_that!(runs, eq(1));
+}
+
 #[gtest]
 fn submit_store_silent() {
     // A job is submitted to a node that has had no response from the store for seconds. The node
--- a/standin/tests/support/fleet.rs
+++ b/standin/tests/support/fleet.rs
@@ -21,7 +21,7 @@
 use auburnspoke::snapshot::Cell;
 use bytes::Bytes;
 use hyper::StatusCode;
-use standin::site::replica::{History, Replica};
+use standin::site::replica::{Fault, History, Replica};
 use standin::site::store::Store;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
@@ -54,7 +54,7 @@
     nodes: Vec<Node>,
     history: History,
     route: Arc<Route>,
-    _replica: Rc<Replica>,
+    replica: Rc<Replica>,
 }
 
 fn local() -> UdpSocket {
@@ -183,7 +183,7 @@
             nodes,
             history,
             route,
-            _replica: replica,
+            replica,
         }
     }
 
@@ -215,6 +215,16 @@
     pub fn leave(&self, at: usize) {
         self.nodes[at].phase.publish(Phase::Leaving);
     }
+    /// Makes each event of the endpoint take longer by this factor.
+    #[allow(dead_code, reason = "each test file uses a part of it")]
+    pub fn slow_down(&self, slowdown: u32) {
+        let fault = Fault {
+            slowdown,
+            ..Fault::default()
+        };
+        self.replica.fault.set(fault);
+    }
+
 
     /// Returns the number of runs of the item.
     pub fn runs(&self) -> usize {
