Publish and compare endpoints at the cost of what changed

While endpoints are released, every node built a map of all of them for each batch of changes, 6 times a second, and every request walked all of them to find the pools.

Causes that grow with nodes times endpoints: a whole map for each change; pool names counted from all endpoints for each request; comparing each known endpoint with each listed one when a table is read again (100 million comparisons at 9,999); whole tables between nodes; 4,096 tombstones, fewer than one release of the fleet leaves.

Changes: catalog::endpoints is an immutable map (imbl) whose versions share what they have in common; it counts ready slots by service and zone as they change. Pools apply what differs. A node tells another the version up to which it knows the table and gets what is newer; the whole table only where tombstones since then were dropped, packed to less than 2 MiB for 20,000 endpoints. What is older than the version of the table is outdated.

--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -3,7 +3,6 @@
 //!
 //! [`registry`] merges changes to the endpoints; `edge::learn` feeds it.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,9 +12,11 @@
 use crate::clock::{Time, Uptime};
 use crate::name::Name;
 
+pub mod endpoints;
 pub mod keyring;
 pub mod registry;
 
+use endpoints::Endpoints;
 use keyring::Keyring;
 
 /// The complete configuration by the operators.
@@ -184,8 +185,9 @@
     /// The configuration; none until one has been received.
     pub config: Option<Arc<Config>>,
     /// The endpoints, including those that are leaving.
-    pub endpoints: Arc<BTreeMap<Name, Arc<Endpoint>>>,
-    /// Time at which the list of endpoints was last confirmed by its source.
+    pub endpoints: Endpoints,
+    /// Time at which the list of endpoints was last confirmed by its source; zero before it was
+    /// read.
     pub confirmed: Time,
     /// Latest time at which the store certainly had no newer configuration than this one.
     pub config_confirmed: Option<Uptime>,
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -338,7 +338,19 @@
                 });
                 continue;
             }
-            Query::Known { version } => Reply::Known(learner.export(version).map(Box::new)),
+            Query::Rows { table, after } => {
+                let reader = Rc::clone(&reader);
+                actix_rt::spawn(async move {
+                    let page = reader.rows(&table, &after).await;
+                    // An error means that the querying node has disconnected.
+                    let _ = reply.send(Reply::Rows(page));
+                });
+                continue;
+            }
+            Query::Known {
+                version,
+                endpoints_version,
+            } => Reply::Known(learner.export(version, endpoints_version).map(Box::new)),
             Query::Report
             | Query::Document
             | Query::Announce { .. }
--- a/src/edge/learn.rs
+++ b/src/edge/learn.rs
@@ -2,7 +2,6 @@
 //! store does not answer this one.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,8 +11,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
-use crate::catalog::registry::{Entry, Registry};
-use crate::catalog::{Catalog, Config, Endpoint};
+use crate::catalog::registry::{Entry, Export, Registry};
+use crate::catalog::{Catalog, Config};
 use crate::clock::{Clock, Time, Uptime};
 use crate::event;
 use crate::link::Pool;
@@ -159,8 +158,8 @@
     /// Time between the store's last confirmation that no newer configuration exists and the
     /// sending of this update.
     pub vouched_ago: Option<Duration>,
-    /// The endpoints: id, version, and the entry unless it was removed.
-    pub endpoints: Vec<(Name, u64, Option<Endpoint>)>,
+    /// The endpoints that the receiver lacks.
+    pub endpoints: Export,
 }
 
 /// Builds the catalogue on the control thread from feeds and peers, and publishes it.
@@ -184,8 +183,6 @@
     unreadable: bool,
     /// Latest time at which the store certainly had no newer configuration.
     config_confirmed: Option<Uptime>,
-    /// The endpoints as last published.
-    endpoints: Arc<BTreeMap<Name, Arc<Endpoint>>>,
 }
 
 impl State {
@@ -293,6 +290,7 @@
                     );
                     state.registry.apply(now, entry);
                 }
+                state.registry.advance(changes.version);
             }
             Update::Failed => {
                 state.registry.store_failed(now);
@@ -301,7 +299,6 @@
         }
         state.endpoints_answered = confirmed_at;
         state.confirmed = confirmed_at;
-        state.endpoints = Arc::new(state.registry.endpoints());
         self.publish(&state);
     }
 
@@ -310,7 +307,6 @@
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         if state.registry.expire(now) {
-            state.endpoints = Arc::new(state.registry.endpoints());
             self.publish(&state);
         }
     }
@@ -318,16 +314,16 @@
     fn publish(&self, state: &State) {
         self.catalog.publish(Catalog {
             config: state.config.clone(),
-            endpoints: Arc::clone(&state.endpoints),
+            endpoints: state.registry.endpoints().clone(),
             confirmed: state.confirmed,
             config_confirmed: state.config_confirmed,
         });
     }
 
-    /// Returns the state to send to a node that has configuration `version`. While the store
-    /// does not answer this node either, only a node without any configuration, such as a
-    /// restarted one, gets an update.
-    pub fn export(&self, version: u64) -> Option<PeerUpdate> {
+    /// Returns the state to send to a node that has configuration `version`, and knows the
+    /// table of endpoints up to `endpoints_version`. While the store does not answer this node
+    /// either, only a node without any configuration, such as a restarted one, gets an update.
+    pub fn export(&self, version: u64, endpoints_version: u64) -> Option<PeerUpdate> {
         let now = self.clock.now();
         let state = self.state.borrow();
         let fresh = now.since(state.endpoints_answered) <= MAX_STORE_SILENCE;
@@ -338,16 +334,11 @@
             return None;
         }
         let config = state.config.clone().filter(|it| it.version > version);
-        let entries = state.registry.entries();
-        let endpoints = entries
-            .into_iter()
-            .map(|entry| (entry.id, entry.version, entry.endpoint))
-            .collect();
         Some(PeerUpdate {
             fresh,
             config,
             vouched_ago,
-            endpoints,
+            endpoints: state.registry.export(endpoints_version),
         })
     }
 
@@ -358,19 +349,11 @@
         }
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        for (id, version, endpoint) in update.endpoints {
-            let entry = Entry {
-                id,
-                version,
-                endpoint,
-            };
-            state.registry.apply(now, entry);
-        }
+        state.registry.import(now, update.endpoints);
         if update.fresh {
             state.confirmed = now;
         }
         state.confirm_config(update.vouched_ago.map(|ago| sent - ago));
-        state.endpoints = Arc::new(state.registry.endpoints());
         self.publish(&state);
     }
 
@@ -386,9 +369,13 @@
             || now.since(state.config_answered) > MAX_STORE_SILENCE
     }
 
-    fn config_version(&self) -> u64 {
+    /// The query that asks another node for what this one lacks.
+    fn query(&self) -> Query {
         let state = self.state.borrow();
-        state.config.as_ref().map_or(0, |config| config.version)
+        Query::Known {
+            version: state.config.as_ref().map_or(0, |config| config.version),
+            endpoints_version: state.registry.table_version(),
+        }
     }
 }
 
@@ -464,9 +451,8 @@
 }
 
 async fn poll_peer(learner: &Learner, peer: &Name, links: &Rc<Pool>) {
-    let version = learner.config_version();
+    let query = learner.query();
     let sent = Uptime::now();
-    let query = Query::Known { version };
     if let Some(Reply::Known(Some(update))) = links.query(peer, query, PEER_TIMEOUT).await {
         learner.import(sent, *update);
     }
--- a/src/permit/send.rs
+++ b/src/permit/send.rs
@@ -50,14 +50,7 @@
     /// Releases a permit that is not needed, in every pool that may have granted it.
     pub(super) fn release_in_all_pools(&self, seq: u64, owner: SocketAddr) {
         let catalog = self.catalog.read();
-        let mut services: Vec<&Name> = catalog
-            .endpoints
-            .values()
-            .map(|endpoint| &endpoint.service)
-            .collect();
-        services.sort();
-        services.dedup();
-        for service in services {
+        for service in catalog.endpoints.services() {
             for shard in shard::shards(&catalog, service) {
                 self.send_release(owner, seq, &shard.pool, End::Left);
             }
--- a/src/pool/serve.rs
+++ b/src/pool/serve.rs
@@ -10,7 +10,8 @@
 
 use super::message::{Body, MAX_DATAGRAM, Reply, Request};
 use super::{Action, Key, Pool, Transition, shard};
-use crate::catalog::{Catalog, Endpoint};
+use crate::catalog::Catalog;
+use crate::catalog::endpoints::{Difference, Endpoints};
 use crate::clock::{Clock, Time, Uptime};
 use crate::event;
 use crate::identity;
@@ -47,7 +48,7 @@
     /// When the limits were last updated.
     last_maintenance: Time,
     /// The endpoints last set in each pool.
-    applied: BTreeMap<Name, Arc<BTreeMap<Name, Arc<Endpoint>>>>,
+    applied: BTreeMap<Name, Endpoints>,
 }
 
 /// Dependencies of the pools of a node.
@@ -227,12 +228,19 @@
         let Some(pool) = self.by_name.get_mut(name) else {
             return;
         };
-        let applied = self.applied.get(name);
-        if applied.is_none_or(|applied| !Arc::ptr_eq(applied, &catalog.endpoints)) {
-            let endpoints = catalog.endpoints.values();
-            pool.set_endpoints(endpoints.filter(|endpoint| shard::contains(name, endpoint)));
-            self.applied
-                .insert(name.clone(), Arc::clone(&catalog.endpoints));
+        let applied = self.applied.entry(name.clone()).or_default();
+        if !applied.is_same(&catalog.endpoints) {
+            for difference in catalog.endpoints.changes_since(applied) {
+                match difference {
+                    Difference::Put(endpoint) if shard::contains(name, endpoint) => {
+                        pool.put_endpoint(endpoint);
+                    }
+                    // Its service or zone may have been another one.
+                    Difference::Put(endpoint) => pool.remove_endpoint(&endpoint.id),
+                    Difference::Removed(id) => pool.remove_endpoint(id),
+                }
+            }
+            *applied = catalog.endpoints.clone();
         }
         pool.step(now, &mut actions);
         for action in actions {
--- a/src/pool/shard.rs
+++ b/src/pool/shard.rs
@@ -5,8 +5,6 @@
 //! per second, and 500 slots of short requests generate that many. A request that one
 //! pool can't serve in time is tried at another.
 
-use std::collections::BTreeMap;
-
 use crate::catalog::{Catalog, Endpoint};
 use crate::name::Name;
 
@@ -28,22 +26,22 @@
 
 /// Returns the pools of a service.
 pub fn shards(catalog: &Catalog, service: &Name) -> Vec<Shard> {
-    let mut zones: BTreeMap<&Name, u32> = BTreeMap::new();
-    for endpoint in catalog.endpoints.values() {
-        if endpoint.service == *service && endpoint.ready {
-            *zones.entry(&endpoint.zone).or_default() += endpoint.slots;
-        }
-    }
+    let single = |slots| {
+        let pool = service.clone();
+        vec![Shard { pool, slots }]
+    };
+    let Some(zones) = catalog.endpoints.slots(service) else {
+        return single(0);
+    };
     let slots = zones.values().sum();
     if slots <= MAX_SINGLE_POOL_SLOTS || zones.len() < 2 {
-        let pool = service.clone();
-        return vec![Shard { pool, slots }];
+        return single(slots);
     }
     zones
-        .into_iter()
+        .iter()
         .map(|(zone, slots)| Shard {
             pool: format!("{service}{ZONE_SEPARATOR}{zone}").into(),
-            slots,
+            slots: *slots,
         })
         .collect()
 }
--- a/src/wire/query.rs
+++ b/src/wire/query.rs
@@ -34,6 +34,9 @@
     Known {
         /// The sender's configuration version.
         version: u64,
+        /// The version up to which the sender knows the table of endpoints; 0 for none.
+        #[serde(default)]
+        endpoints_version: u64,
     },
     /// Requests the changes of a table in the store.
     Changes {
--- a/standin/tests/support/fleet.rs
+++ b/standin/tests/support/fleet.rs
@@ -1,6 +1,5 @@
 //! The batch parts of several nodes in one process, with a store, a pool and one replica.
 
-use std::collections::BTreeMap;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -104,7 +103,7 @@
     };
     Catalog {
         config: Some(Arc::new(config)),
-        endpoints: Arc::new(BTreeMap::from([("i-1".into(), Arc::new(endpoint))])),
+        endpoints: [endpoint].into_iter().collect(),
         ..Catalog::default()
     }
 }
@@ -215,6 +214,7 @@
     pub fn leave(&self, at: usize) {
         self.nodes[at].phase.publish(Phase::Leaving);
     }
+
     /// Makes each event of the endpoint take longer by this factor.
     #[allow(dead_code, reason = "each test file uses a part of it")]
     pub fn slow_down(&self, slowdown: u32) {
@@ -225,7 +225,6 @@
         self.replica.fault.set(fault);
     }
 
-
     /// Returns the number of runs of the item.
     pub fn runs(&self) -> usize {
         self.history.borrow().get(ITEM).map_or(0, Vec::len)
--- a/tests/catalog_book.rs
+++ b/tests/catalog_book.rs
@@ -4,8 +4,9 @@
 use std::net::SocketAddr;
 
 use auburnspoke::catalog::Endpoint;
-use auburnspoke::catalog::registry::{Entry, Registry};
+use auburnspoke::catalog::registry::{Entry, Export, Registry};
 use auburnspoke::clock::Time;
+use auburnspoke::wire;
 use googletest::prelude::*;
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -41,8 +42,8 @@
 fn ids(registry: &Registry) -> Vec<String> {
     registry
         .endpoints()
-        .keys()
-        .map(ToString::to_string)
+        .values()
+        .map(|endpoint| endpoint.id.to_string())
         .collect()
 }
 
@@ -62,7 +63,7 @@
     registry.apply(at(0), entry("a", 3, true));
     registry.apply(at(1), entry("a", 5, false));
     expect_that!(registry.apply(at(2), entry("a", 3, true)), eq(false));
-    expect_that!(registry.endpoints()["a"].ready, eq(false));
+    expect_that!(registry.endpoints().get("a").unwrap().ready, eq(false));
     registry.apply(at(3), removed("a", 6));
     expect_that!(registry.apply(at(4), entry("a", 5, true)), eq(false));
     expect_that!(ids(&registry), is_empty());
@@ -281,3 +282,73 @@
     registry.refuse(&"a".into(), 5);
     expect_that!(ids(&registry), eq(2));
 }
+
+/// Guards against sending all endpoints, megabytes of a large fleet, to each node that the store
+/// turns away, several times per second.
+#[gtest]
+fn export_to_current_peer() {
+    let mut registry = Registry::default();
+    let entries = (0..10_000).map(|at| entry(&format!("e{at}"), at + 1, true));
+    registry.replace(at(0), entries.collect(), 10_000);
+    registry.apply(at(1), entry("new", 10_001, true));
+    registry.apply(at(1), removed("e1", 10_002));
+    registry.advance(10_002);
+    let export = registry.export(10_000);
+    expect_false!(export.is_whole);
+    expect_that!(export.entries.len(), eq(2));
+    let mut peer = Registry::default();
+    peer.import(at(2), registry.export(0));
+    expect_that!(ids(&peer), eq(&ids(&registry)));
+}
+
+/// Guards against endpoints that a peer keeps forever, because the tombstones of a release of the
+/// whole fleet were dropped before it asked.
+#[gtest]
+fn export_after_large_release() {
+    let mut registry = Registry::default();
+    let entries = |from: u64| (from..from + 9_000).map(|at| entry(&format!("e{at}"), at + 1, true));
+    registry.replace(at(0), entries(0).collect(), 9_000);
+    let mut peer = Registry::default();
+    peer.import(at(0), registry.export(0));
+    for number in 0..9_000 {
+        registry.apply(at(1), removed(&format!("e{number}"), 20_000 + number));
+    }
+    for released in entries(30_000) {
+        registry.apply(at(1), released);
+    }
+    registry.advance(40_000);
+    peer.import(at(2), registry.export(peer.table_version()));
+    expect_that!(ids(&peer), eq(&ids(&registry)));
+}
+
+/// Guards against endpoints that come back: an entry that is older than the changes already
+/// applied belongs to an endpoint that was removed since.
+#[gtest]
+fn apply_older_than_changes() {
+    let mut registry = Registry::default();
+    registry.advance(50);
+    expect_that!(registry.apply(at(0), entry("a", 40, true)), eq(false));
+    expect_that!(registry.apply(at(0), entry("b", 51, true)), eq(true));
+}
+
+/// Guards against a table that outgrows a frame, so that nodes which the store turns away get none:
+/// twice the endpoints of the largest fleet have to fit.
+#[gtest]
+fn export_fits_frame() {
+    let mut registry = Registry::default();
+    let whole = (0..20_000).map(|number| {
+        let mut entry = entry(&format!("i-{number:010}"), number + 1, true);
+        if let Some(endpoint) = &mut entry.endpoint {
+            endpoint.service = "a-language-model".into();
+            endpoint.zone = "availability-zone".into();
+            endpoint.incarnation = 1_800_000_000_000;
+        }
+        entry
+    });
+    registry.replace(at(0), whole.collect(), 20_000);
+    let export = registry.export(0);
+    let bytes = wire::encode(&export).unwrap();
+    expect_that!(bytes.len(), lt(wire::MAX_FRAME_BYTES / 2));
+    let decoded: Export = wire::decode(&bytes).unwrap();
+    expect_that!(decoded, eq(&export));
+}
--- a/tests/learn_endpoints.rs
+++ b/tests/learn_endpoints.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use auburnspoke::catalog::registry::Entry;
 use auburnspoke::catalog::{Catalog, Endpoint};
 use auburnspoke::clock::Clock;
 use auburnspoke::edge::learn::{Learner, Update};
@@ -109,12 +110,11 @@
     let node = Node::new();
     node.learner.endpoints(Update::Snapshot(snapshot(None)));
     node.change(800, &key(BAD_ROW), Some(Bytes::new()));
-    let known = node.learner.export(0).unwrap();
-    let is_restored = |(id, _, endpoint): &(_, u64, Option<Endpoint>)| {
-        *id == key(BAD_ROW).into() && endpoint.is_some()
-    };
-    expect_false!(known.endpoints.iter().any(is_restored));
-    let present = known.endpoints.iter().filter(|(_, _, it)| it.is_some());
+    let known = node.learner.export(0, 0).unwrap();
+    let entries = known.endpoints.entries;
+    let is_restored = |entry: &Entry| *entry.id == *key(BAD_ROW) && entry.endpoint.is_some();
+    expect_false!(entries.iter().any(is_restored));
+    let present = entries.iter().filter(|entry| entry.endpoint.is_some());
     expect_that!(present.count(), eq(ROWS - 1));
 }
 
--- a/tests/permit_zones.rs
+++ b/tests/permit_zones.rs
@@ -3,7 +3,6 @@
 #[path = "support/member.rs"]
 mod support;
 
-use std::collections::BTreeMap;
 use std::net::UdpSocket;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -31,18 +30,16 @@
     tokio::net::UdpSocket::from_std(socket).unwrap()
 }
 
-fn endpoint(zone: &str, at: usize) -> (Name, Arc<Endpoint>) {
-    let id: Name = format!("i-{zone}-{at}").into();
-    let endpoint = Endpoint {
-        id: id.clone(),
+fn endpoint(zone: &str, at: usize) -> Endpoint {
+    Endpoint {
+        id: format!("i-{zone}-{at}").into(),
         service: "llm".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         zone: zone.into(),
         slots: SLOTS,
         ready: true,
         incarnation: 0,
-    };
-    (id, Arc::new(endpoint))
+    }
 }
 
 fn catalog() -> Catalog {
@@ -51,7 +48,7 @@
         .flat_map(|zone| (0..ENDPOINTS).map(|at| endpoint(zone, at)));
     Catalog {
         config: None,
-        endpoints: Arc::new(all.collect::<BTreeMap<_, _>>()),
+        endpoints: all.collect(),
         ..Catalog::default()
     }
 }
--- a/tests/pool_shard.rs
+++ b/tests/pool_shard.rs
@@ -1,8 +1,6 @@
 //! Sharding of services into pools, and the choice of a pool for a request.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use auburnspoke::catalog::{Catalog, Endpoint};
 use auburnspoke::pool::shard;
@@ -18,11 +16,8 @@
         ready: true,
         incarnation: 0,
     };
-    let endpoints: BTreeMap<_, _> = (0..endpoints)
-        .map(|at| (endpoint(at).id, Arc::new(endpoint(at))))
-        .collect();
     Catalog {
-        endpoints: Arc::new(endpoints),
+        endpoints: (0..endpoints).map(endpoint).collect(),
         ..Catalog::default()
     }
 }
