Read large tables from a neighbour, and serve with their first rows

A reader's queue took 64 queries, and each change wakes 100 to 200 members times four tables: whoever did not fit passed the reader over for 4 s (E515 silent).

A starting node reads one page of 500 rows from the store, serves with these endpoints, and takes the rest from a reader when it has met the others, from the store itself after 2.5 s or when both readers fail. Small tables are read as before. The queue takes 1,024 queries.

--- a/src/batch/shell.rs
+++ b/src/batch/shell.rs
@@ -168,7 +168,7 @@
                     .synced(now, snapshot.version, snapshot.clock);
             }
             Update::Changes(changes) => self.apply_changes(changes),
-            Update::Failed => return,
+            Update::Part(_) | Update::Failed => return,
         }
         self.changed.notify_waiters();
     }
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -62,8 +62,9 @@
 
 /// Interval at which a shutdown checks whether all work has ended.
 const STOP_POLL: Duration = Duration::from_millis(50);
-/// Capacity of the queue of other nodes' queries.
-const QUERY_QUEUE: usize = 64;
+/// Capacity of the queue of other nodes' queries. Each change wakes all members that follow a
+/// table here, and their next queries arrive at once: four tables of 200 members.
+const QUERY_QUEUE: usize = 1_024;
 /// Capacity of the channels that carry notes between the two threads.
 const NOTE_QUEUE: usize = 256;
 /// Tables whose changes nodes relay to each other, with the shortest interval between two reads
--- a/src/edge/learn.rs
+++ b/src/edge/learn.rs
@@ -58,6 +58,8 @@
 pub enum Update {
     /// The whole table.
     Snapshot(Snapshot),
+    /// Some rows of a table that is still being read for the first time.
+    Part(Snapshot),
     /// The changes since the last result.
     Changes(Changes),
     /// The store did not answer.
@@ -69,7 +71,7 @@
     fn age(&self) -> Duration {
         match self {
             Self::Changes(changes) => changes.age,
-            Self::Snapshot(_) | Self::Failed => Duration::ZERO,
+            Self::Snapshot(_) | Self::Part(_) | Self::Failed => Duration::ZERO,
         }
     }
 
@@ -78,7 +80,7 @@
         match self {
             Self::Changes(changes) => changes.asked,
             Self::Snapshot(snapshot) => snapshot.asked,
-            Self::Failed => None,
+            Self::Part(_) | Self::Failed => None,
         }
     }
 }
@@ -93,10 +95,14 @@
 {
     let mut last_version = 0;
     let mut needs_snapshot = true;
+    let mut has_table = false;
     let mut failures = 0;
     loop {
-        let update = if needs_snapshot {
+        let update = if needs_snapshot && has_table {
             feed.snapshot(table).await.map(Update::Snapshot)
+        } else if needs_snapshot {
+            let read = read_first(&feed, table, &mut sink).await;
+            read.map(Update::Snapshot)
         } else {
             match feed.changes(table, last_version, FEED_TIMEOUT).await {
                 Ok(changes) => Ok(Update::Changes(changes)),
@@ -116,7 +122,7 @@
                 let version = match &update {
                     Update::Snapshot(snapshot) => snapshot.version,
                     Update::Changes(changes) => changes.version,
-                    Update::Failed => 0,
+                    Update::Part(_) | Update::Failed => 0,
                 };
                 if version < last_version {
                     sleep(STALE_RETRY_DELAY).await;
@@ -124,6 +130,7 @@
                 }
                 last_version = version;
                 needs_snapshot = false;
+                has_table = true;
                 failures = 0;
                 sink(update);
                 sleep(interval).await;
@@ -138,6 +145,22 @@
     }
 }
 
+/// Reads a table for the first time. The first rows of a large one are passed on before the
+/// rest is read, which takes seconds while a whole fleet starts: some of thousands of endpoints
+/// are enough to serve callers.
+async fn read_first<F, S>(feed: &F, table: &str, sink: &mut S) -> Result<Snapshot, Fault>
+where
+    F: Feed,
+    S: FnMut(Update),
+{
+    let first = feed.first_page(table).await?;
+    if first.is_whole {
+        return Ok(first.snapshot);
+    }
+    sink(Update::Part(first.snapshot));
+    feed.snapshot(table).await
+}
+
 /// Returns the delay before the next call after `failures` earlier consecutive failures.
 fn backoff(fault: &Fault, failures: u32) -> Duration {
     let first = match fault {
@@ -217,7 +240,7 @@
                 .into_iter()
                 .filter_map(|change| Some((change.key, change.value?)))
                 .collect(),
-            Update::Failed => return,
+            Update::Part(_) | Update::Failed => return,
         };
         self.state.borrow_mut().config_answered = confirmed_at;
         let mut unreadable = self.state.borrow().unreadable;
@@ -272,6 +295,14 @@
                 state.registry.replace(now, entries, snapshot.version);
                 mark_unreadable(&mut state.registry, &unreadable);
             }
+            Update::Part(part) => {
+                let (entries, _) = partition(part.rows.iter().map(endpoint::from_row));
+                for entry in entries {
+                    state.registry.apply(now, entry);
+                }
+                self.publish(&state);
+                return;
+            }
             Update::Changes(changes) => {
                 if let Some(ago) = changes.failed_ago {
                     state.registry.store_failed(now - ago);
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -15,11 +15,14 @@
 pub mod reader;
 pub mod selector;
 pub mod source;
+pub mod table;
+
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Uptime;
-use crate::table::Changes;
+use crate::table::{Changes, Row};
 
 /// Answer of a reader to [`crate::wire::query::Query::Changes`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,6 +37,23 @@
     Foreign,
 }
 
+/// Rows of a table, as a reader has them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Page {
+    /// The rows, in order of their keys.
+    pub rows: Vec<Row>,
+    /// True if more rows follow.
+    pub has_more: bool,
+    /// The version of the table that the rows reflect at least.
+    pub version: u64,
+    /// The store's clock at its last answer, in milliseconds.
+    pub clock: u64,
+    /// Age of that answer.
+    pub age: Duration,
+    /// How long before this page was sent the store was queried for that answer.
+    pub asked_ago: Duration,
+}
+
 impl Answer {
     /// Sets how long before `now` the store was queried. The receiver counts back from the time
     /// of its own query, which was sent before `now`: even if the answer is delayed or its sender
--- a/src/feed/buffer.rs
+++ b/src/feed/buffer.rs
@@ -107,6 +107,14 @@
         }))
     }
 
+    /// Returns when the store last answered, its clock in that answer, and when it was queried;
+    /// `None` if it has not answered, or failed since.
+    pub fn answered(&self) -> Option<(Time, u64, Option<Uptime>)> {
+        let (at, clock) = self.answered?;
+        let has_failed = self.failed.is_some_and(|failed| failed >= at);
+        (!has_failed).then_some((at, clock, self.queried))
+    }
+
     /// True when there are changes after `version`.
     pub fn has_changes_after(&self, version: u64) -> bool {
         self.changes
--- a/src/feed/source.rs
+++ b/src/feed/source.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::{Instant, sleep};
+
 use super::Answer;
 use super::selector::{Fault, Selector};
 use crate::clock::{Clock, Uptime};
@@ -14,13 +16,22 @@
 use crate::member::View;
 use crate::name::Name;
 use crate::snapshot::Cell;
-use crate::table::{self, Changes, Feed, FeedError, Snapshot};
+use crate::table::{self, Changes, Feed, FeedError, FirstPage, Snapshot};
 use crate::wire::query::{Query, Reply};
 
 /// Timeout of a query to a reader. A reader answers within 0.8 s, plus the link delay. Two frozen
 /// readers cost twice this timeout, which still allows a configuration to be in force within 3 s.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(950);
 
+/// Timeout of a query for rows. The reader may have to read the table first.
+const ROWS_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long a node that has just started waits for the other members before it reads a large
+/// table from the store itself. If all nodes did so at once, they would wait for the store's
+/// link for longer than this.
+const MEMBERS_WAIT: Duration = Duration::from_millis(2_500);
+/// Interval between checks for the members.
+const MEMBERS_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Sends queries to other members.
 pub trait Transport {
     /// Returns the answer of the member whose link listens at `link`; none when there was no
@@ -71,17 +82,94 @@
         }
     }
 
+    /// Returns the name and the link of the reader to query; none when the store has to be read.
+    fn reader(&self) -> Option<(Name, Name)> {
+        let setup = &self.setup;
+        let view = setup.view.read();
+        let now = setup.clock.now();
+        let selector = self.selector.borrow();
+        let reader = selector.reader(now, &setup.me, &setup.zone, &view)?;
+        Some((reader.name.clone(), reader.link.clone()))
+    }
+
+    /// Skips a reader for a while.
+    fn avoid(&self, table: &str, version: u64, reader: &Name, fault: Fault, why: &'static str) {
+        self.setup.count.feed(why);
+        log::info!(
+            "{} table={table} version={version} reader={reader} why={why}",
+            event::FEED_PASSED_OVER
+        );
+        let now = self.setup.clock.now();
+        self.selector.borrow_mut().avoid(now, reader, fault);
+    }
+
+    /// Waits until this node has met the other members, for a bounded time.
+    async fn await_members(&self) {
+        let until = Instant::now() + MEMBERS_WAIT;
+        while !self.setup.view.read().is_complete && Instant::now() < until {
+            sleep(MEMBERS_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Returns all rows of a table from a reader; none when the store has to be read.
+    async fn query_rows(&self, table: &str) -> Option<Snapshot> {
+        loop {
+            let (name, link) = self.reader()?;
+            let (fault, why) = match self.read_rows(table, &link).await {
+                Ok(snapshot) => {
+                    self.setup.count.feed("told");
+                    return Some(snapshot);
+                }
+                Err(fault @ Fault::Silent) => (fault, "silent"),
+                Err(fault @ Fault::Stale) => (fault, "stale"),
+                Err(fault @ Fault::Wrong) => (fault, "wrong"),
+            };
+            self.avoid(table, 0, &name, fault, why);
+        }
+    }
+
+    /// Reads all pages of a table from one reader.
+    async fn read_rows(&self, table: &str, link: &Name) -> Result<Snapshot, Fault> {
+        let mut snapshot: Option<Snapshot> = None;
+        let mut after = String::new();
+        loop {
+            let query = Query::Rows {
+                table: table.into(),
+                after: after.clone(),
+            };
+            let sent = Uptime::now();
+            let page = match self.links.query(link, query, ROWS_TIMEOUT).await {
+                Some(Reply::Rows(Some(page))) => page,
+                Some(Reply::Rows(None)) => return Err(Fault::Stale),
+                None | Some(Reply::Busy) => return Err(Fault::Silent),
+                Some(_) => return Err(Fault::Wrong),
+            };
+            let snapshot = snapshot.get_or_insert_with(|| Snapshot {
+                rows: Vec::new(),
+                // Later pages may be newer. Following from the first page's version delivers
+                // their changes again, which is harmless.
+                version: page.version,
+                clock: page.clock + u64::try_from(page.age.as_millis()).unwrap_or(0),
+                asked: Some(sent - page.asked_ago),
+            });
+            for row in page.rows {
+                if row.key <= after {
+                    return Err(Fault::Wrong);
+                }
+                after.clone_from(&row.key);
+                snapshot.rows.push(row);
+            }
+            if !page.has_more {
+                return Ok(std::mem::take(snapshot));
+            }
+        }
+    }
+
     /// Returns the changes from a reader; none when the store has to be read.
     async fn query(&self, table: &str, version: u64) -> Option<Changes> {
         loop {
             let setup = &self.setup;
-            let (name, link) = {
-                let view = setup.view.read();
-                let now = setup.clock.now();
-                let selector = self.selector.borrow();
-                let reader = selector.reader(now, &setup.me, &setup.zone, &view)?;
-                (reader.name.clone(), reader.link.clone())
-            };
+            let (name, link) = self.reader()?;
             let query = Query::Changes {
                 table: table.into(),
                 after: version,
@@ -104,13 +192,7 @@
                 None | Some(Reply::Busy) => (Fault::Silent, "silent"),
                 Some(_) => (Fault::Wrong, "foreign"),
             };
-            setup.count.feed(why);
-            log::info!(
-                "{} table={table} version={version} reader={name} why={why}",
-                event::FEED_PASSED_OVER
-            );
-            let now = setup.clock.now();
-            self.selector.borrow_mut().avoid(now, &name, fault);
+            self.avoid(table, version, &name, fault, why);
         }
     }
 }
@@ -134,7 +216,15 @@
     A: Transport,
 {
     async fn snapshot(&self, table: &str) -> Result<Snapshot, table::Fault> {
-        self.store.snapshot(table).await
+        self.await_members().await;
+        match self.query_rows(table).await {
+            Some(snapshot) => Ok(snapshot),
+            None => self.store.snapshot(table).await,
+        }
+    }
+
+    async fn first_page(&self, table: &str) -> Result<FirstPage, table::Fault> {
+        self.store.first_page(table).await
     }
 
     async fn changes(
--- a/src/permit/fallback.rs
+++ b/src/permit/fallback.rs
@@ -13,7 +13,8 @@
 
 impl Broker {
     /// Returns the granted endpoint if this node may use it. An endpoint that is missing
-    /// from a fresh catalog is gone; one that is missing from a stale catalog may be new.
+    /// from a fresh catalog is gone; one that is missing from a stale catalog, or from one that
+    /// is still being read, may be new.
     pub(super) fn usable(
         &self,
         now: Time,
@@ -27,7 +28,8 @@
         if let Some(endpoint) = catalog.endpoints.get(id) {
             return endpoint.ready.then(|| Arc::clone(endpoint));
         }
-        if now.since(catalog.confirmed) < MAX_FRESH_AGE {
+        let is_confirmed = catalog.confirmed > Time::ZERO;
+        if is_confirmed && now.since(catalog.confirmed) < MAX_FRESH_AGE {
             return None;
         }
         Some(Arc::new(Endpoint {
--- a/src/platform/store/feed.rs
+++ b/src/platform/store/feed.rs
@@ -8,7 +8,7 @@
 use super::row::RowsAnswer;
 use super::{Client, MAX_PAGE_ROWS, Range, escape, parse, successor, unexpected, value_of};
 use crate::clock::Uptime;
-use crate::table::{Change, Changes, Fault, Feed, FeedError, Row, Snapshot};
+use crate::table::{Change, Changes, Fault, Feed, FeedError, FirstPage, Row, Snapshot};
 
 /// How much longer than its requested wait a feed call may take. A dead connection is detected
 /// within this time, so that the node still learns of a leaving endpoint in time over a new one.
@@ -17,6 +17,29 @@
 /// Number of lost pages after which a snapshot fails.
 const MAX_PAGE_RETRIES: u32 = 3;
 
+/// Adds a page of rows to a snapshot; returns the key from which the next page starts, if any.
+fn add_page(
+    table: &str,
+    snapshot: &mut Snapshot,
+    answer: RowsAnswer,
+) -> Result<Option<String>, Fault> {
+    if snapshot.version == 0 {
+        // Later pages may be newer. Following from the first page's version delivers their
+        // changes again, which is harmless.
+        snapshot.version = answer.ver;
+        snapshot.clock = answer.now_ms;
+    }
+    for entry in answer.rows {
+        snapshot.rows.push(Row {
+            value: value_of(table, &entry.value)?,
+            key: entry.key,
+            version: entry.ver,
+        });
+    }
+    let last = snapshot.rows.last().filter(|_| answer.truncated);
+    Ok(last.map(|row| successor(&row.key)))
+}
+
 impl Feed for Client {
     async fn snapshot(&self, table: &str) -> Result<Snapshot, Fault> {
         let mut snapshot = Snapshot {
@@ -42,26 +65,31 @@
                 }
                 answer => answer?,
             };
-            if snapshot.version == 0 {
-                // Later pages may be newer. Following from the first page's version delivers
-                // their changes again, which is harmless.
-                snapshot.version = answer.ver;
-                snapshot.clock = answer.now_ms;
-            }
-            for entry in &answer.rows {
-                snapshot.rows.push(Row {
-                    key: entry.key.clone(),
-                    version: entry.ver,
-                    value: value_of(table, &entry.value)?,
-                });
-            }
-            match answer.rows.last() {
-                Some(last) if answer.truncated => from = successor(&last.key),
-                _ => return Ok(snapshot),
+            match add_page(table, &mut snapshot, answer)? {
+                Some(next) => from = next,
+                None => return Ok(snapshot),
             }
         }
     }
 
+    async fn first_page(&self, table: &str) -> Result<FirstPage, Fault> {
+        let mut snapshot = Snapshot {
+            asked: Some(Uptime::now()),
+            ..Snapshot::default()
+        };
+        let range = Range {
+            from: "",
+            to: "",
+            limit: MAX_PAGE_ROWS,
+        };
+        let answer = self.rows(table, range).await?;
+        let next = add_page(table, &mut snapshot, answer)?;
+        Ok(FirstPage {
+            snapshot,
+            is_whole: next.is_none(),
+        })
+    }
+
     async fn changes(
         &self,
         table: &str,
--- a/src/quarantine/detector.rs
+++ b/src/quarantine/detector.rs
@@ -375,7 +375,7 @@
                 let rows: Vec<_> = rows.map(|row| (row.key, row.value)).collect();
                 (rows, changes.clock, self.now() - changes.age)
             }
-            Update::Failed => return,
+            Update::Part(_) | Update::Failed => return,
         };
         self.store_clock.set(Some((clock_read, clock)));
         for (key, value) in rows {
--- a/src/table.rs
+++ b/src/table.rs
@@ -214,6 +214,15 @@
     pub asked: Option<Uptime>,
 }
 
+/// The first rows of a table.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FirstPage {
+    /// The rows read.
+    pub snapshot: Snapshot,
+    /// True if these are all rows.
+    pub is_whole: bool,
+}
+
 /// A change of one row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
@@ -269,6 +278,18 @@
     /// As for [`Table::get`].
     async fn snapshot(&self, table: &str) -> Result<Snapshot, Fault>;
 
+    /// Reads as many rows as one call returns, for a node that has none yet.
+    ///
+    /// # Errors
+    /// As for [`Table::get`].
+    async fn first_page(&self, table: &str) -> Result<FirstPage, Fault> {
+        let snapshot = self.snapshot(table).await?;
+        Ok(FirstPage {
+            snapshot,
+            is_whole: true,
+        })
+    }
+
     /// Waits up to `wait` for changes after `version`.
     ///
     /// # Errors
--- a/src/wire/query.rs
+++ b/src/wire/query.rs
@@ -11,7 +11,7 @@
 use crate::config::follow::Report;
 use crate::dispatch::Load;
 use crate::edge::learn::PeerUpdate;
-use crate::feed::Answer;
+use crate::feed::{Answer, Page};
 use crate::name::Name;
 
 /// A query.
@@ -45,6 +45,13 @@
         /// The sender's version of the table.
         after: u64,
     },
+    /// Requests rows of a table in the store.
+    Rows {
+        /// The table.
+        table: Name,
+        /// The rows follow this key; empty for the first rows.
+        after: String,
+    },
 }
 
 /// A reply.
@@ -67,6 +74,8 @@
     Known(Option<Box<PeerUpdate>>),
     /// Replies to [`Query::Changes`].
     Changes(Answer),
+    /// Replies to [`Query::Rows`]; none if the node can't read the table.
+    Rows(Option<Page>),
     /// The node can't reply now.
     Busy,
 }
--- a/tests/feed_fleet.rs
+++ b/tests/feed_fleet.rs
@@ -224,7 +224,7 @@
             let following = follow(source, TABLE, READ_INTERVAL, move |update| match update {
                 Update::Changes(changes) => version.set(changes.version),
                 Update::Snapshot(snapshot) => version.set(snapshot.version),
-                Update::Failed => {}
+                Update::Part(_) | Update::Failed => {}
             });
             tokio::task::spawn_local(following);
         }
--- a/tests/learn_endpoints.rs
+++ b/tests/learn_endpoints.rs
@@ -5,7 +5,7 @@
 
 use auburnspoke::catalog::registry::Entry;
 use auburnspoke::catalog::{Catalog, Endpoint};
-use auburnspoke::clock::Clock;
+use auburnspoke::clock::{Clock, Time};
 use auburnspoke::edge::learn::{Learner, Update};
 use auburnspoke::snapshot::Cell;
 use auburnspoke::table::{Change, Changes, Row, Snapshot};
@@ -143,3 +143,17 @@
     expect_that!(node.find(&key(1)).unwrap().incarnation, eq(6));
     expect_that!(node.find(&key(1)).unwrap().address.port(), eq(9_001));
 }
+
+/// Guards against a starting node that refuses callers for seconds while it reads thousands of
+/// endpoints: the first rows are used at once, but not taken for the whole table.
+#[gtest]
+fn endpoints_first_rows() {
+    let node = Node::new();
+    let mut part = snapshot(None);
+    part.rows.truncate(500);
+    node.learner.endpoints(Update::Part(part));
+    expect_that!(node.endpoints(), eq(500));
+    expect_that!(node.catalog.read().confirmed, eq(Time::ZERO));
+    node.learner.endpoints(Update::Snapshot(snapshot(None)));
+    expect_that!(node.endpoints(), eq(ROWS));
+}
--- a/tests/permit_zones.rs
+++ b/tests/permit_zones.rs
@@ -59,6 +59,11 @@
 
 /// Starts the pools of all zones, and returns the broker of a gateway in `z0`.
 fn broker() -> Rc<Broker> {
+    broker_with(catalog())
+}
+
+/// Does the same with a gateway whose catalogue differs from that of the pools.
+fn broker_with(known: Catalog) -> Rc<Broker> {
     let clock = Clock::start();
     let catalog = Arc::new(Cell::new(catalog()));
     let pools = local();
@@ -77,7 +82,7 @@
         pool_port: port,
         boot: 1,
         clock,
-        catalog,
+        catalog: Arc::new(Cell::new(known)),
         view,
         tolerance: Tolerance::default(),
     });
@@ -134,3 +139,22 @@
         expect_that!(held.iter().filter(in_other_zone).count(), eq(20));
     });
 }
+
+/// Guards against a node that refuses the endpoints it is granted, because it has read only the
+/// first rows of their table.
+#[gtest]
+fn acquire_table_not_read_yet() {
+    actix_rt::System::new().block_on(async {
+        let first_rows = Catalog {
+            endpoints: ZONES.iter().map(|zone| endpoint(zone, 0)).collect(),
+            ..Catalog::default()
+        };
+        let broker = broker_with(first_rows);
+        let mut held = Vec::new();
+        for _ in 0..3 * SLOTS {
+            held.push(acquire(&broker).await.unwrap());
+        }
+        let is_listed = |permit: &&Permit| permit.endpoint.id.ends_with("-0");
+        expect_that!(held.iter().filter(is_listed).count(), lt(60));
+    });
+}
