--- a/tests/feed_rows.rs
+++ b/tests/feed_rows.rs
@@ -181,31 +181,35 @@
     (read.unwrap().rows.len(), store.snapshots.get())
 }
 
-fn page(rows: std::ops::Range<usize>, has_more: bool) -> Option<Reply> {
-    Some(Reply::Rows(Some(Page {
+fn page(rows: std::ops::Range<usize>, has_more: bool) -> Reply {
+    Reply::Rows(Some(Page {
         rows: snapshot().rows.drain(rows).collect(),
         has_more,
         version: 7,
         ..Page::default()
-    })))
+    }))
 }
 
 #[gtest]
 fn snapshot_from_reader() {
-    let read = read_over(vec![page(0..40, true), page(40..60, false)]);
+    let read = read_over(vec![Some(page(0..40, true)), Some(page(40..60, false))]);
     expect_that!(read, eq((60, 0)));
 }
 
 /// A reader is lost between two pages; the next one is read from the start.
 #[gtest]
 fn snapshot_reader_lost() {
-    let read = read_over(vec![page(0..40, true), None, page(0..60, false)]);
+    let read = read_over(vec![
+        Some(page(0..40, true)),
+        None,
+        Some(page(0..60, false)),
+    ]);
     expect_that!(read, eq((60, 0)));
 }
 
 /// Guards against a reader whose pages repeat, which could be read without end.
 #[gtest]
 fn snapshot_repeated_page() {
-    let answers = vec![page(0..40, true), page(0..40, false)];
+    let answers = vec![Some(page(0..40, true)), Some(page(0..40, false))];
     expect_that!(read_over(answers), eq((ROWS, 1)));
 }
--- a/tests/member_list.rs
+++ b/tests/member_list.rs
@@ -95,7 +95,7 @@
         let until = self.now + length;
         let mut introduced = Vec::new();
         while self.now < until {
-            self.now = self.now + TICK;
+            self.now += TICK;
             for action in self.gossip.step(self.now, Input::Tick) {
                 if let Action::Send { to, frame } = action
                     && frame.body == (Body::Hello { answer: false })
