Wait for a joining owner's introduction before its job is taken over

Where nodes are added, an old node has met all on its list and yet hears of a new node only by its introduction, up to a second after the new one may accept a job.

Change: an owner has to be missing from a complete view for 3 s.

Test: batch_owners claim_owner_joining, 1 run of the item in 2 s; fails without the wait.

--- a/src/batch/orphan.rs
+++ b/src/batch/orphan.rs
@@ -18,6 +18,10 @@
 /// unable to reach the store.
 const CLAIM_TURN: Duration = Duration::from_millis(1_200);
 
+/// Time for which an owner must have been missing from a complete view. A node that has just
+/// joined may accept a job before it has introduced itself to all others, which takes a second
+/// from when it has read their list.
+const UNKNOWN_OWNER_DELAY: Duration = Duration::from_secs(3);
 /// Delay before a failed claim is retried. When all nodes have restarted, their claims exceed the
 /// store's write limit; retrying at every interval would keep it there.
 const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(600);
@@ -64,13 +68,19 @@
             continue;
         }
         let since = *orphans.entry(job.clone()).or_insert(now);
-        let turn = if is_predecessor {
-            0
+        let wait = if is_predecessor {
+            Duration::ZERO
         } else {
-            view.rank(job, &jobs.setup.me)
+            let is_unknown = owner.is_some_and(|owner| view.find(owner).is_none());
+            let delay = if is_unknown {
+                UNKNOWN_OWNER_DELAY
+            } else {
+                Duration::ZERO
+            };
+            delay + CLAIM_TURN * view.rank(job, &jobs.setup.me)
         };
         let pause = jobs.claim_after.borrow().get(job).copied();
-        if now.since(since) >= CLAIM_TURN * turn && pause.is_none_or(|until| now >= until) {
+        if now.since(since) >= wait && pause.is_none_or(|until| now >= until) {
             claimable.push((job.clone(), entry.clone()));
         }
     }
--- a/standin/tests/batch_owners.rs
+++ b/standin/tests/batch_owners.rs
@@ -53,6 +53,21 @@
     expect_that!(runs, eq(1));
 }
 
+/// Guards against a node that takes over the job of one that has just joined, before it has heard
+/// of it.
+#[gtest]
+fn claim_owner_joining() {
+    let runs = actix_rt::System::new().block_on(async {
+        let fleet = Fleet::start_with(ATTEMPTS, true).await;
+        fleet.slow_down(180);
+        fleet.submit("/n/works").await;
+        fleet.serve(1);
+        sleep(Duration::from_secs(2)).await;
+        fleet.runs()
+    });
+    expect_that!(runs, eq(1));
+}
+
 #[gtest]
 fn submit_store_silent() {
     // A job is submitted to a node that has had no response from the store for seconds. The node
--- a/standin/tests/support/fleet.rs
+++ b/standin/tests/support/fleet.rs
@@ -111,6 +111,11 @@
 impl Fleet {
     /// Starts the nodes; items may fail `attempts` times.
     pub async fn start(attempts: u32) -> Self {
+        Self::start_with(attempts, false).await
+    }
+
+    /// Does the same with nodes that may have met all others.
+    pub async fn start_with(attempts: u32, is_complete: bool) -> Self {
         let store = Store::new();
         let history = History::default();
         let step = Duration::from_millis(5);
@@ -134,7 +139,10 @@
         for at in 0..NODES {
             let me: Name = format!("node-{at}").into();
             let members = vec![member(&me)];
-            let view = Arc::new(Cell::new(View::from(members)));
+            let view = Arc::new(Cell::new(View {
+                is_complete,
+                ..View::from(members)
+            }));
             let socket = tokio::net::UdpSocket::from_std(local()).unwrap();
             let broker = Broker::new(permit::Setup {
                 socket,
