Wake up only when there is something to do

Cause: the broker ticked 50 times a second, the pools 40, the count of work before a shutdown 20, the log's writer 10, on nodes that have no request, own no pool and write no line.

Change: the broker ticks while something waits, is held or is silent; pools while one is not idle; work is counted twice a second until a shutdown begins; the log's writer waits for a line.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -77,6 +77,14 @@
     }
 }
 
+/// Waits for `wait`; for ever if there is nothing to wait for.
+pub async fn sleep(wait: Option<Duration>) {
+    match wait {
+        Some(wait) => tokio::time::sleep(wait).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Time since the start of this VM, including the time in which it was suspended.
 ///
 /// [`Time`] stops while the VM is suspended, so that old evidence would still
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -62,6 +62,8 @@
 
 /// Interval at which a shutdown checks whether all work has ended.
 const STOP_POLL: Duration = Duration::from_millis(50);
+/// Interval at which the work is counted before a shutdown, which begins with a drain of seconds.
+const SERVING_POLL: Duration = Duration::from_millis(500);
 /// Capacity of the queue of other nodes' queries. Each change wakes all members that follow a
 /// table here, and their next queries arrive at once: four tables of 200 members.
 const QUERY_QUEUE: usize = 1_024;
@@ -424,7 +426,7 @@
             clock: shared.clock,
             catalog: shared.catalog,
             view: shared.view,
-            phase: shared.phase,
+            phase: Arc::clone(&shared.phase),
             broker: Rc::clone(&broker),
             count: shared.count,
             detector,
@@ -440,11 +442,13 @@
             actix_rt::spawn(front::serve_metrics(address, Rc::clone(&node)));
         }
         let in_flight = shared.in_flight;
+        let phase = shared.phase;
         actix_rt::spawn(async move {
             loop {
                 let now = broker.held() + jobs.running();
                 in_flight.store(now, std::sync::atomic::Ordering::Relaxed);
-                sleep(STOP_POLL).await;
+                let is_stopping = !matches!(**phase.read(), Phase::Starting | Phase::Serving);
+                sleep(if is_stopping { STOP_POLL } else { SERVING_POLL }).await;
             }
         });
         Ok(())
--- a/src/embedded/engine/server.rs
+++ b/src/embedded/engine/server.rs
@@ -17,7 +17,7 @@
 use super::parameter::Parameters;
 use super::protocol::{Completion, Order};
 use super::state::State;
-use crate::clock::{Clock, Time};
+use crate::clock::{Clock, Time, sleep};
 use crate::http;
 use crate::name::Name;
 
@@ -98,13 +98,6 @@
     }
 }
 
-async fn sleep(wait: Option<std::time::Duration>) {
-    match wait {
-        Some(wait) => actix_rt::time::sleep(wait).await,
-        None => std::future::pending().await,
-    }
-}
-
 async fn handle(shared: Rc<Shared>, mut request: Request) -> Response<BoxBody> {
     if shared.state.borrow().crashed() {
         return error_reply(StatusCode::SERVICE_UNAVAILABLE, "the engine has crashed");
--- a/src/logger/buffer.rs
+++ b/src/logger/buffer.rs
@@ -61,6 +61,11 @@
         self.lines.extend_from_slice(note.as_bytes());
     }
 
+    /// True if there is nothing to write.
+    pub fn is_empty(&self) -> bool {
+        self.lines.is_empty()
+    }
+
     /// Removes and returns all buffered lines.
     pub fn take(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.lines)
--- a/src/logger/pipe.rs
+++ b/src/logger/pipe.rs
@@ -2,7 +2,7 @@
 //! [`Buffer`] admitted.
 
 use std::io::{self, Write};
-use std::sync::{Mutex, MutexGuard, Once, PoisonError};
+use std::sync::{Condvar, Mutex, MutexGuard, Once, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -13,6 +13,8 @@
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
 
 static BUFFER: Mutex<Buffer> = Mutex::new(Buffer::new());
+/// Notified when a line was admitted.
+static ADMITTED: Condvar = Condvar::new();
 static WRITER: Once = Once::new();
 
 /// The target of the logger, which writes one line per call.
@@ -24,12 +26,14 @@
             // If the thread can't be started, lines are written only by the final flush.
             let _ = thread::Builder::new().name("log".into()).spawn(|| {
                 loop {
+                    await_lines();
                     thread::sleep(WRITE_INTERVAL);
                     drain();
                 }
             });
         });
         lock().admit(Instant::now(), line);
+        ADMITTED.notify_one();
         Ok(line.len())
     }
 
@@ -47,6 +51,12 @@
     }
 }
 
+/// Blocks the writing thread until there is something to write.
+fn await_lines() {
+    let buffer = ADMITTED.wait_while(lock(), |buffer| buffer.is_empty());
+    drop(buffer.unwrap_or_else(PoisonError::into_inner));
+}
+
 fn lock() -> MutexGuard<'static, Buffer> {
     BUFFER.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/permit.rs
+++ b/src/permit.rs
@@ -16,11 +16,10 @@
 
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot};
-use tokio::time::{MissedTickBehavior, interval};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::catalog::{Catalog, Endpoint};
-use crate::clock::{Clock, Time};
+use crate::clock::{Clock, Time, sleep};
 use crate::event;
 use crate::limit::Tolerance;
 use crate::limit::meter::Meter;
@@ -41,7 +40,7 @@
 use count::Counting;
 use owner::Owners;
 
-/// Interval between checks for unanswered requests.
+/// Interval between checks for unanswered requests, while there are any.
 const TICK: Duration = Duration::from_millis(20);
 /// Time after which an unanswered request is repeated. A pool that is alive answers
 /// within two link delays.
@@ -136,6 +135,8 @@
     view: Arc<Cell<View>>,
     held: RefCell<BTreeMap<u64, Held>>,
     owners: RefCell<Owners>,
+    /// Notified when a request or a permit is added.
+    activity: Notify,
 }
 
 /// The right to use one slot of an endpoint, until it is dropped.
@@ -209,6 +210,7 @@
             view: setup.view,
             held: RefCell::default(),
             owners: RefCell::new(owners),
+            activity: Notify::new(),
         })
     }
 
@@ -265,6 +267,7 @@
         };
         self.send_acquire(now, seq, &mut waiting);
         self.waiting.borrow_mut().insert(seq, waiting);
+        self.activity.notify_one();
         let mut withdraw = Withdraw {
             broker: self,
             seq,
@@ -295,6 +298,7 @@
             owner: granted.owner,
         };
         self.held.borrow_mut().insert(seq, held);
+        self.activity.notify_one();
         Ok(Permit {
             broker: Rc::clone(self),
             seq,
@@ -313,18 +317,22 @@
     /// Runs the broker until the thread ends.
     pub async fn run(self: Rc<Self>) {
         let mut buffer = [0; MAX_DATAGRAM];
-        let mut tick = interval(TICK);
-        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut last_tick = Time::ZERO;
         let mut last_renewal = Time::ZERO;
         loop {
+            let due = self.next_tick(last_tick, last_renewal);
+            let wait = due.map(|due| due.since(self.clock.now()));
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((len, from)) => self.receive(from, &buffer[..len]),
                     // The port of a pool that is gone refuses datagrams.
                     Err(error) => log::debug!("{} why=\"{error}\"", event::DATAGRAM_REFUSED),
                 },
-                _ = tick.tick() => {
+                // Something to repeat or renew was added.
+                () = self.activity.notified() => {}
+                () = sleep(wait) => {
                     let now = self.clock.now();
+                    last_tick = now;
                     self.repeat_requests(now);
                     self.repeat_counts(now);
                     self.probe(now);
@@ -337,6 +345,18 @@
         }
     }
 
+    /// Returns when something may have to be repeated, renewed or probed; none while there is
+    /// nothing. Most nodes of a large fleet have no requests at most times, and a tick that finds
+    /// nothing to do costs them more than all else that they do.
+    fn next_tick(&self, last_tick: Time, last_renewal: Time) -> Option<Time> {
+        if !self.waiting.borrow().is_empty() || !self.counting.borrow().is_empty() {
+            return Some(last_tick + TICK);
+        }
+        let renewal = (!self.held.borrow().is_empty()).then(|| last_renewal + RENEW_INTERVAL);
+        let probe = self.owners.borrow().next_probe();
+        renewal.into_iter().chain(probe).min()
+    }
+
     fn receive(&self, from: SocketAddr, bytes: &[u8]) {
         let now = self.clock.now();
         let Ok(reply) = wire::decode::<Reply>(bytes) else {
--- a/src/permit/count.rs
+++ b/src/permit/count.rs
@@ -132,6 +132,7 @@
         };
         self.send_count(now, seq, &mut counting);
         self.counting.borrow_mut().insert(seq, counting);
+        self.activity.notify_one();
         let withdraw = Withdraw { broker: self, seq };
         // The sender is dropped only with the broker.
         let coordinator = answer.await.unwrap_or(Ok(None))?;
--- a/src/permit/owner.rs
+++ b/src/permit/owner.rs
@@ -95,6 +95,12 @@
         due
     }
 
+    /// Returns when the next probe is due, if any member is silent.
+    pub fn next_probe(&self) -> Option<Time> {
+        let silent = self.silent.values();
+        silent.map(|it| it.probed + PROBE_INTERVAL).min()
+    }
+
     /// Returns the owner of a pool in this node's view.
     pub fn owner(&mut self, pool: &Name) -> Option<SocketAddr> {
         let view = self.view.load();
--- a/src/pool/serve.rs
+++ b/src/pool/serve.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use tokio::net::UdpSocket;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::sleep;
 
 use super::message::{Body, MAX_DATAGRAM, Reply, Request};
 use super::{Action, Key, Pool, Transition, shard};
@@ -23,7 +23,7 @@
 use crate::snapshot::Cell;
 use crate::wire;
 
-/// Interval at which pools take a step when no datagrams arrive.
+/// Interval at which pools that are not idle take a step when no datagrams arrive.
 const TICK: Duration = Duration::from_millis(25);
 
 /// Maximum number of datagrams received before a step, so that a burst delays replies
@@ -47,6 +47,7 @@
     isolation: Isolation,
     /// When the limits were last updated.
     last_maintenance: Time,
+    last_tick: Time,
     /// The endpoints last set in each pool.
     applied: BTreeMap<Name, Endpoints>,
 }
@@ -79,20 +80,20 @@
         last_remote_request: Time::ZERO,
         isolation: Isolation::default(),
         last_maintenance: Time::ZERO,
+        last_tick: Time::ZERO,
         by_name: BTreeMap::new(),
         applied: BTreeMap::new(),
     };
     let mut buffer = [0; MAX_DATAGRAM];
-    let mut tick = interval(TICK);
-    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
+        let wait = pools.next_tick().since(pools.clock.now());
         tokio::select! {
             received = pools.socket.recv_from(&mut buffer) => match received {
                 Ok((len, from)) => pools.receive_all(from, len, &mut buffer),
                 // The port of a gateway that is gone refuses datagrams.
                 Err(error) => log::debug!("{} why=\"{error}\"", event::DATAGRAM_REFUSED),
             },
-            _ = tick.tick() => pools.tick(),
+            () = sleep(wait) => pools.tick(),
         }
     }
 }
@@ -209,8 +210,16 @@
         self.coordinator.sweep(now);
     }
 
+    /// Returns when the next tick is due. Most nodes own no pool.
+    fn next_tick(&self) -> Time {
+        let is_idle = self.by_name.values().all(Pool::is_idle);
+        let interval = if is_idle { MAINTENANCE_INTERVAL } else { TICK };
+        self.last_tick + interval
+    }
+
     fn tick(&mut self) {
         let now = self.clock.now();
+        self.last_tick = now;
         self.maintain_limits(now);
         let busy: Vec<Name> = self
             .by_name
