Take a connection that is reset at once for an ending process, not for silence

Cause: a probe that the ending process accepts and closes fails with a reset, which counted like no answer, and was not probed again.

Change: a reset tells that something listened, as an open connection does.

--- a/src/connect.rs
+++ b/src/connect.rs
@@ -68,6 +68,8 @@
     match timeout(limit, TcpStream::connect(address)).await {
         Ok(Ok(_)) => Reachability::Open,
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Reachability::Refused,
+        // Something accepted the connection and closed it at once, as a process that is ending.
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionReset => Reachability::Open,
         // An unreachable network or a lack of descriptors is no evidence about the other side.
         Ok(Err(_)) | Err(_) => Reachability::Silent,
     }
