Send no endpoints to a node that is still reading their table

Cause: a node that waits for the other members before it reads a large table has no answer of the store about endpoints for 1.5 s, takes itself for cut off, and asks two random nodes each 0.4 s. Each sends the whole table, 70 bytes an endpoint, mostly across zones.

Change: a node that has first rows asks for no endpoints, only for a configuration. One that has none, because the store turns it away, gets the table as before.

Test: learn_endpoints query_while_reading, 0 entries sent for 700 before.

--- a/src/catalog/registry.rs
+++ b/src/catalog/registry.rs
@@ -269,7 +269,7 @@
             version: it.version,
             endpoint: self.endpoints.get(id).map(|it| Endpoint::clone(it)),
         });
-        let after = (version + 1, Name::from(""));
+        let after = (version.saturating_add(1), Name::from(""));
         let removed = self.tombstones_by_version.range(after..);
         let removed = removed.map(|(version, id)| Entry {
             id: id.clone(),
--- a/src/edge/learn.rs
+++ b/src/edge/learn.rs
@@ -400,12 +400,20 @@
             || now.since(state.config_answered) > MAX_STORE_SILENCE
     }
 
-    /// The query that asks another node for what this one lacks.
-    fn query(&self) -> Query {
+    /// The query that asks another node for what this one lacks. A node that is still reading
+    /// the table of endpoints asks for none: it serves with those it has, and if all nodes
+    /// started at once, each would be sent the whole table by several others.
+    pub fn query(&self) -> Query {
         let state = self.state.borrow();
+        let registry = &state.registry;
+        let is_reading = registry.table_version() == 0 && !registry.endpoints().is_empty();
         Query::Known {
             version: state.config.as_ref().map_or(0, |config| config.version),
-            endpoints_version: state.registry.table_version(),
+            endpoints_version: if is_reading {
+                u64::MAX
+            } else {
+                registry.table_version()
+            },
         }
     }
 }
--- a/tests/learn_endpoints.rs
+++ b/tests/learn_endpoints.rs
@@ -9,6 +9,7 @@
 use auburnspoke::edge::learn::{Learner, Update};
 use auburnspoke::snapshot::Cell;
 use auburnspoke::table::{Change, Changes, Row, Snapshot};
+use auburnspoke::wire::query::Query;
 use bytes::Bytes;
 use googletest::prelude::*;
 
@@ -157,3 +158,30 @@
     node.learner.endpoints(Update::Snapshot(snapshot(None)));
     expect_that!(node.endpoints(), eq(ROWS));
 }
+
+/// Guards against whole tables from several nodes to each that starts, while it waits for the one
+/// that its reader sends.
+#[gtest]
+fn query_while_reading() {
+    let peer = Node::new();
+    peer.learner.endpoints(Update::Snapshot(snapshot(None)));
+    let sent = |node: &Node| {
+        let Query::Known {
+            version,
+            endpoints_version,
+        } = node.learner.query()
+        else {
+            return None;
+        };
+        let update = peer.learner.export(version, endpoints_version)?;
+        Some(update.endpoints.entries.len())
+    };
+    let node = Node::new();
+    expect_that!(sent(&node), some(eq(ROWS)));
+    let mut part = snapshot(None);
+    part.rows.truncate(150);
+    node.learner.endpoints(Update::Part(part));
+    expect_that!(sent(&node), some(eq(0)));
+    node.learner.endpoints(Update::Snapshot(snapshot(None)));
+    expect_that!(sent(&node), some(eq(0)));
+}
