Condemn two killers that once ran on the same endpoint

Cause: at a crash that two killers share, each outranks the other while they have equally many crashes, and an outranked request was never condemned. They take turns afterwards, so that this lasts.

Change: crashes at which a request is the sole candidate condemn it by themselves once there are three.

Why it works: apart from the shared crash, each killer is alone in its own; the first one condemned explains the shared crash as well.

--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -145,6 +145,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Blame {
     weight: u32,
+    /// The part of `weight` from crashes at which every other request has less blame.
+    sole_weight: u32,
     newest: Time,
     /// At one of these crashes ran another request with as much blame or more.
     is_outranked: bool,
@@ -186,10 +188,12 @@
     }
 
     /// True when a verdict only waits for [`SETTLE_DELAY`]. A request that was condemned
-    /// before needs a single crash.
+    /// before needs a single crash. Crashes with a sole candidate suffice by themselves:
+    /// two killers that once ran on the same endpoint outrank each other there.
     fn is_due(&self, request: Fingerprint, blame: &Blame) -> bool {
         self.verdicts.contains_key(&request)
             || blame.weight >= CONDEMN_WEIGHT && !blame.is_outranked
+            || blame.sole_weight >= CONDEMN_WEIGHT
     }
 
     /// Records that an endpoint ended while the request ran there. It takes effect with the
@@ -354,6 +358,7 @@
             for (request, stage) in &incident.requests {
                 let blame = blame.entry(*request).or_insert(Blame {
                     weight: 0,
+                    sole_weight: 0,
                     newest: incident.last_observed,
                     is_outranked: false,
                 });
@@ -362,11 +367,16 @@
             }
         }
         let mut outranked = BTreeSet::new();
+        let mut sole = Vec::new();
         for (_, incident) in self.unexplained(now) {
             let weight = |request: &Fingerprint| blame[request].weight;
             let most = incident.requests.keys().map(weight).max().unwrap_or(0);
-            let at_top = incident.requests.keys().filter(|it| weight(it) == most);
-            let is_shared = at_top.count() > 1;
+            let at_top = incident.requests.iter().filter(|it| weight(it.0) == most);
+            let at_top: Vec<_> = at_top.collect();
+            if let [(request, stage)] = at_top[..] {
+                sole.push((*request, stage.weight()));
+            }
+            let is_shared = at_top.len() > 1;
             let below = |it: &&Fingerprint| weight(it) < most || is_shared;
             outranked.extend(incident.requests.keys().filter(below).copied());
         }
@@ -375,6 +385,11 @@
                 blame.is_outranked = true;
             }
         }
+        for (request, weight) in sole {
+            if let Some(blame) = blame.get_mut(&request) {
+                blame.sole_weight += weight;
+            }
+        }
         self.blame = blame;
     }
 }
--- a/tests/quarantine_evidence.rs
+++ b/tests/quarantine_evidence.rs
@@ -127,6 +127,38 @@
     expect_that!(found, elements_are![eq(&KILLER), eq(&OTHER)]);
 }
 
+/// Guards against two killers that once ran on the same endpoint, take turns afterwards, and
+/// excuse each other for ever because they crash equally many endpoints.
+#[gtest]
+fn step_killers_take_turns() {
+    let mut evidence = Evidence::default();
+    crashed(&mut evidence, at(0), 0, &[KILLER, OTHER]);
+    let mut found = Vec::new();
+    for turn in 1..=4 {
+        let now = 1_000 * turn;
+        crashed(&mut evidence, at(now), 2 * turn, &[KILLER]);
+        crashed(&mut evidence, at(now + 130), 2 * turn + 1, &[OTHER]);
+        found.extend(verdicts(&mut evidence, at(now + 990)));
+    }
+    expect_that!(found, unordered_elements_are![eq(&KILLER), eq(&OTHER)]);
+}
+
+/// A request with as many crashes as a killer, all of them beside it, is not to blame for them
+/// once the killer has crashed endpoints by itself.
+#[gtest]
+fn step_neighbour_of_killer() {
+    let mut evidence = Evidence::default();
+    for number in 0..2 {
+        crashed(&mut evidence, at(0), number, &[KILLER, OTHER]);
+    }
+    for number in 2..5 {
+        crashed(&mut evidence, at(0), number, &[KILLER]);
+    }
+    crashed(&mut evidence, at(0), 5, &[OTHER]);
+    expect_that!(verdicts(&mut evidence, at(900)), elements_are![eq(&KILLER)]);
+    expect_that!(evidence.status(at(900), OTHER), eq(Status::Suspect));
+}
+
 /// A completed run clears a request: otherwise endpoints that crash for other reasons would
 /// condemn a request that is sent often.
 #[gtest]
