Serve only once the verdicts of the quarantine are known

Cause: a starting node gets the configuration from other nodes when the store is silent, and was ready with it; the verdicts came from the store alone.

Change: a node takes no request and no batch item before it knows the verdicts, from the store or from another node, for 2 s at most. After its start each node asks one other for its verdicts and crashes.

Why it works: whoever can give the node a configuration can also give it the verdicts, and the crashes that no verdict rests on yet come along.

--- a/src/batch/shell.rs
+++ b/src/batch/shell.rs
@@ -266,7 +266,8 @@
     /// Starts the most urgent items, until enough of them wait for a slot. Items of organisations
     /// that already have more than an equal share of the running items come last, as in the pool.
     pub(super) fn schedule(self: &Rc<Self>) {
-        if !matches!(**self.setup.phase.read(), Phase::Serving) {
+        let is_serving = matches!(**self.setup.phase.read(), Phase::Serving);
+        if !is_serving || !self.setup.detector.is_informed() {
             return;
         }
         while self.pending.get() < MAX_PENDING {
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -14,7 +14,7 @@
 use actix_rt::Arbiter;
 use eyre::{Result, WrapErr as _};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::sleep;
 
 use crate::batch::{self, Jobs};
@@ -35,6 +35,7 @@
 use crate::platform::settings;
 use crate::platform::store::Client;
 use crate::platform::{config, endpoint};
+use crate::quarantine::export::Export;
 use crate::quarantine::{self, Detector, detector};
 use crate::site::Site;
 use crate::snapshot::Cell;
@@ -189,6 +190,7 @@
     let (stop, stopped) = watch::channel(false);
     let (notes, mut to_gossip) = mpsc::channel(NOTE_QUEUE);
     let (received_in, received) = mpsc::channel(NOTE_QUEUE);
+    let (exports, export_queries) = mpsc::channel(NOTE_QUEUE);
     let traffic = Traffic {
         shared: shared.clone(),
         callers: sockets.callers,
@@ -197,7 +199,10 @@
         broker: sockets.broker,
         stopped,
         notes,
-        received,
+        inputs: detector::Inputs {
+            notes: received,
+            queries: export_queries,
+        },
         metrics: metrics_port.map(|port| SocketAddr::new(site.listen.ip(), port)),
     };
     Arbiter::new().spawn_fn(move || {
@@ -217,8 +222,14 @@
         view: Arc::clone(&shared.view),
         counts,
     };
-    let (members, mut events) =
-        control(&shared, setup, sockets.control, sockets.pool, sockets.link)?;
+    let (members, mut events) = control(
+        &shared,
+        setup,
+        sockets.control,
+        sockets.pool,
+        sockets.link,
+        exports,
+    )?;
     let gossip = members.clone();
     actix_rt::spawn(async move {
         while let Some(note) = to_gossip.recv().await {
@@ -276,6 +287,7 @@
     control: UdpSocket,
     pool: UdpSocket,
     link: TcpListener,
+    exports: mpsc::Sender<oneshot::Sender<Option<Export>>>,
 ) -> Result<(Handle, mpsc::Receiver<Event>)> {
     let address = shared.site.store.address;
     let learner = Learner::new(shared.clock, Arc::clone(&shared.catalog));
@@ -315,7 +327,7 @@
         }
     });
     let reader = reader::Reader::new(shared.clock, Client::new(address), TOPICS);
-    actix_rt::spawn(answer(queued, Rc::clone(&learner), reader));
+    actix_rt::spawn(answer(queued, Rc::clone(&learner), reader, exports));
     let store = Client::new(address);
     let roster = Rc::new(roster::Registration::new(store, setup.me.control.clone()));
     let registration = Rc::clone(&roster);
@@ -329,6 +341,7 @@
     mut queries: mpsc::Receiver<PendingQuery>,
     learner: Rc<Learner>,
     reader: Rc<reader::Reader<Client>>,
+    exports: mpsc::Sender<oneshot::Sender<Option<Export>>>,
 ) {
     while let Some(PendingQuery { query, reply }) = queries.recv().await {
         let answer = match query {
@@ -350,6 +363,20 @@
                 });
                 continue;
             }
+            Query::Quarantine => {
+                let exports = exports.clone();
+                actix_rt::spawn(async move {
+                    let (sender, export) = oneshot::channel();
+                    let sent = exports.try_send(sender).is_ok();
+                    let answer = match export.await {
+                        Ok(Some(export)) if sent => Reply::Quarantine(export),
+                        Ok(_) | Err(_) => Reply::Busy,
+                    };
+                    // An error means that the querying node has disconnected.
+                    let _ = reply.send(answer);
+                });
+                continue;
+            }
             Query::Known {
                 version,
                 endpoints_version,
@@ -375,8 +402,8 @@
     stopped: watch::Receiver<bool>,
     /// Crashes that this node observed, to be gossiped to the others.
     notes: mpsc::Sender<Note>,
-    /// Crashes that other nodes observed.
-    received: mpsc::Receiver<Note>,
+    /// What other nodes tell and ask about requests that crash endpoints.
+    inputs: detector::Inputs,
     metrics: Option<SocketAddr>,
 }
 
@@ -404,7 +431,8 @@
         });
         let links = Pool::new(shared.me.clone());
         let verdicts = shared.source(Rc::clone(&links));
-        actix_rt::spawn(Rc::clone(&detector).run(verdicts, self.received));
+        let detecting = Rc::clone(&detector);
+        actix_rt::spawn(detecting.run(verdicts, Rc::clone(&links), self.inputs));
         let jobs = Jobs::new(batch::Setup {
             me: shared.me.clone(),
             zone: shared.site.zone.clone(),
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -144,7 +144,8 @@
         **node.phase.read(),
         Phase::Closing | Phase::Cutting | Phase::Ended
     );
-    if node.catalog.read().config.is_some() && !closing {
+    let can_serve = node.catalog.read().config.is_some() && node.detector.is_informed();
+    if can_serve && !closing {
         return None;
     }
     node.count.refuse("not_ready");
@@ -210,7 +211,7 @@
 fn ready(node: &Node) -> Response<Bytes> {
     let catalog = node.catalog.read();
     let known = catalog.config.is_some() && !catalog.endpoints.is_empty();
-    if known && !node.is_leaving() && node.accepts_keys() {
+    if known && node.detector.is_informed() && !node.is_leaving() && node.accepts_keys() {
         return Response::new(Bytes::new());
     }
     call::error(StatusCode::SERVICE_UNAVAILABLE, "this node is not ready")
--- a/src/event.rs
+++ b/src/event.rs
@@ -88,6 +88,7 @@
     525 RUN_LOST "run_lost";
     526 REQUEST_CONDEMNED "request_condemned";
     527 REQUEST_CLEARED "request_cleared";
+    528 QUARANTINE_LEARNED "quarantine_learned";
     530 JOB_ACCEPTED "job_accepted";
     531 JOB_REFUSED "job_refused";
     532 JOB_TAKEN "job_taken";
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -210,7 +210,7 @@
                 }
                 // Sent only by nodes whose platform stores the configuration.
                 Query::Known { .. } => Reply::Known(None),
-                Query::Changes { .. } | Query::Rows { .. } => Reply::Busy,
+                Query::Changes { .. } | Query::Rows { .. } | Query::Quarantine => Reply::Busy,
                 Query::Drain => Reply::Draining {
                     in_flight: self.drain_self(),
                 },
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -8,6 +8,7 @@
 
 pub mod detector;
 pub mod evidence;
+pub mod export;
 mod fingerprint;
 pub mod loss;
 pub mod record;
--- a/src/quarantine/detector.rs
+++ b/src/quarantine/detector.rs
@@ -7,11 +7,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::{Notify, mpsc};
+use rand::seq::IteratorRandom as _;
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::sleep;
 
 use super::Fingerprint;
 use super::evidence::{Added, Condemnation, Crash, Evidence, Stage, Status};
+use super::export::Export;
 use super::loss::{self, Finding};
 use super::record::{self, Observation, Row};
 use crate::catalog::{Catalog, Endpoint};
@@ -20,6 +22,7 @@
 use crate::edge::count::Count;
 use crate::edge::learn::{Update, follow};
 use crate::event;
+use crate::feed::source::Transport;
 use crate::member::View;
 use crate::name::Name;
 use crate::platform::store::Client;
@@ -27,6 +30,7 @@
 use crate::table::{Feed, Table as _, Transaction};
 use crate::wire;
 use crate::wire::control::Note;
+use crate::wire::query::{Query, Reply};
 
 /// Interval between checks for verdicts that are due.
 const STEP_INTERVAL: Duration = Duration::from_millis(100);
@@ -41,6 +45,15 @@
 const STORE_DELAY: Duration = Duration::from_millis(300);
 /// Minimum interval between two reads of the changes to stored verdicts.
 const READ_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between queries to other nodes after the start, until one has answered.
+const JOIN_INTERVAL: Duration = Duration::from_millis(100);
+/// Limit on these queries.
+const MAX_JOIN_QUERIES: usize = 50;
+/// Deadline of such a query.
+const JOIN_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a node that has a configuration waits for the verdicts before it serves without
+/// them, as when neither the store nor another node answers.
+const MAX_UNINFORMED: Duration = Duration::from_secs(2);
 /// How long a verdict's row is kept after its end, so that nodes that read late still see it.
 const ROW_RETENTION: Duration = Duration::from_secs(900);
 
@@ -62,6 +75,14 @@
     pub count: Count,
 }
 
+/// What other nodes send to a [`Detector`].
+pub struct Inputs {
+    /// Observations.
+    pub notes: mpsc::Receiver<Note>,
+    /// Queries for what this node knows; answered with none while it has just started.
+    pub queries: mpsc::Receiver<oneshot::Sender<Option<Export>>>,
+}
+
 /// A run that failed before its answer was complete.
 #[derive(Clone, Copy, Debug)]
 pub struct Run<'a> {
@@ -92,6 +113,10 @@
     /// Time of the store's last answer, and its clock in that answer.
     store_clock: StdCell<Option<(Time, u64)>>,
     watched: StdCell<usize>,
+    /// True once the store or another node has told this node the verdicts.
+    informed: StdCell<bool>,
+    /// When this node was first found to have a configuration.
+    configured: StdCell<Option<Time>>,
     /// Notified at each verdict.
     changed: Notify,
 }
@@ -106,6 +131,8 @@
             rows: RefCell::default(),
             store_clock: StdCell::new(None),
             watched: StdCell::new(0),
+            informed: StdCell::new(false),
+            configured: StdCell::new(None),
             changed: Notify::new(),
         })
     }
@@ -114,6 +141,33 @@
         self.setup.clock.now()
     }
 
+    /// True once this node may run requests. One that has just started does not know the verdicts,
+    /// and would run requests that all other nodes refuse.
+    pub fn is_informed(&self) -> bool {
+        if self.informed.get() {
+            return true;
+        }
+        if self.setup.catalog.read().config.is_none() {
+            return false;
+        }
+        let now = self.now();
+        let configured = self.configured.get().unwrap_or(now);
+        self.configured.set(Some(configured));
+        now.since(configured) >= MAX_UNINFORMED
+    }
+
+    /// Records that this node knows the verdicts.
+    fn mark_informed(&self, source: &str) {
+        if self.informed.replace(true) {
+            return;
+        }
+        log::info!(
+            "{} source={source} requests={}",
+            event::QUARANTINE_LEARNED,
+            self.evidence.borrow().requests().count(),
+        );
+    }
+
     /// Returns the current status of a request.
     pub fn status(&self, request: Fingerprint) -> Status {
         self.evidence.borrow().status(self.now(), request)
@@ -242,12 +296,61 @@
         }
     }
 
-    /// Runs until the thread ends: follows the stored verdicts over `feed`, applies the `notes`
-    /// of other nodes, and reaches verdicts.
-    pub async fn run<F>(self: Rc<Self>, feed: F, mut notes: mpsc::Receiver<Note>)
+    /// Learns from another node what is not stored yet, or can't be read from the store now.
+    async fn join<T>(self: Rc<Self>, links: T)
+    where
+        T: Transport,
+    {
+        for _ in 0..MAX_JOIN_QUERIES {
+            sleep(JOIN_INTERVAL).await;
+            let peer = {
+                let view = self.setup.view.read();
+                let others = view.usable().filter(|it| it.name != self.setup.me);
+                others.map(|it| it.link.clone()).choose(&mut rand::rng())
+            };
+            let Some(peer) = peer else {
+                continue;
+            };
+            // A node that has just started itself is busy.
+            if let Some(Reply::Quarantine(export)) =
+                links.query(&peer, Query::Quarantine, JOIN_TIMEOUT).await
+            {
+                let now = self.now();
+                self.evidence.borrow_mut().import(now, export);
+                self.mark_informed("peer");
+                self.changed.notify_waiters();
+                return;
+            }
+        }
+    }
+
+    /// Returns what this node knows; none while it has just started itself.
+    fn export(&self) -> Option<Export> {
+        let now = self.now();
+        self.informed
+            .get()
+            .then(|| self.evidence.borrow().export(now))
+    }
+
+    /// Runs until the thread ends: follows the stored verdicts over `feed`, queries other nodes
+    /// over `links` once, handles the `inputs` from other nodes, and reaches verdicts.
+    pub async fn run<F, T>(self: Rc<Self>, feed: F, links: T, inputs: Inputs)
     where
         F: Feed + 'static,
+        T: Transport + 'static,
     {
+        let Inputs {
+            mut notes,
+            mut queries,
+        } = inputs;
+        actix_rt::spawn(Rc::clone(&self).join(links));
+        let exporter = Rc::clone(&self);
+        actix_rt::spawn(async move {
+            while let Some(reply) = queries.recv().await {
+                // Fails only when the querying node has disconnected.
+                let _ = reply.send(exporter.export());
+            }
+        });
         let follower = Rc::clone(&self);
         actix_rt::spawn(follow(feed, record::TABLE, READ_INTERVAL, move |update| {
             follower.apply_update(update);
@@ -356,8 +459,10 @@
 
     /// Applies an update of the stored verdicts.
     fn apply_update(&self, update: Update) {
+        let mut is_whole = false;
         let (rows, clock, clock_read) = match update {
             Update::Snapshot(snapshot) => {
+                is_whole = true;
                 self.rows.borrow_mut().clear();
                 let rows = snapshot.rows.into_iter();
                 let rows: Vec<_> = rows.map(|row| (row.key, Some(row.value))).collect();
@@ -374,6 +479,9 @@
         for (key, value) in rows {
             self.apply_row(clock, &key, value.as_deref());
         }
+        if is_whole {
+            self.mark_informed("store");
+        }
     }
 
     fn apply_row(&self, clock: u64, key: &str, value: Option<&[u8]>) {
--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -6,12 +6,14 @@
 //! and in any order, so every node reaches the same verdict and none depends on another
 //! node staying up.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::Fingerprint;
+use super::export::{self, Export};
 use crate::clock::Time;
 use crate::name::Name;
 
@@ -37,6 +39,9 @@
 const MAX_CRASHES: usize = 256;
 const MAX_REQUESTS: usize = 64;
 const MAX_VERDICTS: usize = 4_096;
+/// Limit on the verdicts that a node which has just started is sent at once; it reads the others
+/// from the store.
+const MAX_EXPORTED_VERDICTS: usize = 1_024;
 /// Limit on the requests whose last completion is remembered.
 const MAX_COMPLETIONS: usize = 4_096;
 
@@ -64,7 +69,7 @@
 }
 
 /// Stage of a run at which its endpoint ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Stage {
     /// At or after `EARLY_LIMIT` since the run began.
     Late,
@@ -225,7 +230,7 @@
             return Added::Ignored;
         }
         incident.requests.insert(request, stage);
-        incident.last_observed = now;
+        incident.last_observed = incident.last_observed.max(now);
         if self.incidents.len() > MAX_CRASHES {
             self.drop_oldest();
         }
@@ -291,6 +296,51 @@
         self.update_blame(now);
     }
 
+    /// Returns the newest verdicts, up to [`MAX_EXPORTED_VERDICTS`], and all crashes, for a node
+    /// that has just started.
+    pub fn export(&self, now: Time) -> Export {
+        let mut verdicts: Vec<_> = self.verdicts.iter().collect();
+        verdicts.sort_unstable_by_key(|(request, verdict)| Reverse((verdict.until, **request)));
+        verdicts.truncate(MAX_EXPORTED_VERDICTS);
+        let verdicts = verdicts
+            .into_iter()
+            .map(|(request, verdict)| export::Verdict {
+                request: *request,
+                left: verdict.until.since(now),
+                times: verdict.times,
+            });
+        let incidents = self
+            .incidents
+            .iter()
+            .map(|(crash, incident)| export::Incident {
+                crash: crash.clone(),
+                age: now.since(incident.since),
+                requests: incident
+                    .requests
+                    .iter()
+                    .map(|(it, at)| (*it, *at))
+                    .collect(),
+            });
+        Export {
+            verdicts: verdicts.collect(),
+            incidents: incidents.collect(),
+        }
+    }
+
+    /// Adds what another node has exported.
+    pub fn import(&mut self, now: Time, export: Export) {
+        for verdict in export.verdicts {
+            self.condemn(now, verdict.request, now + verdict.left, verdict.times);
+        }
+        for incident in export.incidents {
+            let observed = now - incident.age;
+            for (request, stage) in incident.requests {
+                self.add_crash(observed, incident.crash.clone(), request, stage);
+            }
+        }
+        self.update_blame(now);
+    }
+
     /// Returns the verdicts that are due, and drops expired records.
     pub fn step(&mut self, now: Time) -> Vec<Condemnation> {
         self.expire(now);
--- a/src/wire/query.rs
+++ b/src/wire/query.rs
@@ -13,6 +13,7 @@
 use crate::edge::learn::PeerUpdate;
 use crate::feed::{Answer, Page};
 use crate::name::Name;
+use crate::quarantine::export::Export;
 
 /// A query.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -52,6 +53,8 @@
         /// The rows follow this key; empty for the first rows.
         after: String,
     },
+    /// Requests what the receiver knows about requests that crash endpoints.
+    Quarantine,
 }
 
 /// A reply.
@@ -76,6 +79,8 @@
     Changes(Answer),
     /// Replies to [`Query::Rows`]; none if the node can't read the table.
     Rows(Option<Page>),
+    /// Replies to [`Query::Quarantine`].
+    Quarantine(Export),
     /// The node can't reply now.
     Busy,
 }
--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -55,8 +55,19 @@
     pub replicas: usize,
     /// Number of killers: requests that crash the replica that runs them and are sent repeatedly.
     pub killers: usize,
-    /// False if nothing but the killers causes faults.
-    pub faults: bool,
+    /// The faults besides those that the killers cause.
+    pub faults: Faults,
+}
+
+/// Which faults a run injects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Faults {
+    /// None.
+    None,
+    /// Faults drawn by seed.
+    Drawn,
+    /// Each node is killed once all know the killers, and starts while the store refuses it.
+    RestartsWithoutStore,
 }
 
 /// Runs the seeds and prints one line for each.
@@ -74,7 +85,11 @@
             nodes: count("nodes"),
             replicas: count("replicas"),
             killers: count("killers"),
-            faults: get("faults") > 0,
+            faults: if get("faults") > 0 {
+                Faults::Drawn
+            } else {
+                Faults::None
+            },
         };
         let report = actix_rt::System::new().block_on(fleet::play(plan))?;
         println!("{report}");
--- a/standin/src/soak/fault.rs
+++ b/standin/src/soak/fault.rs
@@ -104,6 +104,31 @@
     Ok(())
 }
 
+/// Kills the nodes one after the other once all of them know the killers. Each starts again while
+/// the store refuses it, and the store answers it only at the end.
+///
+/// # Errors
+/// Fails if a process cannot be started.
+pub async fn restart_without_store(harness: &Rc<Harness>) -> Result<()> {
+    /// Time until every node knows the killers.
+    const FIRST_KILL: Duration = Duration::from_secs(7);
+    /// Time for which a started node serves without the store.
+    const SERVED: Duration = Duration::from_secs(3);
+    sleep(FIRST_KILL).await;
+    for node in 0..harness.plan.nodes {
+        harness.faults.set(harness.faults.get() + 1);
+        let nodes = [node];
+        let refuse = degrade_store(harness, &nodes, SERVED, |it| it.refuse = true);
+        let start_again = async {
+            harness.nodes[node].signal(Signal::KILL);
+            restart(harness, node).await
+        };
+        let ((), started) = tokio::join!(refuse, start_again);
+        started?;
+    }
+    Ok(())
+}
+
 async fn apply(harness: &Rc<Harness>, kind: Kind, node: usize, length: Duration) -> Result<()> {
     let target = &harness.nodes[node];
     match kind {
--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -18,8 +18,8 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
-use super::Plan;
 use super::check::{self, Attempt, Job, Outage, Report};
+use super::{Faults, Plan};
 use super::{caller, fault};
 use crate::site::proxy::Proxy;
 use crate::site::replica::{History, Replica};
@@ -272,10 +272,10 @@
         )));
     }
     actix_rt::spawn(fault::replace_crashed(Rc::clone(&harness)));
-    if plan.faults {
-        fault::inject(&harness).await?;
-    } else {
-        sleep(plan.length).await;
+    match plan.faults {
+        Faults::None => sleep(plan.length).await,
+        Faults::Drawn => fault::inject(&harness).await?,
+        Faults::RestartsWithoutStore => fault::restart_without_store(&harness).await?,
     }
     fault::clear_faults(&harness)?;
     // Lets service recover from the last faults.
--- a/standin/tests/quarantine_fleet.rs
+++ b/standin/tests/quarantine_fleet.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use standin::soak::{Plan, fleet};
+use standin::soak::{Faults, Plan, fleet};
 
 /// Runs of one process use the same ports, so they must not overlap.
 static PORTS: Mutex<()> = Mutex::new(());
 
-fn play(killers: usize) {
+fn play(killers: usize, faults: Faults) {
     let _ports = PORTS.lock().unwrap_or_else(PoisonError::into_inner);
     let plan = Plan {
         seed: 1,
@@ -17,7 +17,7 @@
         nodes: 3,
         replicas: 6,
         killers,
-        faults: false,
+        faults,
     };
     let report = actix_rt::System::new().block_on(fleet::play(plan)).unwrap();
     expect_that!(report.violations, is_empty(), "{report}");
@@ -27,12 +27,19 @@
 /// every node: without quarantine no other caller is served any more.
 #[gtest]
 fn killer_repeats_everywhere() {
-    play(1);
+    play(1, Faults::None);
 }
 
 /// The same with a request that is not resumable, and with an item of a batch job, which its owner
 /// retries by itself.
 #[gtest]
 fn killers_of_each_kind() {
-    play(3);
+    play(3, Faults::None);
+}
+
+/// Guards against a node that serves before it knows the verdicts: it learns the configuration
+/// from other nodes while the store refuses it, and runs requests that all of them refuse.
+#[gtest]
+fn killers_after_restarts_without_store() {
+    play(3, Faults::RestartsWithoutStore);
 }
--- a/standin/tests/soak_short.rs
+++ b/standin/tests/soak_short.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use standin::soak::{Plan, fleet};
+use standin::soak::{Faults, Plan, fleet};
 
 fn play(seed: u64) {
     let plan = Plan {
@@ -12,7 +12,7 @@
         nodes: 3,
         replicas: 3,
         killers: 0,
-        faults: true,
+        faults: Faults::Drawn,
     };
     let report = actix_rt::System::new().block_on(fleet::play(plan)).unwrap();
     expect_that!(report.violations, is_empty(), "{report}");
--- a/standin/tests/support/fleet.rs
+++ b/standin/tests/support/fleet.rs
@@ -11,6 +11,7 @@
 use auburnspoke::edge::count::Count;
 use auburnspoke::leave::Phase;
 use auburnspoke::limit::Tolerance;
+use auburnspoke::link;
 use auburnspoke::member::View;
 use auburnspoke::name::Name;
 use auburnspoke::permit::{self, Broker};
@@ -164,6 +165,14 @@
                 notes: sender,
                 count: Count::default(),
             });
+            let (_, notes) = mpsc::channel(1);
+            let (_, queries) = mpsc::channel(1);
+            let verdicts = Client::new(store.listen(at).await.unwrap());
+            actix_rt::spawn(Rc::clone(&crash_detector).run(
+                verdicts,
+                link::Pool::new(me.clone()),
+                detector::Inputs { notes, queries },
+            ));
             let phase = Arc::new(Cell::new(Phase::Starting));
             let jobs = Jobs::new(Setup {
                 me,
--- a/tests/quarantine_evidence.rs
+++ b/tests/quarantine_evidence.rs
@@ -200,6 +200,33 @@
     expect_that!(evidence.status(at(5_000), KILLER), eq(Status::Suspect));
 }
 
+/// Guards against a node that has just started and knows neither the verdicts nor the crashes
+/// that lead to one.
+#[gtest]
+fn import_from_peer() {
+    let mut peer = Evidence::default();
+    for number in 0..3 {
+        crashed(&mut peer, at(0), number, &[KILLER]);
+    }
+    peer.step(at(900));
+    for number in 3..5 {
+        crashed(&mut peer, at(900), number, &[OTHER]);
+    }
+    let mut evidence = Evidence::default();
+    evidence.import(at(1_000), peer.export(at(1_000)));
+    expect_that!(evidence.status(at(1_000), KILLER), eq(Status::Condemned));
+    expect_that!(evidence.status(at(1_000), OTHER), eq(Status::Suspect));
+    crashed(&mut evidence, at(1_100), 5, &[OTHER]);
+    expect_that!(
+        verdicts(&mut evidence, at(2_000)),
+        elements_are![eq(&OTHER)]
+    );
+    expect_that!(evidence.export(at(2_000)).verdicts, len(eq(2)));
+    // A second import of the same crashes changes nothing.
+    evidence.import(at(2_000), peer.export(at(2_000)));
+    expect_that!(verdicts(&mut evidence, at(3_000)), is_empty());
+}
+
 /// A flood of distinct requests that each crash an endpoint must neither exhaust memory nor
 /// evict the newest crashes.
 #[gtest]
