Store the crashes of a request from its second one on

Cause: only verdicts were stored. Evidence: E525 of each epoch names two or three crashes, no E526 source=store follows, and the next verdict names only the crashes of its own epoch. Late or missing writes are ruled out: E505 shows a try each 0.1 s.

Change: the crashes of a request are rows of the table of verdicts once there are two, written at once by the node that observed the last one. Completion deletes them. Records to write and rows are a type of their own without I/O, quarantine::storage; the rank that delays other members is computed once for each record, not at each step.

Why it works: nodes read the table before they serve, so the count goes on where the last node left it.

--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -13,6 +13,7 @@
 pub mod loss;
 pub mod record;
 pub mod statuses;
+pub mod storage;
 
 pub use detector::Detector;
 pub use fingerprint::Fingerprint;
--- a/src/quarantine/detector.rs
+++ b/src/quarantine/detector.rs
@@ -2,20 +2,21 @@
 //! verdicts, and reports the status of each request.
 
 use std::cell::{Cell as StdCell, RefCell};
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use rand::seq::IteratorRandom as _;
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::sleep;
 
 use super::Fingerprint;
-use super::evidence::{Added, Condemnation, Crash, Evidence, Stage, Status};
+use super::evidence::{Added, CRASH_TTL, Crash, Evidence, Stage, Status};
 use super::export::Export;
 use super::loss::{self, Finding};
-use super::record::{self, Observation, Row};
+use super::record::{self, CrashRow, Key, Observation, Record, VerdictRow};
+use super::storage::Storage;
 use crate::catalog::{Catalog, Endpoint};
 use crate::clock::{Clock, Time, unix_millis};
 use crate::connect::Reachability;
@@ -27,8 +28,7 @@
 use crate::name::Name;
 use crate::platform::store::Client;
 use crate::snapshot::Cell;
-use crate::table::{Feed, Table as _, Transaction};
-use crate::wire;
+use crate::table::{self, Feed, Table as _, Transaction};
 use crate::wire::control::Note;
 use crate::wire::query::{Query, Reply};
 
@@ -40,9 +40,6 @@
 const WATCH_INTERVAL: Duration = Duration::from_millis(200);
 /// Limit on the endpoints watched at the same time.
 const MAX_WATCHED: usize = 128;
-/// Delay per rank before a member stores a verdict, so that a lower-ranked one takes over when
-/// those before it have not stored it.
-const STORE_DELAY: Duration = Duration::from_millis(300);
 /// Minimum interval between two reads of the changes to stored verdicts.
 const READ_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between queries to other nodes after the start, until one has answered.
@@ -54,8 +51,6 @@
 /// How long a node that has a configuration waits for the verdicts before it serves without
 /// them, as when neither the store nor another node answers.
 const MAX_UNINFORMED: Duration = Duration::from_secs(2);
-/// How long a verdict's row is kept after its end, so that nodes that read late still see it.
-const ROW_RETENTION: Duration = Duration::from_secs(900);
 
 /// Dependencies of a [`Detector`].
 pub struct Setup {
@@ -96,22 +91,11 @@
     pub why: &'static str,
 }
 
-/// A verdict reached by this node that the store is not known to hold.
-struct Unsaved {
-    reached: Time,
-    condemnation: Condemnation,
-    saving: bool,
-}
-
 /// Detects requests that crash endpoints, on one thread of a node.
 pub struct Detector {
     setup: Setup,
     evidence: RefCell<Evidence>,
-    unsaved: RefCell<BTreeMap<Fingerprint, Unsaved>>,
-    /// The rows in the store, with the end of each by the store's clock in milliseconds.
-    rows: RefCell<BTreeMap<Fingerprint, u64>>,
-    /// Time of the store's last answer, and its clock in that answer.
-    store_clock: StdCell<Option<(Time, u64)>>,
+    storage: RefCell<Storage>,
     watched: StdCell<usize>,
     /// True once the store or another node has told this node the verdicts.
     informed: StdCell<bool>,
@@ -127,9 +111,7 @@
         Rc::new(Self {
             setup,
             evidence: RefCell::default(),
-            unsaved: RefCell::default(),
-            rows: RefCell::default(),
-            store_clock: StdCell::new(None),
+            storage: RefCell::default(),
             watched: StdCell::new(0),
             informed: StdCell::new(false),
             configured: StdCell::new(None),
@@ -242,7 +224,7 @@
         Finding::NotCrashed
     }
 
-    fn record_crash(&self, endpoint: &Endpoint, request: Fingerprint, stage: Stage) {
+    fn record_crash(self: &Rc<Self>, endpoint: &Endpoint, request: Fingerprint, stage: Stage) {
         let crash = Crash {
             endpoint: endpoint.id.clone(),
             incarnation: endpoint.incarnation,
@@ -252,19 +234,33 @@
         match evidence.add_crash(now, crash.clone(), request, stage) {
             Added::New => {
                 evidence.update_blame(now);
+                drop(evidence);
                 self.setup.count.record_lost_run();
                 self.notify_members(&Observation::Crashed(request, crash, stage), 1);
+                self.store_crashes(now, request, true);
+                self.save();
             }
             Added::Ignored | Added::Refuted(_) => {}
         }
     }
 
+    /// Has the crashes of a request stored, from the second one on.
+    fn store_crashes(&self, now: Time, request: Fingerprint, is_own: bool) {
+        let crashes = self.evidence.borrow().crashes_of(request).into_iter();
+        // Other members write only what the observing node has not written soon.
+        let rank = |key: &Key| if is_own { 0 } else { 1 + self.rank(key) };
+        self.storage
+            .borrow_mut()
+            .add_crashes(now, request, crashes, rank);
+    }
+
     /// Records that a run of the request completed.
     pub fn completed(&self, request: Fingerprint) {
         let now = self.now();
         if self.evidence.borrow_mut().add_completion(now, request) {
             log::info!("{} print={request}", event::REQUEST_CLEARED);
             self.notify_completion(request);
+            self.storage.borrow_mut().withdraw_crashes(request);
         }
     }
 
@@ -283,14 +279,20 @@
         let now = self.now();
         match Observation::read(note) {
             Some(Observation::Crashed(request, crash, stage)) => {
-                let mut evidence = self.evidence.borrow_mut();
-                if evidence.add_crash(now, crash, request, stage) == Added::Refuted(true) {
-                    self.notify_completion(request);
+                let added = self
+                    .evidence
+                    .borrow_mut()
+                    .add_crash(now, crash, request, stage);
+                match added {
+                    Added::New => self.store_crashes(now, request, false),
+                    Added::Refuted(true) => self.notify_completion(request),
+                    Added::Refuted(false) | Added::Ignored => {}
                 }
             }
             // Its sender has notified all other nodes.
             Some(Observation::Completed(request)) => {
                 self.evidence.borrow_mut().add_completion(now, request);
+                self.storage.borrow_mut().withdraw_crashes(request);
             }
             None => {}
         }
@@ -369,6 +371,12 @@
         }
     }
 
+    /// Returns this member's rank for a record.
+    fn rank(&self, key: &Key) -> u32 {
+        let view = self.setup.view.read();
+        view.rank(&key.to_string(), &self.setup.me)
+    }
+
     fn step(&self) {
         let now = self.now();
         let reached = self.evidence.borrow_mut().step(now);
@@ -390,69 +398,38 @@
                 endpoints.join(","),
             );
             self.setup.count.record_verdict();
-            let request = condemnation.request;
-            let unsaved = Unsaved {
-                reached: now,
-                condemnation,
-                saving: false,
-            };
-            self.unsaved.borrow_mut().insert(request, unsaved);
+            let rank = self.rank(&Key::Verdict(condemnation.request));
+            self.storage
+                .borrow_mut()
+                .add_verdict(now, condemnation, rank);
         }
         self.changed.notify_waiters();
     }
 
-    /// Estimates the store's current clock, in milliseconds.
-    fn store_now(&self) -> Option<u64> {
-        let (at, clock) = self.store_clock.get()?;
-        Some(clock + millis(self.now().since(at)))
-    }
-
-    /// Stores the verdicts that are this member's to store by now. A verdict that is not stored
-    /// is lost when all nodes restart.
+    /// Stores the records that are this member's to store by now. What is not stored is lost
+    /// when all nodes restart.
     fn save(self: &Rc<Self>) {
-        let Some(clock) = self.store_now() else {
-            return;
-        };
         let now = self.now();
-        let view = self.setup.view.read();
-        for (request, unsaved) in self.unsaved.borrow_mut().iter_mut() {
-            let rank = view.rank(&request.to_string(), &self.setup.me);
-            if unsaved.saving || now.since(unsaved.reached) < STORE_DELAY * rank {
-                continue;
-            }
-            unsaved.saving = true;
-            let condemnation = &unsaved.condemnation;
-            let ends = unsaved.reached + condemnation.term;
-            let row = Row {
-                until: clock + millis(ends.since(now)),
-                times: condemnation.times,
-                endpoints: condemnation
-                    .crashes
-                    .iter()
-                    .map(|it| it.endpoint.clone())
-                    .collect(),
-            };
-            actix_rt::spawn(Rc::clone(self).store(*request, row));
+        let due = self.storage.borrow_mut().take_due(now);
+        if let Some((keys, transaction)) = due {
+            actix_rt::spawn(Rc::clone(self).store(keys, transaction));
         }
     }
 
-    async fn store(self: Rc<Self>, request: Fingerprint, row: Row) {
-        // Encoding plain data can't fail.
-        let value = wire::encode(&row).unwrap_or_default();
-        let put = Transaction::default().put(record::key(request), value);
-        let stored = self.setup.store.transact(put).await;
-        let mut unsaved = self.unsaved.borrow_mut();
+    async fn store(self: Rc<Self>, keys: Vec<Key>, transaction: Transaction) {
+        let stored = self.setup.store.transact(transaction).await;
+        let mut storage = self.storage.borrow_mut();
         match stored {
-            Ok(_) => drop(unsaved.remove(&request)),
+            Ok(_) => storage.written(&keys),
             Err(fault) => {
                 log::info!(
-                    "{} table={} print={request} why=\"{fault}\"",
+                    "{} table={} rows={} first={} why=\"{fault}\"",
                     event::STORE_CALL_LOST,
-                    record::TABLE
+                    record::TABLE,
+                    keys.len(),
+                    keys[0],
                 );
-                if let Some(unsaved) = unsaved.get_mut(&request) {
-                    unsaved.saving = false;
-                }
+                storage.write_failed(&keys);
             }
         }
     }
@@ -463,22 +440,22 @@
         let (rows, clock, clock_read) = match update {
             Update::Snapshot(snapshot) => {
                 is_whole = true;
-                self.rows.borrow_mut().clear();
-                let rows = snapshot.rows.into_iter();
-                let rows: Vec<_> = rows.map(|row| (row.key, Some(row.value))).collect();
-                (rows, snapshot.clock, self.now())
+                self.storage.borrow_mut().clear_rows();
+                (put_rows(snapshot.rows), snapshot.clock, self.now())
             }
+            Update::Part(part) => (put_rows(part.rows), part.clock, self.now()),
             Update::Changes(changes) => {
                 let rows = changes.changes.into_iter();
                 let rows: Vec<_> = rows.map(|row| (row.key, row.value)).collect();
                 (rows, changes.clock, self.now() - changes.age)
             }
-            Update::Part(_) | Update::Failed => return,
+            Update::Failed => return,
         };
-        self.store_clock.set(Some((clock_read, clock)));
+        self.storage.borrow_mut().set_clock(clock_read, clock);
         for (key, value) in rows {
             self.apply_row(clock, &key, value.as_deref());
         }
+        self.evidence.borrow_mut().update_blame(self.now());
         if is_whole {
             self.mark_informed("store");
         }
@@ -486,20 +463,22 @@
 
     fn apply_row(&self, clock: u64, key: &str, value: Option<&[u8]>) {
         let Some(value) = value else {
-            self.rows
-                .borrow_mut()
-                .retain(|request, _| request.to_string() != key);
-            return;
-        };
-        let (request, row) = match record::decode(key, value) {
-            Ok(read) => read,
-            Err(why) => {
-                log::warn!("{} key={key} why=\"{why}\"", event::ROW_UNREADABLE);
-                return;
+            if let Ok(key) = key.parse() {
+                self.storage.borrow_mut().remove_row(&key);
             }
+            return;
         };
-        self.rows.borrow_mut().insert(request, row.until);
-        self.unsaved.borrow_mut().remove(&request);
+        match record::decode(key, value) {
+            Ok(Record::Verdict(request, row)) => self.apply_verdict(clock, request, &row),
+            Ok(Record::Crash(request, crash, row)) => self.apply_crash(clock, request, crash, &row),
+            Err(why) => log::warn!("{} key={key} why=\"{why}\"", event::ROW_UNREADABLE),
+        }
+    }
+
+    fn apply_verdict(&self, clock: u64, request: Fingerprint, row: &VerdictRow) {
+        self.storage
+            .borrow_mut()
+            .add_row(Key::Verdict(request), row.until);
         let now = self.now();
         let left = Duration::from_millis(row.until.saturating_sub(clock));
         if self.status(request) != Status::Condemned && !left.is_zero() {
@@ -517,35 +496,42 @@
         self.changed.notify_waiters();
     }
 
-    /// Deletes one expired row, if this member is responsible for it.
-    fn delete_expired(self: &Rc<Self>) {
-        let Some(clock) = self.store_now() else {
+    fn apply_crash(&self, clock: u64, request: Fingerprint, crash: Crash, row: &CrashRow) {
+        let left = Duration::from_millis(row.until.saturating_sub(clock));
+        let observed = self.now() - CRASH_TTL.saturating_sub(left);
+        let mut storage = self.storage.borrow_mut();
+        storage.add_row(Key::Crash(request, crash.clone()), row.until);
+        if left.is_zero() {
             return;
-        };
-        let retention = millis(ROW_RETENTION);
-        let old = {
-            let view = self.setup.view.read();
-            let rows = self.rows.borrow();
-            rows.iter()
-                .filter(|(_, until)| **until + retention < clock)
-                .map(|(request, _)| *request)
-                .find(|request| view.rank(&request.to_string(), &self.setup.me) == 0)
-        };
-        let Some(request) = old else {
+        }
+        let mut evidence = self.evidence.borrow_mut();
+        if let Added::Refuted(_) = evidence.add_crash(observed, crash, request, row.stage) {
+            storage.withdraw_crashes(request);
+        }
+    }
+
+    /// Deletes the expired rows that this member is responsible for.
+    fn delete_expired(self: &Rc<Self>) {
+        let is_mine = |key: &Key| self.rank(key) == 0;
+        let expired = self.storage.borrow_mut().take_expired(self.now(), is_mine);
+        let Some(delete) = expired else {
             return;
         };
-        self.rows.borrow_mut().remove(&request);
         let detector = Rc::clone(self);
         actix_rt::spawn(async move {
-            let delete = Transaction::default().delete(record::key(request));
-            // A row that remains is found again with the next snapshot.
+            // Rows that remain are found again with the next snapshot.
             if let Err(fault) = detector.setup.store.transact(delete).await {
-                log::debug!("{} print={request} why=\"{fault}\"", event::STORE_CALL_LOST);
+                log::debug!(
+                    "{} table={} why=\"{fault}\"",
+                    event::STORE_CALL_LOST,
+                    record::TABLE
+                );
             }
         });
     }
 }
 
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+fn put_rows(rows: Vec<table::Row>) -> Vec<(String, Option<Bytes>)> {
+    let rows = rows.into_iter();
+    rows.map(|row| (row.key, Some(row.value))).collect()
 }
--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -30,7 +30,7 @@
 /// Minimum interval between reports of a request's completion to other nodes.
 const COMPLETION_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a crash is remembered.
-const CRASH_TTL: Duration = Duration::from_secs(600);
+pub(super) const CRASH_TTL: Duration = Duration::from_secs(600);
 /// Duration of a first quarantine; each further one of the same request doubles it.
 const FIRST_TERM: Duration = Duration::from_secs(900);
 /// Limit on these doublings.
@@ -248,6 +248,15 @@
         }
     }
 
+    /// Returns the recorded crashes that involve the request.
+    pub fn crashes_of(&self, request: Fingerprint) -> Vec<(Crash, Stage)> {
+        let ran = |(crash, incident): (&Crash, &Incident)| {
+            let stage = incident.requests.get(&request)?;
+            Some((crash.clone(), *stage))
+        };
+        self.incidents.iter().filter_map(ran).collect()
+    }
+
     /// True when a recorded crash involves the request.
     pub fn is_known(&self, request: Fingerprint) -> bool {
         let ran = |incident: &Incident| incident.requests.contains_key(&request);
--- a/src/quarantine/record.rs
+++ b/src/quarantine/record.rs
@@ -1,6 +1,10 @@
-//! Gossip notes about crashes, and the stored row of a verdict.
+//! Gossip notes about crashes, and the stored rows of crashes and verdicts.
+
+use std::fmt;
+use std::str::FromStr;
 
 use bytes::Bytes;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use super::Fingerprint;
@@ -9,7 +13,7 @@
 use crate::wire;
 use crate::wire::control::Note;
 
-/// The table of verdicts.
+/// The table of verdicts and crashes.
 pub const TABLE: &str = "quarantine";
 /// The topic of notes about crashes.
 const TOPIC: u8 = 40;
@@ -73,9 +77,55 @@
     }
 }
 
+/// Key of a record in the store.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Key {
+    /// A verdict.
+    Verdict(Fingerprint),
+    /// A crash of a request that several endpoints crashed under.
+    Crash(Fingerprint, Crash),
+}
+
+impl Key {
+    /// Returns the key of the record's row in the store.
+    pub fn row(&self) -> String {
+        format!("{TABLE}/{self}")
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Verdict(request) => write!(f, "{request}"),
+            Self::Crash(request, crash) => {
+                write!(f, "{request}-{:x}-{}", crash.incarnation, crash.endpoint)
+            }
+        }
+    }
+}
+
+impl FromStr for Key {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let number = |text| u64::from_str_radix(text, 16).map_err(|error| error.to_string());
+        let Some((request, crash)) = text.split_once('-') else {
+            return Ok(Self::Verdict(Fingerprint(number(text)?)));
+        };
+        let (incarnation, endpoint) = crash
+            .split_once('-')
+            .ok_or("the key of a crash lacks the endpoint")?;
+        let crash = Crash {
+            endpoint: endpoint.into(),
+            incarnation: number(incarnation)?,
+        };
+        Ok(Self::Crash(Fingerprint(number(request)?), crash))
+    }
+}
+
 /// Stored form of a verdict.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Row {
+pub struct VerdictRow {
     /// End of the quarantine in milliseconds of the store's clock.
     #[serde(rename = "u")]
     pub until: u64,
@@ -87,17 +137,40 @@
     pub endpoints: Vec<Name>,
 }
 
-/// Returns the key of a verdict's row.
-pub fn key(request: Fingerprint) -> String {
-    format!("{TABLE}/{request}")
+/// Stored form of a crash.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashRow {
+    /// When it is no longer counted, in milliseconds of the store's clock.
+    #[serde(rename = "u")]
+    pub until: u64,
+    /// The stage of the request's run.
+    #[serde(rename = "s")]
+    pub stage: Stage,
+}
+
+/// A record in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Record {
+    /// A verdict on a request.
+    Verdict(Fingerprint, VerdictRow),
+    /// A crash under a request.
+    Crash(Fingerprint, Crash, CrashRow),
 }
 
 /// Decodes a row.
 ///
 /// # Errors
-/// When the key or the value is not that of a verdict.
-pub fn decode(key: &str, value: &[u8]) -> Result<(Fingerprint, Row), String> {
-    let request = u64::from_str_radix(key, 16).map_err(|error| error.to_string())?;
-    let row = wire::decode(value).map_err(|error| error.to_string())?;
-    Ok((Fingerprint(request), row))
+/// When the key or the value is not that of a record.
+pub fn decode(key: &str, value: &[u8]) -> Result<Record, String> {
+    match key.parse()? {
+        Key::Verdict(request) => Ok(Record::Verdict(request, decode_value(value)?)),
+        Key::Crash(request, crash) => Ok(Record::Crash(request, crash, decode_value(value)?)),
+    }
+}
+
+fn decode_value<R>(value: &[u8]) -> Result<R, String>
+where
+    R: DeserializeOwned,
+{
+    wire::decode(value).map_err(|error| error.to_string())
 }
