Let no second burst through when coordinators change

Causes, from a trace of who let each request of the worst window through: a coordinator that replaces one just lost starts with a full bucket, since by the membership its history is complete; and one that is back has refilled its bucket while another counted, and is drained before a gateway that knows the other's level sends its next request.

Change: queries say whether the gateway passed over a coordinator, and one that begins by such a query starts as without history. When a silent coordinator answers a probe, gateways send it the levels elsewhere.

Why it works: the gateways know of a loss 2.5 s before the members do, and of the levels before the next request.

--- a/src/limit/coordinator.rs
+++ b/src/limit/coordinator.rs
@@ -24,6 +24,9 @@
 const TOKEN_TTL: Duration = Duration::from_secs(6);
 /// Idle time after which an organisation is evicted; its bucket is certainly full again by then.
 const ACCOUNT_TTL: Duration = Duration::from_secs(120);
+/// Time without queries after which another coordinator may have counted an organisation
+/// meanwhile, if that one is passed over now.
+const MAX_GAP: Duration = Duration::from_secs(1);
 /// Tokens of a new bucket without history.
 const INITIAL_TOKENS: f64 = 1.0;
 /// Uptime after which a process has found the members, or is really the only one.
@@ -50,6 +53,9 @@
     /// The level that another coordinator last returned.
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
     pub hint: Option<Hint>,
+    /// True when the gateway passed over the shard's own coordinator, which does not answer.
+    #[serde(rename = "p", default, skip_serializing_if = "std::ops::Not::not")]
+    pub passed_over: bool,
 }
 
 /// Token level at another coordinator.
@@ -165,15 +171,18 @@
             return self.take_early(key, query);
         }
         let tolerance = self.tolerance;
-        let has_history = self.has_history(now, &query.organisation);
+        let has_history = self.has_history(now, &query.organisation) && !query.passed_over;
+        let first = INITIAL_TOKENS + tolerance.initial_excess(query.rate);
         let account = self
             .accounts
             .entry(query.organisation.clone())
             .or_insert_with(|| {
-                let first =
-                    (!has_history).then(|| INITIAL_TOKENS + tolerance.initial_excess(query.rate));
+                let first = (!has_history).then_some(first);
                 Account::new(now, first, tolerance, query)
             });
+        if query.passed_over && now.since(account.last_query) >= MAX_GAP {
+            account.allowance.cap(now, first);
+        }
         account.last_query = now;
         account.update(now, tolerance, query);
         account.evict_tokens(now);
@@ -187,6 +196,14 @@
         }
     }
 
+    /// Lowers an organisation's bucket to the level at another coordinator, which counted while
+    /// this one did not answer.
+    pub fn learn(&mut self, now: Time, organisation: &Name, hint: Hint) {
+        if let Some(account) = self.accounts.get_mut(organisation) {
+            account.apply_hint(now, hint);
+        }
+    }
+
     /// Lets an organisation's first request through at some of the processes that have not
     /// found the members yet.
     fn take_early(&mut self, key: Key, query: &Query) -> Answer {
@@ -211,7 +228,9 @@
 
     /// True when this node has coordinated the organisation's shard for a whole window, or
     /// would have, because the number of nodes has not changed for that long: its history is
-    /// then complete. Otherwise another node may already have let the limit through.
+    /// then complete. Otherwise another node may already have let the limit through. A
+    /// coordinator that has just been lost is still a member, so the gateways' word that they
+    /// passed it over counts as well.
     fn has_history(&mut self, now: Time, organisation: &str) -> bool {
         let window = self.tolerance.window;
         let term = self
@@ -285,12 +304,16 @@
                 self.allowance.resize(now, self.rate, tolerance);
             }
         }
-        if let Some(Hint { tokens, age }) = query.hint {
-            let since = self.rate.per_second * age.as_secs_f64();
-            self.allowance.cap(now, tokens + since);
+        if let Some(hint) = query.hint {
+            self.apply_hint(now, hint);
         }
     }
 
+    fn apply_hint(&mut self, now: Time, Hint { tokens, age }: Hint) {
+        let since = self.rate.per_second * age.as_secs_f64();
+        self.allowance.cap(now, tokens + since);
+    }
+
     fn take(&mut self, now: Time, key: Key) -> Result<(), Duration> {
         if self.passed.contains_key(&key) {
             return Ok(());
--- a/src/limit/meter.rs
+++ b/src/limit/meter.rs
@@ -84,6 +84,18 @@
         (from != coordinator && age < HINT_TTL).then_some(Hint { tokens, age })
     }
 
+    /// Returns the organisations that other coordinators than `coordinator` counted last, with
+    /// their levels there.
+    pub fn levels(
+        &self,
+        now: Time,
+        coordinator: SocketAddr,
+    ) -> impl Iterator<Item = (&Name, Hint)> {
+        let level =
+            move |organisation| Some((organisation, self.hint(now, organisation, coordinator)?));
+        self.accounts.keys().filter_map(level)
+    }
+
     /// Records the answer of a coordinator.
     pub fn record_answer(
         &mut self,
--- a/src/permit.rs
+++ b/src/permit.rs
@@ -363,7 +363,9 @@
             log::warn!("{} peer={from}", event::DATAGRAM_REFUSED);
             return;
         };
-        self.owners.borrow_mut().mark_alive(from);
+        if self.owners.borrow_mut().mark_alive(from) {
+            self.send_levels(now, from);
+        }
         match reply.body {
             Body::Stop => {
                 if let Some(held) = self.held.borrow().get(&reply.seq) {
--- a/src/permit/count.rs
+++ b/src/permit/count.rs
@@ -13,14 +13,15 @@
 use tokio::sync::oneshot;
 
 use super::attempts::Attempts;
+use super::owner::Choice;
 use super::{ANSWER_TIMEOUT, Broker};
 use crate::catalog::keyring::Organisation;
 use crate::clock::Time;
 use crate::event;
-use crate::limit::coordinator::{self, Answer, Decision};
+use crate::limit::coordinator::{self, Answer, Decision, Hint};
 use crate::limit::{self, Rate};
 use crate::name::Name;
-use crate::pool::message::Request;
+use crate::pool::message::{MAX_LEVELS, Request};
 
 /// Number of silent coordinators after which this node decides locally. What it admits
 /// comes on top of what a coordinator admits that other nodes still reach.
@@ -228,9 +229,11 @@
     }
 
     fn send_count(&self, now: Time, seq: u64, counting: &mut Counting) {
-        let coordinator = self.owners.borrow_mut().owner(&counting.shard);
-        counting.attempts.record_send(now, coordinator);
-        let Some(coordinator) = coordinator else {
+        let choice = self.owners.borrow_mut().choose(&counting.shard);
+        counting
+            .attempts
+            .record_send(now, choice.map(|choice| choice.owner));
+        let Some(Choice { owner, passed_over }) = choice else {
             return;
         };
         let Limited {
@@ -238,17 +241,37 @@
             rate,
             version,
         } = &counting.limited;
-        let hint = self
-            .meter
-            .borrow()
-            .hint(now, &organisation.name, coordinator);
+        let hint = self.meter.borrow().hint(now, &organisation.name, owner);
         let count = coordinator::Query {
             organisation: organisation.name.clone(),
             rate: *rate,
             version: *version,
             hint,
+            passed_over,
+        };
+        self.send(owner, &Request::Count { seq, count });
+    }
+
+    /// Tells a coordinator that is back the levels at those that counted meanwhile. Its own
+    /// buckets have refilled, and it would let a second burst through before each gateway's next
+    /// request.
+    pub(super) fn send_levels(&self, now: Time, coordinator: SocketAddr) {
+        let levels: Vec<(Name, Hint)> = {
+            let meter = self.meter.borrow();
+            let mut owners = self.owners.borrow_mut();
+            let mut is_owner = |organisation: &Name| {
+                owners.owner(&limit::shard_name(organisation)) == Some(coordinator)
+            };
+            let counted = meter.levels(now, coordinator);
+            counted
+                .filter(|(organisation, _)| is_owner(organisation))
+                .map(|(organisation, hint)| (organisation.clone(), hint))
+                .collect()
         };
-        self.send(coordinator, &Request::Count { seq, count });
+        for some in levels.chunks(MAX_LEVELS) {
+            let levels = some.to_vec();
+            self.send(coordinator, &Request::Levels { levels });
+        }
     }
 
     fn send_refund(&self, coordinator: SocketAddr, seq: u64, limited: &Limited) {
--- a/src/permit/owner.rs
+++ b/src/permit/owner.rs
@@ -38,6 +38,15 @@
     is_strong: bool,
 }
 
+/// The owner that a node uses for a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The owner.
+    pub owner: SocketAddr,
+    /// True if it replaces members of higher rank, which do not answer.
+    pub passed_over: bool,
+}
+
 /// The members that may own each pool, and those that do not answer.
 #[derive(Debug)]
 pub struct Owners {
@@ -67,9 +76,9 @@
         }
     }
 
-    /// Records an answer of a member.
-    pub fn mark_alive(&mut self, owner: SocketAddr) {
-        self.silent.remove(&owner);
+    /// Records an answer of a member; returns true if it was silent before.
+    pub fn mark_alive(&mut self, owner: SocketAddr) -> bool {
+        self.silent.remove(&owner).is_some()
     }
 
     /// Records that a member did not answer.
@@ -103,6 +112,12 @@
 
     /// Returns the owner of a pool in this node's view.
     pub fn owner(&mut self, pool: &Name) -> Option<SocketAddr> {
+        self.choose(pool).map(|choice| choice.owner)
+    }
+
+    /// Returns the owner of a pool in this node's view, and whether silent members were passed
+    /// over for it.
+    pub fn choose(&mut self, pool: &Name) -> Option<Choice> {
         let view = self.view.load();
         if self
             .ranked_view
@@ -118,11 +133,13 @@
             .ranked
             .entry(pool.clone())
             .or_insert_with(|| rank_all(candidates, pool));
-        owners
-            .iter()
-            .find(|owner| !self.silent.contains_key(*owner))
-            .or(owners.first())
-            .copied()
+        let answers = |owner: &&SocketAddr| !self.silent.contains_key(*owner);
+        let first = owners.first()?;
+        let owner = owners.iter().find(answers).unwrap_or(first);
+        Some(Choice {
+            owner: *owner,
+            passed_over: owner != first,
+        })
     }
 }
 
--- a/src/pool/message.rs
+++ b/src/pool/message.rs
@@ -18,6 +18,9 @@
 /// [`MAX_DATAGRAM`].
 pub const MAX_RENEWALS: usize = 12;
 
+/// Maximum number of levels in a datagram, for the same reason.
+pub const MAX_LEVELS: usize = 12;
+
 /// Class of work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Class {
@@ -188,6 +191,14 @@
         #[serde(rename = "o")]
         organisation: Name,
     },
+    /// The levels of organisations at the coordinators that counted while the receiver did not
+    /// answer.
+    #[serde(rename = "l")]
+    Levels {
+        /// The organisations, with their levels.
+        #[serde(rename = "l")]
+        levels: Vec<(Name, coordinator::Hint)>,
+    },
     /// Checks whether a node that did not answer is reachable again.
     #[serde(rename = "p")]
     Probe,
@@ -200,7 +211,7 @@
             Self::Acquire { pool, .. } | Self::Renew { pool, .. } | Self::Release { pool, .. } => {
                 Some(pool)
             }
-            Self::Count { .. } | Self::Refund { .. } | Self::Probe => None,
+            Self::Count { .. } | Self::Refund { .. } | Self::Levels { .. } | Self::Probe => None,
         }
     }
 }
--- a/src/pool/serve.rs
+++ b/src/pool/serve.rs
@@ -152,7 +152,10 @@
                 }
             }
             Request::Release { seq, end, .. } => pool.release(now, key(seq), end),
-            Request::Count { .. } | Request::Refund { .. } | Request::Probe => {}
+            Request::Count { .. }
+            | Request::Refund { .. }
+            | Request::Levels { .. }
+            | Request::Probe => {}
         }
     }
 
@@ -182,6 +185,11 @@
                 let key = Key { gateway: from, seq };
                 self.coordinator.refund(now, key, &organisation);
             }
+            Request::Levels { levels } => {
+                for (organisation, hint) in levels {
+                    self.coordinator.learn(now, &organisation, hint);
+                }
+            }
             Request::Probe => {
                 let body = Body::Alive;
                 self.send(from, &Reply { seq: 0, body });
--- a/tests/limit_explore.rs
+++ b/tests/limit_explore.rs
@@ -140,6 +140,29 @@
     expect_that!(broken(Way::Coordinator, 300, seeds() / 3), is_empty());
 }
 
+/// Guards against coordinators that let a second burst through when they replace another one or
+/// are back: floods under two faults at once.
+#[gtest]
+fn explore_replaced_coordinators() {
+    for (nodes, seeds) in [
+        (88, &[431, 1007, 1399, 1691, 4886, 5062][..]),
+        (300, &[89, 266, 283, 395, 787, 958, 1816][..]),
+    ] {
+        let above = |way, seed| {
+            let fleet = play(way, seed, nodes);
+            fleet.most_in_window() as f64 > fleet.bound()
+        };
+        for seed in seeds {
+            let is_above = above(Way::Coordinator, *seed);
+            expect_that!(is_above, eq(false), "{nodes} nodes, seed {seed}");
+        }
+        for way in [Way::NoPassedOver, Way::NoLevels] {
+            let found = seeds.iter().any(|seed| above(way, *seed));
+            expect_that!(found, eq(true), "{nodes} nodes, {way:?}");
+        }
+    }
+}
+
 /// Without faults, an organisation with its usual traffic must never be refused.
 #[gtest]
 fn explore_usual_never_refused() {
--- a/tests/limit_explore/fleet.rs
+++ b/tests/limit_explore/fleet.rs
@@ -7,7 +7,7 @@
 
 use auburnspoke::clock::Time;
 use auburnspoke::limit::bucket::Bucket;
-use auburnspoke::limit::coordinator::{Answer, Coordinator, Decision, Query};
+use auburnspoke::limit::coordinator::{Answer, Coordinator, Decision, Hint, Query};
 use auburnspoke::limit::isolation::Isolation;
 use auburnspoke::limit::meter::Meter;
 use auburnspoke::limit::{Rate, Tolerance};
@@ -61,6 +61,10 @@
     NoIsolation,
     /// The same with full buckets at coordinators that have just started.
     FullStart,
+    /// The same without the levels that are sent to a coordinator that is back.
+    NoLevels,
+    /// The same without the gateways' word that they passed over another coordinator.
+    NoPassedOver,
     /// Each node has an equal part.
     EqualPart,
 }
@@ -87,6 +91,8 @@
     Asked(usize, Pending),
     /// An answer arrives at the gateway.
     Answered(u64, usize, Answer),
+    /// The level at another coordinator arrives at one that is back.
+    Learned(usize, Hint),
     /// The timeout of a query expires.
     Timeout(u64),
     /// A gateway probes a silent coordinator.
@@ -217,6 +223,7 @@
                 Event::Send(node) => self.sent(node),
                 Event::Asked(coordinator, pending) => self.asked(coordinator, &pending),
                 Event::Answered(seq, from, answer) => self.answered(seq, from, answer),
+                Event::Learned(coordinator, hint) => self.learned(coordinator, hint),
                 Event::Timeout(seq) => self.expire(seq),
                 Event::Probe(gateway, coordinator) => self.probe(gateway, coordinator),
                 Event::Fault(node, fault) => self.apply_fault(node, fault),
@@ -285,6 +292,12 @@
         *candidates.iter().find(free).unwrap_or(&candidates[0])
     }
 
+    /// True when the gateway sees a coordinator of higher rank.
+    fn passes_over(&self, gateway: usize, coordinator: usize) -> bool {
+        let first = self.order.iter().find(|other| self.sees(gateway, **other));
+        first != Some(&coordinator)
+    }
+
     fn sent(&mut self, at: usize) {
         let now = self.now;
         let node = &mut self.nodes[at];
@@ -334,6 +347,7 @@
             rate: self.rate,
             version: 1,
             hint,
+            passed_over: self.way != Way::NoPassedOver && self.passes_over(gateway, coordinator),
         };
         let pending = Pending {
             gateway,
@@ -353,6 +367,7 @@
         let settled = self.now.since(self.nodes[coordinator].started) >= JOIN_DETECTION;
         if settled && self.arrives(gateway, coordinator) && self.arrives(coordinator, gateway) {
             self.nodes[gateway].silent.remove(&coordinator);
+            self.send_level(gateway, coordinator);
         } else if self.sees(gateway, coordinator) {
             self.push(
                 self.now + PROBE_INTERVAL,
@@ -363,6 +378,29 @@
         }
     }
 
+    /// Sends a coordinator that is back the level at the one that counted meanwhile.
+    fn send_level(&mut self, gateway: usize, coordinator: usize) {
+        let name: Name = "a".into();
+        let meter = &self.nodes[gateway].meter;
+        let hint = meter.hint(self.now, &name, address(coordinator));
+        let is_owner = self.coordinator_of(gateway) == coordinator;
+        let sends = !matches!(self.way, Way::NoHint | Way::NoLevels) && is_owner;
+        if let Some(hint) = hint.filter(|_| sends)
+            && self.arrives(gateway, coordinator)
+        {
+            // The probe and its answer have taken two delays.
+            self.push(self.now + DELAY * 3, Event::Learned(coordinator, hint));
+        }
+    }
+
+    fn learned(&mut self, coordinator: usize, hint: Hint) {
+        let node = &mut self.nodes[coordinator];
+        if node.fault == Fault::None {
+            let now = self.now - node.lag;
+            node.coordinator.learn(now, &"a".into(), hint);
+        }
+    }
+
     /// Loses a few datagrams, and all from or to a faulty node.
     fn arrives(&mut self, from: usize, to: usize) -> bool {
         if from == to {
--- a/tests/limit_keeper.rs
+++ b/tests/limit_keeper.rs
@@ -45,6 +45,7 @@
         rate: RATE,
         version: 1,
         hint,
+        passed_over: false,
     }
 }
 
@@ -152,6 +153,72 @@
     expect_that!(starting.is_settled(), eq(true));
 }
 
+/// Guards against a second burst at the coordinator that replaces one which was just lost: no
+/// node has noticed the loss yet, so that by its view the replacement has a complete history.
+#[gtest]
+fn take_passed_over() {
+    let mut next = coordinator(Tolerance::default());
+    let passed_over = Query {
+        passed_over: true,
+        ..query(None)
+    };
+    let is_allowed =
+        |seq: &u64| next.take(at(0), key(*seq), &passed_over).decision == Decision::Allow;
+    expect_that!((0..50).filter(is_allowed).count(), eq(1));
+    // It counts from now on, so that the bucket refills as usual.
+    let is_allowed =
+        |seq: &u64| next.take(at(900), key(*seq), &passed_over).decision == Decision::Allow;
+    expect_that!((100..150).filter(is_allowed).count(), eq(9));
+}
+
+/// Guards against a coordinator that replaces another one for a second time: its bucket has
+/// refilled while the other one counted.
+#[gtest]
+fn take_passed_over_again() {
+    let mut next = coordinator(Tolerance::default());
+    expect_that!(count_allowed(&mut next, at(0), 0, 50, None), eq(10));
+    let passed_over = Query {
+        passed_over: true,
+        ..query(None)
+    };
+    let is_allowed =
+        |seq: &u64| next.take(at(5_000), key(*seq), &passed_over).decision == Decision::Allow;
+    expect_that!((100..150).filter(is_allowed).count(), eq(1));
+}
+
+/// Guards against a coordinator that is back after a pause: its bucket has refilled while
+/// another one counted, and the first requests come from gateways without a hint.
+#[gtest]
+fn learn_level_elsewhere() {
+    let mut back = coordinator(Tolerance::default());
+    expect_that!(count_allowed(&mut back, at(0), 0, 50, None), eq(10));
+    let age = Duration::from_millis(100);
+    back.learn(at(3_000), &organisation(), Hint { tokens: 1.0, age });
+    expect_that!(count_allowed(&mut back, at(3_000), 100, 50, None), eq(2));
+    // The level of an organisation that it has never counted has no effect.
+    back.learn(at(3_000), &"b".into(), Hint { tokens: 1.0, age });
+    expect_that!(back.len(), eq(1));
+}
+
+#[gtest]
+fn levels_of_others() {
+    let mut meter = Meter::new(Tolerance::default());
+    let address = |host| SocketAddr::from(([10, 0, 0, host], 7_000));
+    let (first, second) = (address(1), address(2));
+    let answer = Answer {
+        decision: Decision::Allow,
+        tokens: 3.0,
+    };
+    meter.record_answer(at(0), &organisation(), second, answer);
+    let age = Duration::from_millis(50);
+    let levels: Vec<_> = meter.levels(at(50), first).collect();
+    expect_that!(
+        levels,
+        elements_are![eq(&(&organisation(), Hint { tokens: 3.0, age }))]
+    );
+    expect_that!(meter.levels(at(50), second).count(), eq(0));
+}
+
 /// Operators lower a limit far below the traffic. A gateway that has not received the new
 /// configuration yet still sends the old limit.
 #[gtest]
--- a/tests/permit_owner.rs
+++ b/tests/permit_owner.rs
@@ -49,10 +49,25 @@
     let first = owners.owner(&pool).unwrap();
     owners.mark_silent(at(0), first);
     expect_that!(owners.owner(&pool), not(some(eq(first))));
-    owners.mark_alive(first);
+    expect_that!(owners.mark_alive(first), eq(true));
+    expect_that!(owners.mark_alive(first), eq(false));
     expect_that!(owners.owner(&pool), some(eq(first)));
 }
 
+/// The coordinator of a limit must know whether it replaces another one.
+#[gtest]
+fn choose_passed_over() {
+    let pool = Name::from("s");
+    let mut owners = Owners::new(Arc::new(Cell::new(view(&[1, 2, 3]))), PORT);
+    let first = owners.choose(&pool).unwrap();
+    expect_that!(first.passed_over, eq(false));
+    owners.mark_silent(at(0), first.owner);
+    let next = owners.choose(&pool).unwrap();
+    expect_that!(next.passed_over, eq(true));
+    owners.mark_silent(at(0), next.owner);
+    expect_that!(owners.choose(&pool).unwrap().passed_over, eq(true));
+}
+
 /// The view does not show when a silent member is back, so it is probed. A request sent
 /// there instead would make its caller wait. Without probes, two members would continue
 /// to own the same pool.
