Wait for what other nodes observed while this one was paused

Cause: after a pause, requests in the sockets are served before the observations that wait in the control thread's socket are read.

Change: requests and batch items wait for the task that applies observations if it has not taken a step for 0.3 s, or has taken the first one after such a gap less than 0.1 s ago.

Why it works: what arrived during the pause is read within that time.

--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -54,6 +54,7 @@
     };
     let detector = Rc::clone(&jobs.setup.detector);
     let request = work.fingerprint(item);
+    detector.caught_up(work.expires).await;
     let suspect = match detector.status(request) {
         Status::Condemned => return suspend(&jobs, &work, item),
         Status::Held(_) => return requeue(&jobs, &work, item, "held"),
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -167,12 +167,13 @@
         let detector = Rc::clone(&self.node.detector);
         let request = self.call.fingerprint;
         loop {
-            let now = self.node.clock.now();
-            let left = self.attempt.deadline().since(now);
+            detector.caught_up(self.attempt.deadline()).await;
+            let left = self.attempt.deadline().since(self.node.clock.now());
             if let Status::Held(wait) = detector.status(request) {
                 sleep(wait.min(left)).await;
             }
-            let left = self.attempt.deadline().since(self.node.clock.now());
+            let now = self.node.clock.now();
+            let left = self.attempt.deadline().since(now);
             let claim = self.claim(now, left);
             let admitted = tokio::select! {
                 biased;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -284,7 +284,7 @@
             if remaining.is_zero() {
                 return conclude(may_have_run, Refusal::new(Reason::Deadline));
             }
-            if self.is_condemned(fingerprint).await {
+            if self.is_condemned(fingerprint, deadline).await {
                 return conclude(may_have_run, condemned());
             }
             request.time_left = remaining;
@@ -316,7 +316,7 @@
             match self.decide_retry(&config, &request, &history, deadline, failure) {
                 Ok(wait) => actix_rt::time::sleep(wait).await,
                 // The caller may retry at another node, which has to learn of the crashes first.
-                Err(_) if self.is_condemned(fingerprint).await => {
+                Err(_) if self.is_condemned(fingerprint, deadline).await => {
                     return conclude(may_have_run, condemned());
                 }
                 Err(refusal) => return conclude(may_have_run, refusal),
@@ -324,13 +324,22 @@
         }
     }
 
-    /// Returns true if the request must not run. Waits for the verdict if one is pending.
-    async fn is_condemned(&self, request: Fingerprint) -> bool {
+    /// Returns true if the request must not run. Waits for the verdict if one is pending, and
+    /// for what other nodes observed while this one was paused.
+    async fn is_condemned(&self, request: Fingerprint, deadline: Time) -> bool {
         let statuses = self.shared.quarantine.statuses();
-        while statuses.read().is_held(request) {
-            actix_rt::time::sleep(VERDICT_POLL_INTERVAL).await;
+        loop {
+            let now = self.shared.clock.now();
+            let wait = {
+                let statuses = statuses.read();
+                let held = statuses.is_held(request).then_some(VERDICT_POLL_INTERVAL);
+                statuses.backlog.wait(now).or(held)
+            };
+            let Some(wait) = wait.filter(|_| now < deadline) else {
+                return statuses.read().is_condemned(request);
+            };
+            actix_rt::time::sleep(wait.min(VERDICT_POLL_INTERVAL)).await;
         }
-        statuses.read().is_condemned(request)
     }
 
     /// Records a crash that the endpoint's dispatcher, possibly on another node, reported.
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -6,6 +6,7 @@
 //! [`evidence`] decides which requests are to blame. [`detector`] acts on it on a single thread,
 //! [`statuses`] on several threads. docs/design/quarantine.md compares the alternatives.
 
+pub mod backlog;
 pub mod detector;
 pub mod evidence;
 pub mod export;
--- a/src/quarantine/detector.rs
+++ b/src/quarantine/detector.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 
 use super::Fingerprint;
+use super::backlog::Backlog;
 use super::evidence::{Added, CRASH_TTL, Crash, Evidence, Stage, Status};
 use super::export::Export;
 use super::loss::{self, Finding};
@@ -97,6 +98,7 @@
     evidence: RefCell<Evidence>,
     storage: RefCell<Storage>,
     watched: StdCell<usize>,
+    backlog: StdCell<Backlog>,
     /// True once the store or another node has told this node the verdicts.
     informed: StdCell<bool>,
     /// When this node was first found to have a configuration.
@@ -113,6 +115,7 @@
             evidence: RefCell::default(),
             storage: RefCell::default(),
             watched: StdCell::new(0),
+            backlog: StdCell::default(),
             informed: StdCell::new(false),
             configured: StdCell::new(None),
             changed: Notify::new(),
@@ -155,6 +158,19 @@
         self.evidence.borrow().status(self.now(), request)
     }
 
+    /// Waits until what other nodes observed while this process was paused is applied, or until
+    /// `deadline`.
+    pub async fn caught_up(&self, deadline: Time) {
+        loop {
+            let now = self.now();
+            let wait = self.backlog.get().wait(now);
+            let Some(wait) = wait.filter(|_| now < deadline) else {
+                return;
+            };
+            sleep(wait.min(STEP_INTERVAL)).await;
+        }
+    }
+
     /// Waits until the request is condemned.
     pub async fn until_condemned(&self, request: Fingerprint) {
         loop {
@@ -365,6 +381,9 @@
         });
         loop {
             sleep(STEP_INTERVAL).await;
+            let mut backlog = self.backlog.get();
+            backlog.step(self.now());
+            self.backlog.set(backlog);
             self.step();
             self.save();
             self.delete_expired();
--- a/src/quarantine/statuses.rs
+++ b/src/quarantine/statuses.rs
@@ -9,9 +9,10 @@
 use tokio::time::sleep;
 
 use super::Fingerprint;
+use super::backlog::Backlog;
 use super::evidence::{Added, Evidence, Status};
 use super::record::Observation;
-use crate::clock::{Clock, unix_millis};
+use crate::clock::{Clock, Time, unix_millis};
 use crate::event;
 use crate::member::shell::Handle as Members;
 use crate::snapshot::Cell;
@@ -28,6 +29,8 @@
     condemned: HashSet<Fingerprint>,
     held: HashSet<Fingerprint>,
     suspects: HashSet<Fingerprint>,
+    /// Whether the deciding thread was paused a moment ago.
+    pub backlog: Backlog,
 }
 
 impl Statuses {
@@ -104,6 +107,7 @@
     mut notes: mpsc::Receiver<Note>,
 ) {
     let mut evidence = Evidence::default();
+    let mut backlog = Backlog::default();
     loop {
         let mut waits = None;
         tokio::select! {
@@ -141,7 +145,11 @@
                 endpoints.join(","),
             );
         }
-        handle.statuses.publish(snapshot(&evidence, &clock));
+        backlog.step(now);
+        handle.statuses.publish(Statuses {
+            backlog,
+            ..snapshot(&evidence, now)
+        });
         if let Some(done) = waits {
             // Fails only when the request has ended.
             let _ = done.send(());
@@ -160,8 +168,7 @@
     }
 }
 
-fn snapshot(evidence: &Evidence, clock: &Clock) -> Statuses {
-    let now = clock.now();
+fn snapshot(evidence: &Evidence, now: Time) -> Statuses {
     let mut statuses = Statuses::default();
     for request in evidence.requests() {
         let set = match evidence.status(now, request) {
--- a/tests/drill_quarantine.rs
+++ b/tests/drill_quarantine.rs
@@ -1,6 +1,7 @@
 //! Requests that crash the engines that run them, on real processes.
 
 use std::net::TcpStream;
+use std::time::Duration;
 
 use googletest::prelude::*;
 use serde_json::{Value, json};
@@ -49,3 +50,27 @@
     let answer = fleet.caller(0, "Ask", &prompt_request("good", 100));
     expect_that!(answer, ok(anything()));
 }
+
+/// Guards against a node that was paused while others saw a request crash engines: it runs
+/// requests that arrived meanwhile before it has read what the others observed.
+#[gtest]
+fn request_after_pause() {
+    let fleet = fleet();
+    let request = prompt_request(KILLER, 0);
+    for round in 0..3 {
+        fleet.nodes[2].pause();
+        let answer = fleet.caller(0, "Ask", &prompt_request(KILLER, round));
+        expect_that!(answer, err(anything()));
+        std::thread::scope(|scope| {
+            for _ in 0..4 {
+                scope.spawn(|| fleet.caller(2, "Ask", &request));
+            }
+            // The requests arrive while the node is paused.
+            std::thread::sleep(Duration::from_millis(200));
+            fleet.nodes[2].resume();
+        });
+    }
+    expect_that!(crashed(&fleet), le(3));
+    let answer = fleet.caller(0, "Ask", &prompt_request("good", 100));
+    expect_that!(answer, ok(anything()));
+}
--- a/tests/quarantine_evidence.rs
+++ b/tests/quarantine_evidence.rs
@@ -7,6 +7,7 @@
 use auburnspoke::pool::message::{Class, End, Requirements};
 use auburnspoke::pool::{Action, Key, Pool};
 use auburnspoke::quarantine::Fingerprint;
+use auburnspoke::quarantine::backlog::Backlog;
 use auburnspoke::quarantine::evidence::{Crash, Evidence, Stage, Status};
 use auburnspoke::quarantine::loss::{
     Entry, Finding, classify, classify_later, probe_after_failure,
@@ -227,6 +228,26 @@
     expect_that!(verdicts(&mut evidence, at(3_000)), is_empty());
 }
 
+/// Guards against a process that was paused and runs a request before it has applied what other
+/// nodes observed meanwhile.
+#[gtest]
+fn wait_after_pause() {
+    let mut backlog = Backlog::default();
+    for step in 0..=10 {
+        backlog.step(at(100 * step));
+    }
+    expect_that!(backlog.wait(at(1_090)), none());
+    // It has not taken a step since the pause.
+    expect_that!(backlog.wait(at(2_000)), some(anything()));
+    backlog.step(at(2_001));
+    expect_that!(
+        backlog.wait(at(2_001)),
+        some(eq(Duration::from_millis(100)))
+    );
+    backlog.step(at(2_101));
+    expect_that!(backlog.wait(at(2_101)), none());
+}
+
 /// A flood of distinct requests that each crash an endpoint must neither exhaust memory nor
 /// evict the newest crashes.
 #[gtest]
