Log and count how an endpoint ended each answer

E520 now has the framing and where the body ended, and auburnspoke_answers_total counts both. What is forwarded, and what counts as complete, is unchanged.

--- a/src/edge/count.rs
+++ b/src/edge/count.rs
@@ -9,6 +9,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::answer::{self, Framing};
 use crate::name::Name;
 
 pub mod largest;
@@ -21,12 +22,20 @@
     reason: &'static str,
 }
 
+/// Labels of an answer that an endpoint ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Ending {
+    framing: &'static str,
+    end: &'static str,
+}
+
 /// The counters of one process; clones share them.
 #[derive(Clone, Debug)]
 pub struct Count {
     registry: Arc<Registry>,
     refused: Family<Cause, Counter>,
     retried: Family<Cause, Counter>,
+    answers: Family<Ending, Counter>,
     items: Family<Cause, Counter>,
     jobs: Family<Cause, Counter>,
     feed: Family<Cause, Counter>,
@@ -51,6 +60,7 @@
     {
         let refused = Family::<Cause, Counter>::default();
         let retried = Family::<Cause, Counter>::default();
+        let answers = Family::<Ending, Counter>::default();
         let items = Family::<Cause, Counter>::default();
         let jobs = Family::<Cause, Counter>::default();
         let feed = Family::<Cause, Counter>::default();
@@ -59,6 +69,11 @@
         let mut registry = Registry::with_prefix("auburnspoke");
         registry.register("refused", "Requests refused, by reason", refused.clone());
         registry.register("retried", "Requests retried, by reason", retried.clone());
+        registry.register(
+            "answers",
+            "Answers whose body endpoints ended, by framing and by where it ended",
+            answers.clone(),
+        );
         registry.register(
             "items",
             "Runs of batch items, by how they ended",
@@ -103,6 +118,7 @@
             registry: Arc::new(registry),
             refused,
             retried,
+            answers,
             items,
             jobs,
             feed,
@@ -139,6 +155,12 @@
         self.retried.get_or_create(&Cause { reason }).inc();
     }
 
+    /// Counts an answer whose body an endpoint ended.
+    pub fn answer(&self, framing: Framing, end: answer::End) {
+        let (framing, end) = (framing.label(), end.label());
+        self.answers.get_or_create(&Ending { framing, end }).inc();
+    }
+
     /// Counts a finished run of a batch item, by outcome.
     pub fn item(&self, reason: &'static str) {
         self.items.get_or_create(&Cause { reason }).inc();
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -20,6 +20,7 @@
 use super::body::{self, Body, Broken, Guard, Pieces};
 use super::node::Node;
 use super::open::Request;
+use crate::answer::{self, Framing, Tracker};
 use crate::attempt::{Attempt, Failure, Next, Repeat};
 use crate::catalog::keyring::Organisation;
 use crate::catalog::{Kind, Route};
@@ -134,6 +135,8 @@
     error: Option<Response<Bytes>>,
     /// Time from arrival to the first byte of the answer.
     first: Option<Duration>,
+    /// The framing and the end of the last answer, for the log.
+    ending: Option<(Framing, answer::End)>,
     /// The token taken from the organisation's rate limit.
     token: Option<Token>,
 }
@@ -162,6 +165,7 @@
             tried: Vec::new(),
             error: None,
             first: None,
+            ending: None,
             token: None,
         }
     }
@@ -362,6 +366,7 @@
         let is_whole = self.attempt.last().is_none() && response.status().is_success();
         let mut head = forward::head(&response);
         let stream = forward::is_stream(head.headers()) && response.status().is_success();
+        let mut tracker = Tracker::new(Framing::of(response.headers()), stream);
         let mut body = response.into_body();
         let mut splitter = (stream && self.is_resumable()).then(Splitter::default);
         if splitter.is_some() {
@@ -398,6 +403,7 @@
                 began = Some(self.node.clock.now());
                 permit.mark_answering();
             }
+            tracker.push(&bytes);
             let bytes = match &mut splitter {
                 None => {
                     self.attempt.forwarded(None);
@@ -427,6 +433,8 @@
             }
             blocked += self.node.clock.now().since(now);
         }
+        self.node.count.answer(tracker.framing(), tracker.end());
+        self.ending = Some((tracker.framing(), tracker.end()));
         if let Some(began) = began.filter(|_| is_whole) {
             let now = self.node.clock.now();
             let rest = now.since(began).saturating_sub(blocked);
@@ -556,13 +564,15 @@
     fn log_done(&self, endpoint: &Name) {
         let took = self.node.clock.now().since(self.call.arrived);
         log::info!(
-            "{} id={} route={} endpoint={endpoint} first_ms={:?} took_ms={} last={:?}",
+            "{} id={} route={} endpoint={endpoint} first_ms={:?} took_ms={} last={:?} framing={} end={}",
             event::REQUEST_DONE,
             self.call.forward.id,
             self.call.route.name,
             self.first.map(|first| first.as_millis()),
             took.as_millis(),
             self.attempt.last(),
+            self.ending.map_or("-", |(framing, _)| framing.label()),
+            self.ending.map_or("-", |(_, end)| end.label()),
         );
         self.node.count.done(took);
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! ...) take the current time as an argument and use no socket, clock, random source or log. The
 //! modules that carry out their decisions contain no decision logic.
 
+pub mod answer;
 pub mod attempt;
 pub mod batch;
 pub mod catalog;
--- a/src/split.rs
+++ b/src/split.rs
@@ -19,6 +19,89 @@
     pub first: Option<u64>,
 }
 
+/// What a stream has sent since its last event ended, up to the current line.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Open {
+    /// Nothing but blank lines.
+    #[default]
+    Nothing,
+    /// Comments, which are no part of an event.
+    Comment,
+    /// Fields of an event.
+    Event,
+}
+
+/// The beginning of the current line.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Line {
+    #[default]
+    Empty,
+    Comment,
+    Field,
+}
+
+/// Finds where the events of a stream end. Lines end with a line feed, a carriage return or both.
+#[derive(Clone, Debug, Default)]
+pub struct Scanner {
+    open: Open,
+    line: Line,
+    /// True if the last byte was a carriage return, to which a line feed may belong.
+    follows_return: bool,
+    /// True if that carriage return ended a blank line.
+    is_end_pending: bool,
+    /// True if a carriage return alone has ended a line, so that no line feed is waited for.
+    has_lone_returns: bool,
+}
+
+impl Scanner {
+    /// Scans the next bytes. Returns the position in them after the last event that has ended.
+    pub fn push(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut end = None;
+        for (at, byte) in bytes.iter().enumerate() {
+            if std::mem::replace(&mut self.follows_return, *byte == b'\r') {
+                let is_end = std::mem::take(&mut self.is_end_pending);
+                if *byte == b'\n' {
+                    end = if is_end { Some(at + 1) } else { end };
+                    continue;
+                }
+                self.has_lone_returns = true;
+                end = if is_end { Some(at) } else { end };
+            }
+            match byte {
+                b'\n' if self.end_line() => end = Some(at + 1),
+                b'\r' if self.end_line() => {
+                    if self.has_lone_returns {
+                        end = Some(at + 1);
+                    } else {
+                        self.is_end_pending = true;
+                    }
+                }
+                b'\n' | b'\r' => {}
+                b':' if self.line == Line::Empty => self.line = Line::Comment,
+                _ if self.line == Line::Empty => self.line = Line::Field,
+                _ => {}
+            }
+        }
+        end
+    }
+
+    /// Ends the current line. Returns true if it is the blank line after an event or a comment.
+    fn end_line(&mut self) -> bool {
+        match std::mem::take(&mut self.line) {
+            Line::Empty => return std::mem::take(&mut self.open) != Open::Nothing,
+            Line::Comment if self.open == Open::Nothing => self.open = Open::Comment,
+            Line::Comment => {}
+            Line::Field => self.open = Open::Event,
+        }
+        false
+    }
+
+    /// Returns true if the stream has begun an event, or a line, and not ended it.
+    pub fn is_inside_event(&self) -> bool {
+        self.open == Open::Event || self.line != Line::Empty
+    }
+}
+
 /// Splits a stream; buffers the bytes after the last complete event.
 #[derive(Debug, Default)]
 pub struct Splitter {
