Reproduce a cut stream that its caller gets as complete

The stand-in's replicas framed each answer with chunks and broke it off between events by an error, so no test and no soak met a close that looks like an end. They now frame each stream with chunks, a length or the end of its connection, drawn for each stream, and break it off with a reset before or inside an event, or inside an event with the end that the framing asks for. Resets are real ones, also through the proxies; a crash closes the listener first and lets streams write what they have.

Other soaks may fail as well until the fix, since their replicas use the same styles.

--- a/standin/src/site.rs
+++ b/standin/src/site.rs
@@ -4,4 +4,5 @@
 pub mod proxy;
 pub mod replica;
 pub mod rows;
+pub mod socket;
 pub mod store;
--- a/standin/src/site/proxy.rs
+++ b/standin/src/site/proxy.rs
@@ -7,10 +7,12 @@
 
 use actix_rt::task::JoinHandle;
 use eyre::Result;
-use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _};
+use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _, split};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
+use super::socket::{Reset, Socket};
+
 /// What the proxy does with the bytes that it receives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
@@ -26,12 +28,18 @@
     Refuse,
 }
 
+/// A connection of a client.
+struct Connection {
+    task: JoinHandle<()>,
+    reset: Reset,
+}
+
 /// A proxy in front of one server.
 pub struct Proxy {
     /// Address on which it listens.
     pub address: SocketAddr,
     mode: Rc<Cell<Mode>>,
-    open: Rc<RefCell<Vec<JoinHandle<()>>>>,
+    open: Rc<RefCell<Vec<Connection>>>,
     accept: JoinHandle<()>,
 }
 
@@ -44,22 +52,24 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let mode = Rc::new(Cell::new(Mode::Pass));
-        let open: Rc<RefCell<Vec<JoinHandle<()>>>> = Rc::default();
-        let (modes, tasks) = (Rc::clone(&mode), Rc::clone(&open));
+        let open: Rc<RefCell<Vec<Connection>>> = Rc::default();
+        let (modes, connections) = (Rc::clone(&mode), Rc::clone(&open));
         let accept = actix_rt::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
                 if modes.get() == Mode::Refuse {
                     continue;
                 }
                 let mode = Rc::clone(&modes);
+                let reset = Reset::default();
+                let armed = reset.clone();
                 let task = actix_rt::spawn(async move {
                     if let Ok(upstream) = TcpStream::connect(server).await {
-                        Box::pin(forward(client, upstream, mode)).await;
+                        Box::pin(forward(client, upstream, mode, armed)).await;
                     }
                 });
-                let mut tasks = tasks.borrow_mut();
-                tasks.retain(|task| !task.is_finished());
-                tasks.push(task);
+                let mut connections = connections.borrow_mut();
+                connections.retain(|connection| !connection.task.is_finished());
+                connections.push(Connection { task, reset });
             }
         });
         Ok(Self {
@@ -70,7 +80,7 @@
         })
     }
 
-    /// Stops listening and closes all connections, as when the server's process exits.
+    /// Stops listening and resets all connections, as when the server's process exits.
     pub fn close(&self) {
         self.accept.abort();
         self.reset();
@@ -81,38 +91,42 @@
         self.mode.set(mode);
     }
 
-    /// Closes all open connections.
+    /// Resets all open connections.
     pub fn reset(&self) {
-        for task in self.open.borrow_mut().drain(..) {
-            task.abort();
+        for connection in self.open.borrow_mut().drain(..) {
+            connection.reset.arm();
+            connection.task.abort();
         }
     }
 }
 
-async fn forward(client: TcpStream, upstream: TcpStream, mode: Rc<Cell<Mode>>) {
+async fn forward(client: TcpStream, upstream: TcpStream, mode: Rc<Cell<Mode>>, reset: Reset) {
     // Messages are small, and the proxy must add no delay of its own.
     if client.set_nodelay(true).is_err() || upstream.set_nodelay(true).is_err() {
         return;
     }
-    let (client_in, client_out) = client.into_split();
+    let (client_in, client_out) = split(Socket::new(client, reset.clone()));
     let (upstream_in, upstream_out) = upstream.into_split();
-    let requests = copy(client_in, upstream_out, Rc::clone(&mode), false);
-    let responses = copy(upstream_in, client_out, mode, true);
+    let requests = copy(client_in, upstream_out, Rc::clone(&mode), false, &reset);
+    let responses = copy(upstream_in, client_out, mode, true, &reset);
     tokio::select! {
         () = requests => {}
         () = responses => {}
     }
 }
 
-async fn copy<R, W>(mut from: R, mut to: W, mode: Rc<Cell<Mode>>, is_response: bool)
+/// Copies until a side closes its connection. A reset arms `reset`.
+async fn copy<R, W>(mut from: R, mut to: W, mode: Rc<Cell<Mode>>, is_response: bool, reset: &Reset)
 where
     R: AsyncRead + Unpin,
     W: AsyncWrite + Unpin,
 {
     let mut buffer = [0; 16 * 1024];
     loop {
-        let Ok(len @ 1..) = from.read(&mut buffer).await else {
-            return;
+        let len = match from.read(&mut buffer).await {
+            Ok(0) => return,
+            Ok(len) => len,
+            Err(_) => return reset.arm(),
         };
         let passes = |mode| match mode {
             Mode::Pass | Mode::Delay(_) | Mode::Refuse => true,
--- a/standin/src/site/replica.rs
+++ b/standin/src/site/replica.rs
@@ -16,13 +16,15 @@
 use hyper::body::{Body, Frame, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use hyper_util::rt::TokioIo;
 use rand::Rng as _;
 use tokio::net::TcpListener;
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{Notify, Semaphore, mpsc};
 use tokio::time::sleep;
 
+use super::socket::{Reset, Socket};
+
 /// Most requests that wait for a slot.
 const QUEUE_LIMIT: usize = 8;
 /// A request whose path contains this crashes the replica that runs it.
@@ -52,6 +54,47 @@
 /// Every run so far by request id.
 pub type History = Rc<RefCell<HashMap<String, Vec<Run>>>>;
 
+/// How a replica marks the end of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By a last chunk.
+    Chunks,
+    /// By its length.
+    Length,
+    /// By closing the connection.
+    Connection,
+}
+
+impl Framing {
+    /// Every framing.
+    pub const ALL: [Self; 3] = [Self::Chunks, Self::Length, Self::Connection];
+}
+
+/// How a stream breaks off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// Between two events, with a reset.
+    Reset,
+    /// Inside an event, with a reset.
+    ResetInsideEvent,
+    /// Inside an event, with the end that the framing asks for.
+    InsideEvent,
+}
+
+impl Cut {
+    /// Every way.
+    pub const ALL: [Self; 3] = [Self::Reset, Self::ResetInsideEvent, Self::InsideEvent];
+}
+
+/// How a replica frames its streams and breaks them off; drawn for each stream if `None`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Style {
+    /// How it marks their end.
+    pub framing: Option<Framing>,
+    /// How they break off.
+    pub cut: Option<Cut>,
+}
+
 /// How a replica misbehaves.
 #[derive(Clone, Copy, Debug)]
 pub struct Fault {
@@ -79,10 +122,14 @@
     pub id: String,
     /// The fault that it has now.
     pub fault: Cell<Fault>,
+    /// How it frames its streams and breaks them off.
+    pub style: Cell<Style>,
     step: Duration,
     slots: Semaphore,
     waiting: Cell<usize>,
     down: Cell<bool>,
+    /// Notified when the process ends.
+    crashed: Notify,
     history: History,
     tasks: RefCell<Vec<JoinHandle<()>>>,
 }
@@ -113,10 +160,12 @@
         let replica = Rc::new(Self {
             id,
             fault: Cell::default(),
+            style: Cell::default(),
             step,
             slots: Semaphore::new(slots),
             waiting: Cell::new(0),
             down: Cell::new(false),
+            crashed: Notify::new(),
             history,
             tasks: RefCell::default(),
         });
@@ -124,15 +173,18 @@
         let accept = actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let replica = Rc::clone(&serving);
+                let reset = Reset::default();
+                let socket = Socket::new(stream, reset.clone());
                 let service = service_fn(move |request| {
                     let replica = Rc::clone(&replica);
-                    async move { replica.handle(request).await }
+                    let reset = reset.clone();
+                    async move { replica.handle(request, reset).await }
                 });
                 let task = actix_rt::spawn(async move {
                     let serving = http1::Builder::new();
                     // Clients may disconnect at any time.
                     let _ = serving
-                        .serve_connection(TokioIo::new(stream), service)
+                        .serve_connection(TokioIo::new(socket), service)
                         .await;
                 });
                 let mut tasks = serving.tasks.borrow_mut();
@@ -149,15 +201,38 @@
         self.down.get()
     }
 
-    /// Stops the replica and aborts its connections, as a crash does.
-    pub fn crash(&self) {
-        self.down.set(true);
-        for task in self.tasks.borrow_mut().drain(..) {
-            task.abort();
-        }
+    /// Stops the replica as a crash does: nothing listens any more, and its streams break off.
+    pub fn crash(self: &Rc<Self>) {
+        /// Time in which connections write what they have.
+        const FLUSH_TIME: Duration = Duration::from_millis(3);
+        self.crashed.notify_waiters();
+        let mut tasks = std::mem::take(&mut *self.tasks.borrow_mut());
+        // The listener.
+        tasks.remove(0).abort();
+        let replica = Rc::clone(self);
+        actix_rt::spawn(async move {
+            sleep(FLUSH_TIME).await;
+            replica.down.set(true);
+            for task in tasks {
+                task.abort();
+            }
+        });
     }
 
-    async fn handle(self: &Rc<Self>, request: Request<Incoming>) -> Result<Response<Stream>, Lost> {
+    /// Draws what the replica's style leaves open.
+    fn draw_style(&self) -> (Framing, Cut) {
+        let style = self.style.get();
+        let mut random = rand::rng();
+        let framing = Framing::ALL[random.random_range(0..Framing::ALL.len())];
+        let cut = Cut::ALL[random.random_range(0..Cut::ALL.len())];
+        (style.framing.unwrap_or(framing), style.cut.unwrap_or(cut))
+    }
+
+    async fn handle(
+        self: &Rc<Self>,
+        request: Request<Incoming>,
+        reset: Reset,
+    ) -> Result<Response<Stream>, Lost> {
         let header = |name: &str| {
             let value = request.headers().get(name);
             value
@@ -215,16 +290,24 @@
         } else {
             total + 1
         };
+        let (framing, cut) = self.draw_style();
+        let events: Vec<String> = (last + 1..=total)
+            .map(|number| format!("id: {number}\ndata: {}\n\n", text(&path, number)))
+            .collect();
+        let is_cut = break_at < total;
+        let declared = declared_length(&events, last, break_at, cut);
+        let replica = Rc::clone(self);
         let task = actix_rt::spawn(async move {
             let _running = running;
-            for number in last + 1..=total {
-                sleep(step).await;
-                if number > break_at {
-                    // Breaks off the stream before this event.
-                    let _ = chunks.send(Err(Lost)).await;
+            for (number, event) in (last + 1..).zip(events) {
+                let crashed = tokio::select! {
+                    () = sleep(step) => false,
+                    () = replica.crashed.notified() => true,
+                };
+                if crashed || is_cut && number > break_at {
+                    break_off(&chunks, &event, cut, &reset).await;
                     return;
                 }
-                let event = format!("id: {number}\ndata: {}\n\n", text(&path, number));
                 if chunks.send(Ok(Bytes::from(event))).await.is_err() {
                     return;
                 }
@@ -238,10 +321,49 @@
         add_stamp(&mut response, &id);
         let media = hyper::header::HeaderValue::from_static("text/event-stream");
         response.headers_mut().insert("content-type", media);
+        match framing {
+            Framing::Chunks => {}
+            Framing::Length => {
+                response
+                    .headers_mut()
+                    .insert("content-length", declared.into());
+            }
+            // The server ends a body of this version without a length by closing the connection.
+            Framing::Connection => *response.version_mut() = Version::HTTP_10,
+        }
         Ok(response)
     }
 }
 
+/// Returns the length to declare for a stream that breaks off before the event after `break_at`:
+/// only one that ends as its framing asks for has the length of the part that is sent.
+fn declared_length(events: &[String], last: u64, break_at: u64, cut: Cut) -> usize {
+    let length = |(number, event): (u64, &String)| match cut {
+        Cut::InsideEvent if number > break_at + 1 => 0,
+        Cut::InsideEvent if number == break_at + 1 => half(event).len(),
+        Cut::InsideEvent | Cut::Reset | Cut::ResetInsideEvent => event.len(),
+    };
+    (last + 1..).zip(events).map(length).sum()
+}
+
+/// The first half of an event.
+fn half(event: &str) -> &str {
+    &event[..event.len() / 2]
+}
+
+/// Breaks a stream off before or inside `event`.
+async fn break_off(chunks: &Chunks, event: &str, cut: Cut, reset: &Reset) {
+    if cut != Cut::Reset {
+        let part = Bytes::copy_from_slice(half(event).as_bytes());
+        // An error means that the client has disconnected.
+        let _ = chunks.send(Ok(part)).await;
+    }
+    if cut != Cut::InsideEvent {
+        reset.arm();
+        let _ = chunks.send(Err(Lost)).await;
+    }
+}
+
 fn add_stamp(response: &mut Response<Stream>, id: &str) {
     for (name, value) in [("x-attempt-id", id), ("x-response-stamp", "stamp")] {
         if let Ok(value) = value.parse() {
@@ -314,6 +436,9 @@
     }
 }
 
+/// Sends the parts of a stream to its connection.
+type Chunks = mpsc::Sender<Result<Bytes, Lost>>;
+
 /// The response was dropped by an injected fault.
 #[derive(Clone, Copy, Debug)]
 pub struct Lost;
--- /dev/null
+++ b/standin/tests/edge_answers.rs
@@ -0,0 +1,117 @@
+//! What callers get of answers that endpoints frame in different ways and cut off.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use auburnspoke::connect;
+use futures_util::future::join_all;
+use googletest::prelude::*;
+use standin::site::replica::{Cut, Fault, Framing, Style};
+use standin::soak::caller::{Question, ask};
+use standin::soak::check::{End, LOG_DELAY};
+use standin::soak::fleet::{Harness, log_folder, start};
+use standin::soak::{Faults, Plan};
+use tokio::time::sleep;
+
+/// Runs at the same time would slow each other down.
+static RUNNING: Mutex<()> = Mutex::new(());
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const NODES: usize = 3;
+const REPLICAS: usize = 8;
+/// Requests sent for each style, half of them resumable.
+const REQUESTS: u64 = 24;
+
+/// Starts nodes and replicas, and lets `part` play. The answers must have no wrong body.
+fn run<F>(seed: u64, part: F)
+where
+    F: AsyncFnOnce(&Harness),
+{
+    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    let plan = Plan {
+        seed,
+        length: Duration::ZERO,
+        nodes: NODES,
+        replicas: REPLICAS,
+        killers: 0,
+        faults: Faults::None,
+    };
+    let folder = log_folder(plan).unwrap();
+    let violations = actix_rt::System::new().block_on(async {
+        let harness = start(plan, &folder).await.unwrap();
+        part(&harness).await;
+        // Nodes log with a delay.
+        sleep(LOG_DELAY).await;
+        harness.violations.take()
+    });
+    if violations.is_empty() {
+        std::fs::remove_dir_all(&folder).unwrap();
+    } else {
+        eprintln!("the logs are in {}", folder.display());
+    }
+    expect_that!(violations, is_empty());
+}
+
+/// Sends requests to replicas of this style that break off this share of their streams. Returns how
+/// the resumable requests ended and how the others did.
+async fn play(harness: &Harness, style: Style, break_rate: f64) -> [Vec<End>; 2] {
+    for upstream in harness.replicas.borrow().values() {
+        upstream.replica.style.set(style);
+        upstream.replica.fault.set(Fault {
+            break_rate,
+            ..Fault::default()
+        });
+    }
+    let ends = (0..REQUESTS).map(async |at| {
+        let node = usize::try_from(at).unwrap() % NODES;
+        let repeatable = at < REQUESTS / 2;
+        let number = harness.next_number();
+        let question = Question {
+            path: format!("/{}/{number}", if repeatable { "q" } else { "v" }),
+            id: format!("a{number:x}"),
+            tokens: 200,
+            repeatable,
+        };
+        let address = harness.caller_address(node);
+        let mut conn = connect::open(address, CONNECT_TIMEOUT).await.unwrap();
+        ask(harness, node, &mut conn, question).await
+    });
+    let mut resumable = join_all(ends).await;
+    let others = resumable.split_off(resumable.len() / 2);
+    println!("{style:?} {break_rate}: {resumable:?} {others:?}");
+    [resumable, others]
+}
+
+/// Guards against a stream that was cut off and reaches its caller as complete, because the end of
+/// its body is taken for its end.
+#[gtest]
+fn answer_cut_off() {
+    run(41, async |harness| {
+        for framing in Framing::ALL {
+            for cut in Cut::ALL {
+                let style = Style {
+                    framing: Some(framing),
+                    cut: Some(cut),
+                };
+                let [resumable, others] = play(harness, style, 0.3).await;
+                expect_that!(resumable, contains(eq(&End::Whole)), "{style:?}");
+                expect_that!(others, contains(eq(&End::Broken)), "{style:?}");
+            }
+        }
+    });
+}
+
+/// Guards against a check of whole answers that takes one for cut off.
+#[gtest]
+fn answer_whole() {
+    run(42, async |harness| {
+        for framing in Framing::ALL {
+            let style = Style {
+                framing: Some(framing),
+                cut: None,
+            };
+            let [resumable, others] = play(harness, style, 0.0).await;
+            expect_that!(resumable, each(eq(&End::Whole)), "{style:?}");
+            expect_that!(others, each(eq(&End::Whole)), "{style:?}");
+        }
+    });
+}
