--- /dev/null
+++ b/src/edge/relay/stream.rs
@@ -0,0 +1,168 @@
+//! Passes an endpoint's answer on to the caller.
+
+use std::time::Duration;
+
+use http_body_util::BodyExt as _;
+use hyper::Response;
+use hyper::body::{Body as _, Incoming};
+use hyper::header::CONTENT_LENGTH;
+use tokio::time::timeout;
+
+use super::{EVENT_TIMEOUT, Ended, FIRST_EVENT_TIMEOUT, Head, Relay};
+use crate::answer::{Framing, Tracker};
+use crate::attempt::Failure;
+use crate::catalog::Kind;
+use crate::clock::Time;
+use crate::connect::Conn;
+use crate::permit::Permit;
+use crate::platform::forward;
+use crate::pool::message::End;
+use crate::split::Splitter;
+
+impl Relay {
+    /// Buffers an error answer, which is passed on if no retry succeeds. Borrowing the
+    /// connection keeps it open meanwhile.
+    pub(super) async fn buffer_error(
+        &mut self,
+        response: Response<Incoming>,
+        _conn: &Conn,
+    ) -> Ended {
+        let head = forward::head(&response);
+        let left = self.attempt.deadline().since(self.node.clock.now());
+        match timeout(left, response.into_body().collect()).await {
+            Ok(Ok(body)) => Ended::Error(head.map(|()| body.to_bytes())),
+            Ok(Err(_)) => Ended::Failed(Failure::Lost, End::Error, "broken_error"),
+            Err(_) => Ended::Expired,
+        }
+    }
+
+    /// Streams an answer to the caller. The connection is closed at the end, which cancels the
+    /// run at an endpoint that has not finished.
+    pub(super) async fn stream_answer(
+        &mut self,
+        permit: &Permit,
+        granted: Time,
+        response: Response<Incoming>,
+        _conn: Conn,
+    ) -> Ended {
+        // A resumed answer has only a part of the declared size.
+        let is_whole = self.attempt.last().is_none() && response.status().is_success();
+        let mut head = forward::head(&response);
+        let stream = forward::is_stream(head.headers()) && response.status().is_success();
+        let mut tracker = Tracker::new(Framing::of(response.headers()), stream);
+        let mut body = response.into_body();
+        let mut splitter = (stream && self.is_resumable()).then(Splitter::default);
+        if splitter.is_some() {
+            // The stream may be resumed at another endpoint, which changes the total length.
+            head.headers_mut().remove(CONTENT_LENGTH);
+        }
+        let mut began = None;
+        // Time for which the caller did not read, which is not the endpoint's.
+        let mut blocked = Duration::ZERO;
+        loop {
+            let left = self.attempt.deadline().since(self.node.clock.now());
+            let usual = if began.is_none() {
+                FIRST_EVENT_TIMEOUT
+            } else {
+                EVENT_TIMEOUT
+            };
+            let limit = if splitter.is_some() {
+                self.silence_limit(usual, left)
+            } else {
+                left
+            };
+            let frame = match timeout(limit, body.frame()).await {
+                Err(_) => return self.timed_out("silent"),
+                Ok(None) => break,
+                Ok(Some(Err(_))) => {
+                    return Ended::Failed(Failure::Lost, End::Error, "broken_stream");
+                }
+                Ok(Some(Ok(frame))) => frame,
+            };
+            let Ok(bytes) = frame.into_data() else {
+                continue;
+            };
+            if began.is_none() {
+                began = Some(self.node.clock.now());
+                permit.mark_answering();
+            }
+            tracker.push(&bytes);
+            let bytes = match &mut splitter {
+                None => {
+                    self.attempt.forwarded(None);
+                    bytes
+                }
+                Some(splitter) => match splitter.push(&bytes) {
+                    Ok(None) => continue,
+                    Ok(Some(events)) => {
+                        if self.is_repeated(events.first) {
+                            return Ended::Failed(Failure::Lost, End::Error, "event_order");
+                        }
+                        self.attempt.forwarded(events.last);
+                        events.bytes
+                    }
+                    Err(_) => return Ended::Failed(Failure::Lost, End::Error, "event_size"),
+                },
+            };
+            let now = self.node.clock.now();
+            // An answer that is complete is delivered, however late.
+            let begins = self.head.is_some() && !body.is_end_stream();
+            if begins && self.is_too_late_to_answer(now, now.since(granted)) {
+                return Ended::TooLate;
+            }
+            self.send_head(&mut head);
+            if !self.pieces.send(Ok(bytes)).await {
+                return Ended::Disconnected;
+            }
+            blocked += self.node.clock.now().since(now);
+        }
+        self.node.count.answer(tracker.framing(), tracker.end());
+        self.ending = Some((tracker.framing(), tracker.end()));
+        if let Some(began) = began.filter(|_| is_whole) {
+            let now = self.node.clock.now();
+            let rest = now.since(began).saturating_sub(blocked);
+            self.record_pace(now, began.since(granted), rest);
+        }
+        self.send_head(&mut head);
+        if let Some(splitter) = splitter {
+            let rest = splitter.rest();
+            if !rest.is_empty() && !self.pieces.send(Ok(rest)).await {
+                return Ended::Disconnected;
+            }
+        }
+        self.pieces.complete();
+        Ended::Complete
+    }
+
+    fn is_resumable(&self) -> bool {
+        matches!(
+            self.call.route.kind,
+            Kind::Stream {
+                resumable: true,
+                ..
+            }
+        )
+    }
+
+    /// True if a resumed stream repeats events that the caller already has.
+    fn is_repeated(&self, first: Option<u64>) -> bool {
+        match (first, self.attempt.last()) {
+            (Some(first), Some(last)) => first <= last,
+            _ => false,
+        }
+    }
+
+    fn send_head(&mut self, head: &mut Response<()>) {
+        let Some(sender) = self.head.take() else {
+            return;
+        };
+        self.attempt.start_answer();
+        self.call.open.answer();
+        let took = self.node.clock.now().since(self.call.arrived);
+        self.node.count.first_event(took);
+        self.first = Some(took);
+        self.finish_head(head.headers_mut());
+        // An error means that the caller has disconnected, which the next piece reports.
+        let _ = sender.send(Head::Stream(std::mem::take(head)));
+    }
+}
