Decide in one place whether an endpoint's answer is complete

Cause: the online relay took the end of the body for the end of the answer. A body without length or chunks ends with its connection, and a crash ends the connection as well; a faulty endpoint may also send its last chunk, or all bytes that it declared, inside an event. The rest of a resumable stream's buffer was passed on behind the last event, and nothing looked at the events of other streams. Items of jobs did check it, with a copy of the same loop. Such a run was also recorded as done at the pool and as a completion for the query of death.

Change: answer::Reader reads a body and decides where it ended; the relay and the items of jobs both use it. A stream that ends inside an event has failed: it is resumed, or broken off, and its endpoint looked after. Streams get no Content-Length, since one that was cut off may have all bytes that it declared. Events that end with lone carriage returns are found, so that whole streams of each kind stay whole.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -3,10 +3,11 @@
 //! The end of a body does not prove it: an answer without a length or chunks ends with its
 //! connection, and so does one whose endpoint crashed.
 
+use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 
-use crate::split::Scanner;
+use crate::split::{Events, Scanner, Splitter, TooLong};
 
 /// How an endpoint marks the end of a body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -44,9 +45,9 @@
 /// Where a body ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum End {
-    /// At the end of an event, or of an answer that is not a stream.
+    /// The answer is complete: a stream after an event, another answer anywhere.
     Whole,
-    /// Inside an event.
+    /// Inside an event, so the stream was cut off, however the end of the body was marked.
     InsideEvent,
 }
 
@@ -60,21 +61,41 @@
     }
 }
 
-/// Follows the body of one answer.
+/// What a body holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Content {
+    /// Bytes without a structure of their own.
+    Opaque,
+    /// A stream of events.
+    Stream,
+    /// A stream of events that another endpoint may continue, so that only whole events are passed
+    /// on.
+    Resumable,
+}
+
+#[derive(Clone, Debug)]
+enum Parser {
+    Opaque,
+    Stream(Scanner),
+    Resumable(Splitter),
+}
+
+/// Reads the body of one answer. It is the one place that decides whether the answer is complete.
 #[derive(Clone, Debug)]
-pub struct Tracker {
+pub struct Reader {
     framing: Framing,
-    /// None if the answer is not a stream of events.
-    scanner: Option<Scanner>,
+    parser: Parser,
 }
 
-impl Tracker {
-    /// Creates the tracker of an answer that has no body yet.
-    pub fn new(framing: Framing, is_stream: bool) -> Self {
-        Self {
-            framing,
-            scanner: is_stream.then(Scanner::default),
-        }
+impl Reader {
+    /// Creates the reader of an answer that has no body yet.
+    pub fn new(framing: Framing, content: Content) -> Self {
+        let parser = match content {
+            Content::Opaque => Parser::Opaque,
+            Content::Stream => Parser::Stream(Scanner::default()),
+            Content::Resumable => Parser::Resumable(Splitter::default()),
+        };
+        Self { framing, parser }
     }
 
     /// Returns how the endpoint marks the end of the body.
@@ -82,19 +103,45 @@
         self.framing
     }
 
-    /// Follows the next bytes of the body.
-    pub fn push(&mut self, bytes: &[u8]) {
-        if let Some(scanner) = &mut self.scanner {
-            scanner.push(bytes);
+    /// Reads the next bytes of the body, and returns what may be passed on. The ids of its events
+    /// are known for a resumable stream only.
+    ///
+    /// # Errors
+    /// [`TooLong`] if an event of a resumable stream is too long to buffer.
+    pub fn push(&mut self, bytes: Bytes) -> Result<Option<Events>, TooLong> {
+        match &mut self.parser {
+            Parser::Opaque => {}
+            Parser::Stream(scanner) => {
+                scanner.push(&bytes);
+            }
+            Parser::Resumable(splitter) => return splitter.push(&bytes),
         }
+        Ok(Some(Events {
+            bytes,
+            last: None,
+            first: None,
+        }))
     }
 
     /// Returns where the body has ended, once the HTTP client reports its end.
     pub fn end(&self) -> End {
-        let scanner = self.scanner.as_ref();
-        if scanner.is_some_and(Scanner::is_inside_event) {
+        let is_inside_event = match &self.parser {
+            Parser::Opaque => false,
+            Parser::Stream(scanner) => scanner.is_inside_event(),
+            Parser::Resumable(splitter) => splitter.is_inside_event(),
+        };
+        if is_inside_event {
             return End::InsideEvent;
         }
         End::Whole
     }
+
+    /// Returns the bytes of a whole answer that were not passed on yet: blank lines and comments
+    /// after the last event.
+    pub fn rest(self) -> Bytes {
+        match self.parser {
+            Parser::Opaque | Parser::Stream(_) => Bytes::new(),
+            Parser::Resumable(splitter) => splitter.rest(),
+        }
+    }
 }
--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -13,6 +13,7 @@
 use super::item::State;
 use super::shell::{Jobs, Pending};
 use super::work::{Slot, Work};
+use crate::answer::{self, Content, Framing, Reader};
 use crate::catalog::Endpoint;
 use crate::connect::{self, Reachability};
 use crate::event;
@@ -24,7 +25,7 @@
 use crate::quarantine::detector::{Detector, Run};
 use crate::quarantine::evidence::Status;
 use crate::quarantine::loss::{self, Finding};
-use crate::split::{self, Splitter};
+use crate::split::{self, TooLong};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// An endpoint that sends nothing for this long is given up. Events arrive every 20 ms, or every
@@ -217,8 +218,8 @@
     if !response.status().is_success() || !forward::is_stream(response.headers()) {
         return Exit::Interrupted(End::Error, "unexpected_answer");
     }
+    let mut reader = Reader::new(Framing::of(response.headers()), Content::Resumable);
     let mut body = response.into_body();
-    let mut splitter = Splitter::default();
     loop {
         let frame = match timeout(IDLE_TIMEOUT, body.frame()).await {
             Err(_) => return Exit::Interrupted(End::Error, "silent"),
@@ -229,7 +230,7 @@
         let Ok(bytes) = frame.into_data() else {
             continue;
         };
-        match splitter.push(&bytes) {
+        match reader.push(bytes) {
             Ok(None) => {}
             Ok(Some(events)) => {
                 if !append(work, item, &events) {
@@ -237,13 +238,15 @@
                 }
                 permit.mark_answering();
             }
-            Err(_) => return Exit::Interrupted(End::Error, "event_size"),
+            Err(TooLong) => return Exit::Interrupted(End::Error, "event_size"),
         }
     }
-    if !splitter.rest().is_empty() || work.partials.borrow()[item].last.is_none() {
-        return Exit::Interrupted(End::Error, "truncated");
+    jobs.setup.count.answer(reader.framing(), reader.end());
+    let has_output = work.partials.borrow()[item].last.is_some();
+    match reader.end() {
+        answer::End::Whole if has_output => Exit::Done,
+        answer::End::Whole | answer::End::InsideEvent => Exit::Interrupted(End::Error, "truncated"),
     }
-    Exit::Done
 }
 
 /// Appends whole events to an item's output; returns false if they are not in sequence.
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -9,7 +9,7 @@
 use tokio::time::timeout;
 
 use super::{EVENT_TIMEOUT, Ended, FIRST_EVENT_TIMEOUT, Head, Relay};
-use crate::answer::{Framing, Tracker};
+use crate::answer::{self, Content, Framing, Reader};
 use crate::attempt::Failure;
 use crate::catalog::Kind;
 use crate::clock::Time;
@@ -17,7 +17,7 @@
 use crate::permit::Permit;
 use crate::platform::forward;
 use crate::pool::message::End;
-use crate::split::Splitter;
+use crate::split::TooLong;
 
 impl Relay {
     /// Buffers an error answer, which is passed on if no retry succeeds. Borrowing the
@@ -49,11 +49,16 @@
         let is_whole = self.attempt.last().is_none() && response.status().is_success();
         let mut head = forward::head(&response);
         let stream = forward::is_stream(head.headers()) && response.status().is_success();
-        let mut tracker = Tracker::new(Framing::of(response.headers()), stream);
+        let content = match stream {
+            false => Content::Opaque,
+            true if self.is_resumable() => Content::Resumable,
+            true => Content::Stream,
+        };
+        let mut reader = Reader::new(Framing::of(response.headers()), content);
         let mut body = response.into_body();
-        let mut splitter = (stream && self.is_resumable()).then(Splitter::default);
-        if splitter.is_some() {
-            // The stream may be resumed at another endpoint, which changes the total length.
+        if stream {
+            // Another endpoint may resume the stream, which changes its length, and a stream that
+            // was cut off may have all the bytes that it declared.
             head.headers_mut().remove(CONTENT_LENGTH);
         }
         let mut began = None;
@@ -66,7 +71,7 @@
             } else {
                 EVENT_TIMEOUT
             };
-            let limit = if splitter.is_some() {
+            let limit = if content == Content::Resumable {
                 self.silence_limit(usual, left)
             } else {
                 left
@@ -86,24 +91,17 @@
                 began = Some(self.node.clock.now());
                 permit.mark_answering();
             }
-            tracker.push(&bytes);
-            let bytes = match &mut splitter {
-                None => {
-                    self.attempt.forwarded(None);
-                    bytes
+            let events = match reader.push(bytes) {
+                Ok(None) => continue,
+                Ok(Some(events)) => events,
+                Err(TooLong) => {
+                    return Ended::Failed(Failure::Lost, End::Error, "event_size");
                 }
-                Some(splitter) => match splitter.push(&bytes) {
-                    Ok(None) => continue,
-                    Ok(Some(events)) => {
-                        if self.is_repeated(events.first) {
-                            return Ended::Failed(Failure::Lost, End::Error, "event_order");
-                        }
-                        self.attempt.forwarded(events.last);
-                        events.bytes
-                    }
-                    Err(_) => return Ended::Failed(Failure::Lost, End::Error, "event_size"),
-                },
             };
+            if self.is_repeated(events.first) {
+                return Ended::Failed(Failure::Lost, End::Error, "event_order");
+            }
+            self.attempt.forwarded(events.last);
             let now = self.node.clock.now();
             // An answer that is complete is delivered, however late.
             let begins = self.head.is_some() && !body.is_end_stream();
@@ -111,24 +109,29 @@
                 return Ended::TooLate;
             }
             self.send_head(&mut head);
-            if !self.pieces.send(Ok(bytes)).await {
+            if !self.pieces.send(Ok(events.bytes)).await {
                 return Ended::Disconnected;
             }
             blocked += self.node.clock.now().since(now);
         }
-        self.node.count.answer(tracker.framing(), tracker.end());
-        self.ending = Some((tracker.framing(), tracker.end()));
+        let end = reader.end();
+        self.node.count.answer(reader.framing(), end);
+        self.ending = Some((reader.framing(), end));
+        match end {
+            answer::End::Whole => {}
+            answer::End::InsideEvent => {
+                return Ended::Failed(Failure::Lost, End::Error, "truncated");
+            }
+        }
         if let Some(began) = began.filter(|_| is_whole) {
             let now = self.node.clock.now();
             let rest = now.since(began).saturating_sub(blocked);
             self.record_pace(now, began.since(granted), rest);
         }
         self.send_head(&mut head);
-        if let Some(splitter) = splitter {
-            let rest = splitter.rest();
-            if !rest.is_empty() && !self.pieces.send(Ok(rest)).await {
-                return Ended::Disconnected;
-            }
+        let rest = reader.rest();
+        if !rest.is_empty() && !self.pieces.send(Ok(rest)).await {
+            return Ended::Disconnected;
         }
         self.pieces.complete();
         Ended::Complete
--- a/src/split.rs
+++ b/src/split.rs
@@ -103,11 +103,10 @@
 }
 
 /// Splits a stream; buffers the bytes after the last complete event.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Splitter {
     buffer: BytesMut,
-    /// No boundary was found before this position.
-    searched: usize,
+    scanner: Scanner,
 }
 
 /// Error for an event that exceeds the maximum size.
@@ -120,50 +119,37 @@
     /// # Errors
     /// [`TooLong`] if no event ends within 1 MiB.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Events>, TooLong> {
+        let buffered = self.buffer.len();
         self.buffer.extend_from_slice(bytes);
-        let Some(end) = self.last_boundary() else {
-            // A boundary may start in the last three bytes.
-            self.searched = self.buffer.len().saturating_sub(3);
+        let Some(end) = self.scanner.push(bytes) else {
             if self.buffer.len() > MAX_EVENT_BYTES {
                 return Err(TooLong);
             }
             return Ok(None);
         };
-        self.searched = 0;
-        let bytes = self.buffer.split_to(end).freeze();
+        let bytes = self.buffer.split_to(buffered + end).freeze();
         let ids = || lines(&bytes).filter_map(id);
         let (first, last) = (ids().next(), ids().last());
         Ok(Some(Events { bytes, last, first }))
     }
 
+    /// Returns true if the bytes after the last complete event begin another one.
+    pub fn is_inside_event(&self) -> bool {
+        self.scanner.is_inside_event()
+    }
+
     /// Returns the bytes after the last complete event, at the end of a stream.
     pub fn rest(self) -> Bytes {
         self.buffer.freeze()
     }
-
-    /// Position after the last blank line.
-    fn last_boundary(&self) -> Option<usize> {
-        let unsearched = &self.buffer[self.searched..];
-        let mut at = unsearched.len();
-        while at > 1 {
-            at -= 1;
-            if unsearched[at] != b'\n' {
-                continue;
-            }
-            let before = &unsearched[..at];
-            if before.ends_with(b"\n") || before.ends_with(b"\n\r") {
-                return Some(self.searched + at + 1);
-            }
-        }
-        None
-    }
 }
 
 /// The lines of `bytes` without their line endings.
 fn lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
-    bytes
-        .split(|byte| *byte == b'\n')
-        .map(|line| line.strip_suffix(b"\r").unwrap_or(line))
+    bytes.split(|byte| *byte == b'\n').flat_map(|line| {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        line.split(|byte| *byte == b'\r')
+    })
 }
 
 fn field<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
