Treat a stream without any event as cut off

Change: answer::Reader has a third end, no_event: a stream without an event that does not continue an earlier one has failed. A run that continues a stream may have nothing left to send. The stand-in draws this cut as well; what a replica sends of a stream moved to site/script.rs.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -49,6 +49,8 @@
     Whole,
     /// Inside an event, so the stream was cut off, however the end of the body was marked.
     InsideEvent,
+    /// Before the first event of a stream that does not continue an earlier one.
+    NoEvent,
 }
 
 impl End {
@@ -57,6 +59,7 @@
         match self {
             Self::Whole => "whole",
             Self::InsideEvent => "inside_event",
+            Self::NoEvent => "no_event",
         }
     }
 }
@@ -123,16 +126,20 @@
         }))
     }
 
-    /// Returns where the body has ended, once the HTTP client reports its end.
-    pub fn end(&self) -> End {
-        let is_inside_event = match &self.parser {
-            Parser::Opaque => false,
-            Parser::Stream(scanner) => scanner.is_inside_event(),
-            Parser::Resumable(splitter) => splitter.is_inside_event(),
+    /// Returns where the body has ended, once the HTTP client reports its end. A run that continues
+    /// a stream may have nothing left to send.
+    pub fn end(&self, is_continued: bool) -> End {
+        let scanner = match &self.parser {
+            Parser::Opaque => return End::Whole,
+            Parser::Stream(scanner) => scanner,
+            Parser::Resumable(splitter) => splitter.scanner(),
         };
-        if is_inside_event {
+        if scanner.is_inside_event() {
             return End::InsideEvent;
         }
+        if !scanner.has_events() && !is_continued {
+            return End::NoEvent;
+        }
         End::Whole
     }
 
--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -241,11 +241,15 @@
             Err(TooLong) => return Exit::Interrupted(End::Error, "event_size"),
         }
     }
-    jobs.setup.count.answer(reader.framing(), reader.end());
-    let has_output = work.partials.borrow()[item].last.is_some();
-    match reader.end() {
-        answer::End::Whole if has_output => Exit::Done,
-        answer::End::Whole | answer::End::InsideEvent => Exit::Interrupted(End::Error, "truncated"),
+    let end = reader.end(last.is_some());
+    jobs.setup.count.answer(reader.framing(), end);
+    // Output without event ids could not be told from that of an earlier run.
+    let has_ids = work.partials.borrow()[item].last.is_some();
+    match end {
+        answer::End::Whole if has_ids => Exit::Done,
+        answer::End::Whole | answer::End::InsideEvent | answer::End::NoEvent => {
+            Exit::Interrupted(End::Error, "truncated")
+        }
     }
 }
 
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -45,8 +45,9 @@
         response: Response<Incoming>,
         _conn: Conn,
     ) -> Ended {
+        let is_continued = self.attempt.last().is_some();
         // A resumed answer has only a part of the declared size.
-        let is_whole = self.attempt.last().is_none() && response.status().is_success();
+        let is_whole = !is_continued && response.status().is_success();
         let mut head = forward::head(&response);
         let stream = forward::is_stream(head.headers()) && response.status().is_success();
         let content = match stream {
@@ -114,12 +115,12 @@
             }
             blocked += self.node.clock.now().since(now);
         }
-        let end = reader.end();
+        let end = reader.end(is_continued);
         self.node.count.answer(reader.framing(), end);
         self.ending = Some((reader.framing(), end));
         match end {
             answer::End::Whole => {}
-            answer::End::InsideEvent => {
+            answer::End::InsideEvent | answer::End::NoEvent => {
                 return Ended::Failed(Failure::Lost, End::Error, "truncated");
             }
         }
--- a/src/split.rs
+++ b/src/split.rs
@@ -40,17 +40,25 @@
     Field,
 }
 
+/// What a carriage return at the end of the scanned bytes ended; a line feed may belong to it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Return {
+    /// There is none, or no line feed is waited for.
+    #[default]
+    Nothing,
+    Line,
+    Event,
+}
+
 /// Finds where the events of a stream end. Lines end with a line feed, a carriage return or both.
 #[derive(Clone, Debug, Default)]
 pub struct Scanner {
     open: Open,
     line: Line,
-    /// True if the last byte was a carriage return, to which a line feed may belong.
-    follows_return: bool,
-    /// True if that carriage return ended a blank line.
-    is_end_pending: bool,
+    last_return: Return,
     /// True if a carriage return alone has ended a line, so that no line feed is waited for.
     has_lone_returns: bool,
+    has_events: bool,
 }
 
 impl Scanner {
@@ -58,25 +66,31 @@
     pub fn push(&mut self, bytes: &[u8]) -> Option<usize> {
         let mut end = None;
         for (at, byte) in bytes.iter().enumerate() {
-            if std::mem::replace(&mut self.follows_return, *byte == b'\r') {
-                let is_end = std::mem::take(&mut self.is_end_pending);
-                if *byte == b'\n' {
-                    end = if is_end { Some(at + 1) } else { end };
+            let last_return = std::mem::take(&mut self.last_return);
+            if last_return != Return::Nothing {
+                let is_feed = *byte == b'\n';
+                if last_return == Return::Event {
+                    end = Some(at + usize::from(is_feed));
+                }
+                if is_feed {
                     continue;
                 }
                 self.has_lone_returns = true;
-                end = if is_end { Some(at) } else { end };
             }
             match byte {
                 b'\n' if self.end_line() => end = Some(at + 1),
-                b'\r' if self.end_line() => {
-                    if self.has_lone_returns {
+                b'\r' => {
+                    let is_end = self.end_line();
+                    if is_end && self.has_lone_returns {
                         end = Some(at + 1);
-                    } else {
-                        self.is_end_pending = true;
                     }
+                    self.last_return = if is_end && !self.has_lone_returns {
+                        Return::Event
+                    } else {
+                        Return::Line
+                    };
                 }
-                b'\n' | b'\r' => {}
+                b'\n' => {}
                 b':' if self.line == Line::Empty => self.line = Line::Comment,
                 _ if self.line == Line::Empty => self.line = Line::Field,
                 _ => {}
@@ -88,7 +102,11 @@
     /// Ends the current line. Returns true if it is the blank line after an event or a comment.
     fn end_line(&mut self) -> bool {
         match std::mem::take(&mut self.line) {
-            Line::Empty => return std::mem::take(&mut self.open) != Open::Nothing,
+            Line::Empty => {
+                let open = std::mem::take(&mut self.open);
+                self.has_events |= open == Open::Event;
+                return open != Open::Nothing;
+            }
             Line::Comment if self.open == Open::Nothing => self.open = Open::Comment,
             Line::Comment => {}
             Line::Field => self.open = Open::Event,
@@ -96,6 +114,11 @@
         false
     }
 
+    /// Returns true once an event has ended.
+    pub fn has_events(&self) -> bool {
+        self.has_events
+    }
+
     /// Returns true if the stream has begun an event, or a line, and not ended it.
     pub fn is_inside_event(&self) -> bool {
         self.open == Open::Event || self.line != Line::Empty
@@ -133,9 +156,9 @@
         Ok(Some(Events { bytes, last, first }))
     }
 
-    /// Returns true if the bytes after the last complete event begin another one.
-    pub fn is_inside_event(&self) -> bool {
-        self.scanner.is_inside_event()
+    /// Returns the scanner of the stream.
+    pub fn scanner(&self) -> &Scanner {
+        &self.scanner
     }
 
     /// Returns the bytes after the last complete event, at the end of a stream.
--- a/standin/src/site.rs
+++ b/standin/src/site.rs
@@ -4,5 +4,6 @@
 pub mod proxy;
 pub mod replica;
 pub mod rows;
+pub mod script;
 pub mod socket;
 pub mod store;
--- a/standin/src/site/replica.rs
+++ b/standin/src/site/replica.rs
@@ -23,6 +23,7 @@
 use tokio::sync::{Notify, Semaphore, mpsc};
 use tokio::time::sleep;
 
+use super::script::{Framing, Script, Style};
 use super::socket::{Reset, Socket};
 
 /// Most requests that wait for a slot.
@@ -54,47 +55,6 @@
 /// Every run so far by request id.
 pub type History = Rc<RefCell<HashMap<String, Vec<Run>>>>;
 
-/// How a replica marks the end of a stream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Framing {
-    /// By a last chunk.
-    Chunks,
-    /// By its length.
-    Length,
-    /// By closing the connection.
-    Connection,
-}
-
-impl Framing {
-    /// Every framing.
-    pub const ALL: [Self; 3] = [Self::Chunks, Self::Length, Self::Connection];
-}
-
-/// How a stream breaks off.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Cut {
-    /// Between two events, with a reset.
-    Reset,
-    /// Inside an event, with a reset.
-    ResetInsideEvent,
-    /// Inside an event, with the end that the framing asks for.
-    InsideEvent,
-}
-
-impl Cut {
-    /// Every way.
-    pub const ALL: [Self; 3] = [Self::Reset, Self::ResetInsideEvent, Self::InsideEvent];
-}
-
-/// How a replica frames its streams and breaks them off; drawn for each stream if `None`.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Style {
-    /// How it marks their end.
-    pub framing: Option<Framing>,
-    /// How they break off.
-    pub cut: Option<Cut>,
-}
-
 /// How a replica misbehaves.
 #[derive(Clone, Copy, Debug)]
 pub struct Fault {
@@ -219,15 +179,6 @@
         });
     }
 
-    /// Draws what the replica's style leaves open.
-    fn draw_style(&self) -> (Framing, Cut) {
-        let style = self.style.get();
-        let mut random = rand::rng();
-        let framing = Framing::ALL[random.random_range(0..Framing::ALL.len())];
-        let cut = Cut::ALL[random.random_range(0..Cut::ALL.len())];
-        (style.framing.unwrap_or(framing), style.cut.unwrap_or(cut))
-    }
-
     async fn handle(
         self: &Rc<Self>,
         request: Request<Incoming>,
@@ -285,33 +236,15 @@
         let total = events(out.unwrap_or(0));
         let (chunks, body) = mpsc::channel(4);
         let step = self.step * fault.slowdown;
-        let break_at = if rand::rng().random_bool(fault.break_rate) {
-            rand::rng().random_range(last..=total)
-        } else {
-            total + 1
-        };
-        let (framing, cut) = self.draw_style();
-        let events: Vec<String> = (last + 1..=total)
+        let events = (last + 1..=total)
             .map(|number| format!("id: {number}\ndata: {}\n\n", text(&path, number)))
             .collect();
-        let is_cut = break_at < total;
-        let declared = declared_length(&events, last, break_at, cut);
+        let script = Script::draw(self.style.get(), fault.break_rate, events, last > 0);
+        let (framing, length) = (script.framing, script.length());
         let replica = Rc::clone(self);
         let task = actix_rt::spawn(async move {
             let _running = running;
-            for (number, event) in (last + 1..).zip(events) {
-                let crashed = tokio::select! {
-                    () = sleep(step) => false,
-                    () = replica.crashed.notified() => true,
-                };
-                if crashed || is_cut && number > break_at {
-                    break_off(&chunks, &event, cut, &reset).await;
-                    return;
-                }
-                if chunks.send(Ok(Bytes::from(event))).await.is_err() {
-                    return;
-                }
-            }
+            script.send(chunks, reset, step, &replica.crashed).await;
         });
         if is_lost {
             let _ = task.await;
@@ -326,7 +259,7 @@
             Framing::Length => {
                 response
                     .headers_mut()
-                    .insert("content-length", declared.into());
+                    .insert("content-length", length.into());
             }
             // The server ends a body of this version without a length by closing the connection.
             Framing::Connection => *response.version_mut() = Version::HTTP_10,
@@ -335,35 +268,6 @@
     }
 }
 
-/// Returns the length to declare for a stream that breaks off before the event after `break_at`:
-/// only one that ends as its framing asks for has the length of the part that is sent.
-fn declared_length(events: &[String], last: u64, break_at: u64, cut: Cut) -> usize {
-    let length = |(number, event): (u64, &String)| match cut {
-        Cut::InsideEvent if number > break_at + 1 => 0,
-        Cut::InsideEvent if number == break_at + 1 => half(event).len(),
-        Cut::InsideEvent | Cut::Reset | Cut::ResetInsideEvent => event.len(),
-    };
-    (last + 1..).zip(events).map(length).sum()
-}
-
-/// The first half of an event.
-fn half(event: &str) -> &str {
-    &event[..event.len() / 2]
-}
-
-/// Breaks a stream off before or inside `event`.
-async fn break_off(chunks: &Chunks, event: &str, cut: Cut, reset: &Reset) {
-    if cut != Cut::Reset {
-        let part = Bytes::copy_from_slice(half(event).as_bytes());
-        // An error means that the client has disconnected.
-        let _ = chunks.send(Ok(part)).await;
-    }
-    if cut != Cut::InsideEvent {
-        reset.arm();
-        let _ = chunks.send(Err(Lost)).await;
-    }
-}
-
 fn add_stamp(response: &mut Response<Stream>, id: &str) {
     for (name, value) in [("x-attempt-id", id), ("x-response-stamp", "stamp")] {
         if let Ok(value) = value.parse() {
@@ -436,9 +340,6 @@
     }
 }
 
-/// Sends the parts of a stream to its connection.
-type Chunks = mpsc::Sender<Result<Bytes, Lost>>;
-
 /// The response was dropped by an injected fault.
 #[derive(Clone, Copy, Debug)]
 pub struct Lost;
--- /dev/null
+++ b/standin/src/site/script.rs
@@ -0,0 +1,149 @@
+//! What a replica sends of a stream, and how the stream ends.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::Rng as _;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::sleep;
+
+use super::replica::Lost;
+use super::socket::Reset;
+
+/// How a replica marks the end of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By a last chunk.
+    Chunks,
+    /// By its length.
+    Length,
+    /// By closing the connection.
+    Connection,
+}
+
+impl Framing {
+    /// Every framing.
+    pub const ALL: [Self; 3] = [Self::Chunks, Self::Length, Self::Connection];
+}
+
+/// How a stream breaks off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// Between two events, with a reset.
+    Reset,
+    /// Inside an event, with a reset.
+    ResetInsideEvent,
+    /// Inside an event, with the end that the framing asks for.
+    InsideEvent,
+    /// Before its first event, with the end that the framing asks for.
+    NoEvent,
+}
+
+impl Cut {
+    /// Every way.
+    pub const ALL: [Self; 4] = [
+        Self::Reset,
+        Self::ResetInsideEvent,
+        Self::InsideEvent,
+        Self::NoEvent,
+    ];
+}
+
+/// How a replica frames its streams and breaks them off; drawn for each stream if `None`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Style {
+    /// How it marks their end.
+    pub framing: Option<Framing>,
+    /// How they break off.
+    pub cut: Option<Cut>,
+}
+
+/// The events of one stream, and where it breaks off.
+#[derive(Clone, Debug)]
+pub struct Script {
+    /// How its end is marked.
+    pub framing: Framing,
+    events: Vec<String>,
+    cut: Cut,
+    /// Index of the event at which it breaks off; `None` for a whole stream.
+    cut_at: Option<usize>,
+}
+
+impl Script {
+    /// Draws a stream of `events` that breaks off at `break_rate`. An empty stream that continues
+    /// another one may be whole, so none is broken off in that way.
+    pub fn draw(style: Style, break_rate: f64, events: Vec<String>, is_continued: bool) -> Self {
+        let mut random = rand::rng();
+        let framing = Framing::ALL[random.random_range(0..Framing::ALL.len())];
+        let cut = Cut::ALL[random.random_range(0..Cut::ALL.len())];
+        let cut = style.cut.unwrap_or(cut);
+        let is_cut = random.random_bool(break_rate) && !events.is_empty();
+        let cut_at = match cut {
+            Cut::NoEvent if is_continued => None,
+            Cut::NoEvent => Some(0),
+            _ if events.is_empty() => None,
+            _ => Some(random.random_range(0..events.len())),
+        };
+        Self {
+            framing: style.framing.unwrap_or(framing),
+            events,
+            cut,
+            cut_at: cut_at.filter(|_| is_cut),
+        }
+    }
+
+    /// Returns the length to declare. A stream that ends as its framing asks for has the length of
+    /// what is sent.
+    pub fn length(&self) -> usize {
+        let whole = |events: &[String]| events.iter().map(String::len).sum();
+        match (self.cut, self.cut_at) {
+            (Cut::NoEvent, Some(_)) => 0,
+            (Cut::InsideEvent, Some(at)) => {
+                whole(&self.events[..at]) + half(&self.events[at]).len()
+            }
+            (Cut::Reset | Cut::ResetInsideEvent, Some(_)) | (_, None) => whole(&self.events),
+        }
+    }
+
+    /// Sends an event each `step`, until the stream ends or `crashed` is notified.
+    pub async fn send(self, chunks: Chunks, reset: Reset, step: Duration, crashed: &Notify) {
+        for (at, event) in self.events.into_iter().enumerate() {
+            let has_crashed = tokio::select! {
+                () = sleep(step) => false,
+                () = crashed.notified() => true,
+            };
+            if has_crashed || self.cut_at == Some(at) {
+                let cut = match self.cut {
+                    // It has sent events.
+                    Cut::NoEvent if has_crashed => Cut::Reset,
+                    cut => cut,
+                };
+                return break_off(&chunks, &event, cut, &reset).await;
+            }
+            if chunks.send(Ok(Bytes::from(event))).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Sends the parts of a stream to its connection.
+pub type Chunks = mpsc::Sender<Result<Bytes, Lost>>;
+
+/// The first half of an event.
+fn half(event: &str) -> &str {
+    &event[..event.len() / 2]
+}
+
+/// Breaks a stream off before or inside `event`.
+async fn break_off(chunks: &Chunks, event: &str, cut: Cut, reset: &Reset) {
+    if matches!(cut, Cut::InsideEvent | Cut::ResetInsideEvent) {
+        let part = Bytes::copy_from_slice(half(event).as_bytes());
+        // An error means that the client has disconnected.
+        let _ = chunks.send(Ok(part)).await;
+    }
+    if matches!(cut, Cut::Reset | Cut::ResetInsideEvent) {
+        reset.arm();
+        let _ = chunks.send(Err(Lost)).await;
+    }
+}
--- a/tests/answer_reader.rs
+++ b/tests/answer_reader.rs
@@ -19,7 +19,7 @@
             let bytes = events.map_or_else(Bytes::new, |events| events.bytes);
             passed.push_str(std::str::from_utf8(&bytes).unwrap());
         }
-        let end = reader.end();
+        let end = reader.end(false);
         if end == End::Whole {
             passed.push_str(std::str::from_utf8(&reader.rest()).unwrap());
             assert_eq!(passed, parts.concat());
@@ -62,12 +62,23 @@
     }
 }
 
+/// Guards against a stream that was cut off before its first event and counts as complete.
+#[gtest]
+fn end_no_event() {
+    for part in ["", "\n", ": starting\n\n"] {
+        expect_that!(end(&[part]), eq(End::NoEvent), "{part:?}");
+        let mut reader = Reader::new(Framing::Connection, Content::Resumable);
+        reader.push(Bytes::from_static(part.as_bytes())).unwrap();
+        expect_that!(reader.end(true), eq(End::Whole), "{part:?}");
+    }
+}
+
 #[gtest]
 fn end_not_stream() {
     let mut reader = Reader::new(Framing::Connection, Content::Opaque);
     let passed = reader.push(Bytes::from_static(b"{\"half\":")).unwrap();
     expect_that!(passed.unwrap().bytes.len(), eq(8));
-    expect_that!(reader.end(), eq(End::Whole));
+    expect_that!(reader.end(false), eq(End::Whole));
 }
 
 #[gtest]
