Let nothing but its rest follow the beginning of a stream

What callers saw: a short stream, framed as complete, after an endpoint broke it off and the next one answered the request to continue it with an error of the client (400, 422) or with anything else that is no stream.

Change: once an answer has begun, only a stream of events continues it; anything else is a failed run, and the stream is broken off or continued at the next endpoint.

--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -215,7 +215,7 @@
         Verdict::Failed => return Exit::Interrupted(End::Error, "endpoint_error"),
         Verdict::Answer => {}
     }
-    if !response.status().is_success() || !forward::is_stream(response.headers()) {
+    if !forward::is_event_stream(&response) {
         return Exit::Interrupted(End::Error, "unexpected_answer");
     }
     let mut reader = Reader::new(Framing::of(response.headers()), Content::Resumable);
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -315,6 +315,12 @@
             Verdict::Misdirected => Ended::Failed(Failure::NotRun, End::Failed, "elsewhere"),
             Verdict::Unverified => Ended::Failed(Failure::Lost, End::Error, "foreign_answer"),
             Verdict::Failed => self.buffer_error(response, &conn).await,
+            // The caller has the beginning of a stream, which nothing but its rest may follow.
+            Verdict::Answer | Verdict::Unprocessable
+                if self.attempt.has_begun() && !forward::is_event_stream(&response) =>
+            {
+                Ended::Failed(Failure::Lost, End::Error, "unexpected_answer")
+            }
             Verdict::Answer | Verdict::Unprocessable => {
                 self.stream_answer(permit, granted, response, conn).await
             }
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -49,7 +49,7 @@
         // A resumed answer has only a part of the declared size.
         let is_whole = !is_continued && response.status().is_success();
         let mut head = forward::head(&response);
-        let stream = forward::is_stream(head.headers()) && response.status().is_success();
+        let stream = forward::is_event_stream(&response);
         let content = match stream {
             false => Content::Opaque,
             true if self.is_resumable() => Content::Resumable,
--- a/src/platform/forward.rs
+++ b/src/platform/forward.rs
@@ -188,10 +188,11 @@
     head
 }
 
-/// Returns true when the response is a stream of server-sent events.
-pub fn is_stream(headers: &HeaderMap) -> bool {
-    headers
-        .get(CONTENT_TYPE)
+/// Returns true if the response succeeded with a stream of server-sent events.
+pub fn is_event_stream(response: &Response<Incoming>) -> bool {
+    let media = response.headers().get(CONTENT_TYPE);
+    let is_stream = media
         .and_then(|value| value.to_str().ok())
-        .is_some_and(|media| media.starts_with("text/event-stream"))
+        .is_some_and(|media| media.starts_with("text/event-stream"));
+    is_stream && response.status().is_success()
 }
--- a/standin/src/site/replica.rs
+++ b/standin/src/site/replica.rs
@@ -64,6 +64,8 @@
     pub loss_rate: f64,
     /// Factor by which each event takes longer.
     pub slowdown: u32,
+    /// Whether it answers requests to continue a stream with an error of the client.
+    pub rejects_resumption: bool,
 }
 
 impl Default for Fault {
@@ -72,6 +74,7 @@
             break_rate: 0.0,
             loss_rate: 0.0,
             slowdown: 1,
+            rejects_resumption: false,
         }
     }
 }
@@ -219,6 +222,9 @@
         let running = Running::new(Rc::clone(self), &id, run);
         let fault = self.fault.get();
         let is_lost = rand::rng().random_bool(fault.loss_rate);
+        if fault.rejects_resumption && last > 0 {
+            return Ok(failed(StatusCode::BAD_REQUEST, &id));
+        }
         if path.contains("never") {
             return Ok(failed(StatusCode::UNPROCESSABLE_ENTITY, &id));
         }
--- a/standin/tests/edge_answers.rs
+++ b/standin/tests/edge_answers.rs
@@ -22,6 +22,14 @@
 /// Requests sent for each style, half of them resumable.
 const REQUESTS: u64 = 24;
 
+/// Replicas that break off some of their streams.
+const BREAKS: Fault = Fault {
+    break_rate: 0.3,
+    loss_rate: 0.0,
+    slowdown: 1,
+    rejects_resumption: false,
+};
+
 /// Starts nodes and replicas, and lets `part` play. The answers must have no wrong body.
 fn run<F>(seed: u64, part: F)
 where
@@ -52,15 +60,12 @@
     expect_that!(violations, is_empty());
 }
 
-/// Sends requests to replicas of this style that break off this share of their streams. Returns how
-/// the resumable requests ended and how the others did.
-async fn play(harness: &Harness, style: Style, break_rate: f64) -> [Vec<End>; 2] {
+/// Sends requests to replicas of this style and with this fault. Returns how the resumable requests
+/// ended and how the others did.
+async fn play(harness: &Harness, style: Style, fault: Fault) -> [Vec<End>; 2] {
     for upstream in harness.replicas.borrow().values() {
         upstream.replica.style.set(style);
-        upstream.replica.fault.set(Fault {
-            break_rate,
-            ..Fault::default()
-        });
+        upstream.replica.fault.set(fault);
     }
     let ends = (0..REQUESTS).map(async |at| {
         let node = usize::try_from(at).unwrap() % NODES;
@@ -78,7 +83,7 @@
     });
     let mut resumable = join_all(ends).await;
     let others = resumable.split_off(resumable.len() / 2);
-    println!("{style:?} {break_rate}: {resumable:?} {others:?}");
+    println!("{style:?} {fault:?}: {resumable:?} {others:?}");
     [resumable, others]
 }
 
@@ -94,7 +99,7 @@
                     framing: Some(framing),
                     cut: Some(cut),
                 };
-                let [resumable, rest] = play(harness, style, 0.3).await;
+                let [resumable, rest] = play(harness, style, BREAKS).await;
                 expect_that!(resumable, contains(eq(&End::Whole)), "{style:?}");
                 others.extend(rest);
             }
@@ -112,9 +117,32 @@
                 framing: Some(framing),
                 cut: None,
             };
-            let [resumable, others] = play(harness, style, 0.0).await;
+            let [resumable, others] = play(harness, style, Fault::default()).await;
             expect_that!(resumable, each(eq(&End::Whole)), "{style:?}");
             expect_that!(others, each(eq(&End::Whole)), "{style:?}");
         }
     });
 }
+
+/// Guards against an answer that is no stream and is appended to the events that the caller has: the
+/// next endpoint rejects a request to continue the stream, and the caller gets a short stream as
+/// complete.
+#[gtest]
+fn answer_resumption_rejected() {
+    run(43, async |harness| {
+        let style = Style {
+            framing: None,
+            cut: Some(Cut::Reset),
+        };
+        let fault = Fault {
+            rejects_resumption: true,
+            ..BREAKS
+        };
+        let mut ends = Vec::new();
+        for _ in 0..3 {
+            let [resumable, _] = play(harness, style, fault).await;
+            ends.extend(resumable);
+        }
+        expect_that!(ends, contains(eq(&End::Broken)));
+    });
+}
