Check the length of a result that is stored as an object

What callers would see: a result listed as complete with a part of its output, at one node for as long as it caches it, when the store sends the object without a length and its connection closes midway.

Cause: the same class: the end of a body was taken for its end. Rows and the bodies of items are JSON, which does not parse when it is cut; the object of a long result is plain text.

Change: the row of a result has the length of its object, and a read of another length fails, so that the caller is told to read again. Rows written by earlier versions have no length and are read as before.

batch_owners read_object_cut_off: listed with half of its output before, 503 and then the whole output now.

--- a/src/batch/commit.rs
+++ b/src/batch/commit.rs
@@ -92,6 +92,7 @@
     let row = Outcome {
         output: String::new(),
         object: Some(name),
+        object_length: Some(outcome.output.len()),
         ..outcome.clone()
     };
     Ok(record::encode(&row))
--- a/src/batch/item.rs
+++ b/src/batch/item.rs
@@ -46,6 +46,10 @@
     /// The object that holds the output, if it is too long for a row.
     #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
     pub object: Option<String>,
+    /// Length of that object in bytes. The end of its bytes does not prove that all have been read;
+    /// none in rows of versions that did not store it.
+    #[serde(rename = "n", default, skip_serializing_if = "Option::is_none")]
+    pub object_length: Option<usize>,
 }
 
 /// Output received so far; a later run resumes after it.
--- a/src/batch/read.rs
+++ b/src/batch/read.rs
@@ -260,6 +260,15 @@
             if let Some(object) = &outcome.object {
                 let output = self.setup.store.get_object(object).await?;
                 let output = output.ok_or(Fault::Unknown)?;
+                let length = outcome.object_length;
+                if let Some(length) = length.filter(|length| *length != output.len()) {
+                    log::warn!(
+                        "{} path={object} why=\"the object has {} bytes instead of {length}\"",
+                        event::STORE_ANSWER_UNREADABLE,
+                        output.len(),
+                    );
+                    return Err(Fault::Unknown);
+                }
                 outcome.output = String::from_utf8_lossy(&output).into_owned();
             }
             let mut cache = self.cache.borrow_mut();
--- a/src/batch/work.rs
+++ b/src/batch/work.rs
@@ -263,6 +263,7 @@
             state,
             output,
             object: None,
+            object_length: None,
         };
         self.set(item, Slot::Unstored);
         self.unstored.borrow_mut().push((item, outcome));
--- a/standin/src/site/store.rs
+++ b/standin/src/site/store.rs
@@ -14,7 +14,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Version};
 use hyper_util::rt::TokioIo;
 use rand::Rng as _;
 use serde::Deserialize;
@@ -39,6 +39,8 @@
     pub loss_rate: f64,
     /// Additional delay of each response.
     pub delay: Duration,
+    /// Objects are sent without a length, and their connection is closed after the first half.
+    pub cut_objects: bool,
 }
 
 /// The store, which each node reaches over a listener of its own.
@@ -204,7 +206,11 @@
         if is_write && degradation.overloaded {
             return empty_response(StatusCode::TOO_MANY_REQUESTS);
         }
-        let response = self.call(request).await;
+        let is_object = request.uri().path().starts_with("/-/blob-get/");
+        let mut response = self.call(request).await;
+        if is_object && degradation.cut_objects {
+            response = cut(response).await;
+        }
         if is_write && rand::rng().random_bool(degradation.loss_rate) {
             // The write took effect; the response comes too late for any client.
             sleep(Duration::from_secs(30)).await;
@@ -330,6 +336,16 @@
     }
 }
 
+/// Cuts a body off in its middle, without a sign of it.
+async fn cut(response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+    let (mut parts, body) = response.into_parts();
+    // The server ends a body of this version without a length by closing the connection.
+    parts.version = Version::HTTP_10;
+    let Ok(body) = body.collect().await;
+    let body = body.to_bytes();
+    Response::from_parts(parts, Full::new(body.slice(..body.len() / 2)))
+}
+
 fn empty_response(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = status;
--- a/standin/tests/batch_owners.rs
+++ b/standin/tests/batch_owners.rs
@@ -209,3 +209,31 @@
         expect_that!(fleet.owned(0), eq(0));
     });
 }
+
+/// Guards against a result that is listed with a part of its output: the store sends the object that
+/// holds it without a length, and its connection closes midway.
+#[gtest]
+fn read_object_cut_off() {
+    // The two events of the output do not fit into a row.
+    let path = format!("/n/{}", "x".repeat(40_000));
+    let answers = actix_rt::System::new().block_on(async {
+        let fleet = Fleet::start(ATTEMPTS).await;
+        fleet.submit(&path).await;
+        let wait = Duration::from_secs(5);
+        let stored = fleet.read(0, wait).await;
+        let degradation = Degradation {
+            cut_objects: true,
+            ..Degradation::default()
+        };
+        fleet.store.degradations.borrow_mut().insert(1, degradation);
+        fleet.serve(1);
+        let cut = fleet.read(1, wait).await;
+        fleet.store.degradations.borrow_mut().clear();
+        let whole = fleet.read(1, wait).await;
+        [stored, cut, whole]
+    });
+    let [stored, cut, whole] = answers;
+    expect_that!(stored.body().len(), gt(80_000));
+    expect_that!(cut.status(), eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_that!(whole.body(), eq(stored.body()));
+}
--- a/standin/tests/support/fleet.rs
+++ b/standin/tests/support/fleet.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use auburnspoke::batch::read::Reader;
 use auburnspoke::batch::record::{self, Record};
 use auburnspoke::batch::{Jobs, Setup};
 use auburnspoke::catalog::{Catalog, Config, Endpoint, Kind, Limits, Route, Target, Terms};
@@ -24,7 +25,7 @@
 use auburnspoke::snapshot::Cell;
 use auburnspoke::table::{self, Changes, Feed, FeedError, Snapshot};
 use bytes::Bytes;
-use hyper::StatusCode;
+use hyper::{Response, StatusCode};
 use standin::site::replica::{Fault, History, Replica};
 use standin::site::store::Store;
 use tokio::sync::mpsc;
@@ -309,6 +310,16 @@
         });
     }
 
+    /// Reads the job's results at a node, which waits up to `wait` for the first one.
+    #[allow(dead_code, reason = "each test file uses a part of it")]
+    pub async fn read(&self, at: usize, wait: Duration) -> Response<Bytes> {
+        let reader = Reader::Unrestricted;
+        self.nodes[at]
+            .jobs
+            .read(&reader, &JOB.into(), 0, wait)
+            .await
+    }
+
     /// Returns the number of runs of the item.
     pub fn runs(&self) -> usize {
         self.history.borrow().get(ITEM).map_or(0, Vec::len)
