Ask whether the process still runs when an answer ends with its connection

What callers would see: a short stream, framed as complete, when its endpoint's process ends between two events of an answer without length or chunks: the kernel closes the connection as at the end of a whole one.

Change: when such an answer has ended at the end of an event, the node looks at the endpoint's entry and listener as it does after a lost run. If the entry is ready and the listener refuses, the process has crashed: a resumable stream is continued after its last event, another answer is broken off, and an item of a job goes on. An endpoint that is leaving, or that does not answer at all, proves nothing, and the answer stays whole. Cost: one connection for each answer without length or chunks, at its end.

--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -246,6 +246,12 @@
     // Output without event ids could not be told from that of an earlier run.
     let has_ids = work.partials.borrow()[item].last.is_some();
     match end {
+        answer::End::Whole
+            if reader.framing() == Framing::Connection
+                && jobs.setup.detector.has_crashed(endpoint).await =>
+        {
+            Exit::Interrupted(End::Error, "process_ended")
+        }
         answer::End::Whole if has_ids => Exit::Done,
         answer::End::Whole | answer::End::InsideEvent | answer::End::NoEvent => {
             Exit::Interrupted(End::Error, "truncated")
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -119,6 +119,12 @@
         self.node.count.answer(reader.framing(), end);
         self.ending = Some((reader.framing(), end));
         match end {
+            answer::End::Whole
+                if reader.framing() == Framing::Connection
+                    && self.node.detector.has_crashed(&permit.endpoint).await =>
+            {
+                return Ended::Failed(Failure::Lost, End::Error, "process_ended");
+            }
             answer::End::Whole => {}
             answer::End::InsideEvent | answer::End::NoEvent => {
                 return Ended::Failed(Failure::Lost, End::Error, "truncated");
--- a/src/quarantine/detector.rs
+++ b/src/quarantine/detector.rs
@@ -216,6 +216,13 @@
         finding
     }
 
+    /// Returns true if the endpoint's process has ended unexpectedly, as far as its entry and its
+    /// listener show at once. An answer that ends with its connection is whole only if it has not.
+    pub async fn has_crashed(&self, endpoint: &Endpoint) -> bool {
+        let entry = loss::entry(&self.setup.catalog.read(), endpoint);
+        loss::classify(entry, loss::probe(endpoint).await) == Finding::Crashed
+    }
+
     /// Watches an endpoint whose process may have ended unnoticed: behind a partition, or
     /// without closing its connections.
     fn watch(self: &Rc<Self>, endpoint: &Arc<Endpoint>, request: Fingerprint, stage: Stage) {
--- a/standin/src/site/proxy.rs
+++ b/standin/src/site/proxy.rs
@@ -80,6 +80,11 @@
         })
     }
 
+    /// Stops listening, and keeps open connections.
+    pub fn stop_listening(&self) {
+        self.accept.abort();
+    }
+
     /// Stops listening and resets all connections, as when the server's process exits.
     pub fn close(&self) {
         self.accept.abort();
--- a/standin/src/site/script.rs
+++ b/standin/src/site/script.rs
@@ -37,10 +37,13 @@
     InsideEvent,
     /// Before its first event, with the end that the framing asks for.
     NoEvent,
+    /// Between two events, with the end that the framing asks for. Only the end of its process
+    /// tells this from a whole stream that ends with its connection.
+    BetweenEvents,
 }
 
 impl Cut {
-    /// Every way.
+    /// Every way that the stream itself shows.
     pub const ALL: [Self; 4] = [
         Self::Reset,
         Self::ResetInsideEvent,
@@ -101,6 +104,7 @@
             (Cut::InsideEvent, Some(at)) => {
                 whole(&self.events[..at]) + half(&self.events[at]).len()
             }
+            (Cut::BetweenEvents, Some(at)) => whole(&self.events[..at]),
             (Cut::Reset | Cut::ResetInsideEvent, Some(_)) | (_, None) => whole(&self.events),
         }
     }
--- a/standin/tests/edge_answers.rs
+++ b/standin/tests/edge_answers.rs
@@ -146,3 +146,27 @@
         expect_that!(ends, contains(eq(&End::Broken)));
     });
 }
+
+/// Guards against a stream that reaches its caller as complete although its endpoint's process ended
+/// between two events: its connection closes as at the end of a whole stream.
+#[gtest]
+fn answer_process_ended() {
+    run(44, async |harness| {
+        let style = Style {
+            framing: Some(Framing::Connection),
+            cut: Some(Cut::BetweenEvents),
+        };
+        let crash_all_but_one = async {
+            // A stream takes 0.16 s.
+            sleep(Duration::from_millis(80)).await;
+            for upstream in harness.replicas.borrow().values().skip(1) {
+                upstream.proxy.stop_listening();
+                upstream.replica.crash();
+            }
+        };
+        let answers = play(harness, style, Fault::default());
+        let ((), [resumable, others]) = tokio::join!(crash_all_but_one, answers);
+        expect_that!(resumable, contains(eq(&End::Whole)));
+        expect_that!(others, contains(eq(&End::Broken)));
+    });
+}
