Detect answers of plain services that were cut off

What callers of serve would see: the first part of a plain service's answer as a complete one, when the connection closed before the declared length or the last chunk; and an empty answer instead of one without length or chunks, whole or not.

Change: plain services are called with the client of connect, which reports both. Engines need no change: their streams end with a mark of their own.

--- a/src/dispatch/run.rs
+++ b/src/dispatch/run.rs
@@ -8,7 +8,7 @@
 use super::handle::Event;
 use super::{End, Load};
 use crate::config::{Document, Kind};
-use crate::endpoint::{Failure, Target, completion, plain};
+use crate::endpoint::{Client, Failure, Target, completion, plain};
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::request::{Answer, Body, Piece, Request};
 
@@ -61,7 +61,7 @@
 
 /// Runs a request to completion, or until `left` has passed.
 pub async fn run<F>(
-    client: &awc::Client,
+    client: &Client,
     target: &Target,
     request: &Request,
     progress: &RefCell<Progress>,
@@ -90,7 +90,7 @@
 }
 
 async fn once<F>(
-    client: &awc::Client,
+    client: &Client,
     target: &Target,
     request: &Request,
     progress: &RefCell<Progress>,
--- a/src/dispatch/shell.rs
+++ b/src/dispatch/shell.rs
@@ -21,7 +21,7 @@
 use crate::config::Document;
 use crate::config::follow::InForce;
 use crate::connect::Reachability;
-use crate::endpoint::Target;
+use crate::endpoint::{Client, Target};
 use crate::event;
 use crate::gateway::Shared;
 use crate::leave::Phase;
@@ -49,7 +49,7 @@
     work: Work,
     phase: Arc<snapshot::Cell<Phase>>,
     quarantine: quarantine::Handle,
-    client: awc::Client,
+    client: Client,
     state: RefCell<State>,
     /// Wakes the main loop when a queue may have an earlier timer.
     changed: Notify,
@@ -107,7 +107,7 @@
             work: shared.dispatched.clone(),
             phase: Arc::clone(&shared.phase),
             quarantine: shared.quarantine.clone(),
-            client: crate::http::client(shared.timeouts.connect),
+            client: Client::new(shared.timeouts.connect),
             state: RefCell::default(),
             changed: Notify::new(),
             loads,
--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -9,6 +9,7 @@
 
 use awc::error::SendRequestError;
 
+use crate::connect;
 use crate::http;
 use crate::name::Name;
 use crate::outcome::{Outcome, Reason, Refusal};
@@ -23,6 +24,23 @@
 /// Retry delay after an endpoint failed.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// A client of endpoints for one thread.
+#[derive(Clone)]
+pub struct Client {
+    engines: awc::Client,
+    connect_timeout: Duration,
+}
+
+impl Client {
+    /// Creates a client that waits at most `connect_timeout` for a connection.
+    pub fn new(connect_timeout: Duration) -> Self {
+        Self {
+            engines: http::client(connect_timeout),
+            connect_timeout,
+        }
+    }
+}
+
 /// The endpoint to run a request at.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
@@ -77,6 +95,15 @@
     }
 }
 
+impl From<connect::Failure> for Failure {
+    fn from(failure: connect::Failure) -> Self {
+        match failure {
+            connect::Failure::Unsent(what) => Self::Unreachable(what),
+            connect::Failure::Broken(what) => Self::Broken(what),
+        }
+    }
+}
+
 impl fmt::Display for Failure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/src/endpoint/completion.rs
+++ b/src/endpoint/completion.rs
@@ -10,7 +10,7 @@
 use futures_util::StreamExt as _;
 use serde::{Deserialize, Serialize};
 
-use super::{Failure, STALL_TIMEOUT, Target};
+use super::{Client, Failure, STALL_TIMEOUT, Target};
 use crate::request::Piece;
 
 /// Marks the end of an event stream.
@@ -58,7 +58,7 @@
 /// # Errors
 /// [`Failure`], which distinguishes whether anything may have run.
 pub async fn run<F, A>(
-    client: &awc::Client,
+    client: &Client,
     target: &Target,
     prompt: &Prompt<'_>,
     first_wait: Duration,
@@ -70,6 +70,7 @@
 {
     let url = format!("http://{}/v1/completions", target.address);
     let mut response = client
+        .engines
         .post(url)
         .timeout(first_wait)
         .send_json(prompt)
--- a/standin/src/overhead.rs
+++ b/standin/src/overhead.rs
@@ -8,8 +8,7 @@
 use std::time::{Duration, Instant};
 
 use auburnspoke::clock::Clock;
-use auburnspoke::endpoint::{Target, completion};
-use auburnspoke::http;
+use auburnspoke::endpoint::{self, Target, completion};
 use auburnspoke::rpc::client::{Client, Timeouts};
 use auburnspoke::rpc::v1;
 use clap::{Arg, ArgMatches, Command, value_parser};
@@ -122,7 +121,7 @@
         })
     }
 
-    async fn direct(&self, client: &awc::Client, number: u32) -> Result<()> {
+    async fn direct(&self, client: &endpoint::Client, number: u32) -> Result<()> {
         let text = format!("direct {number}");
         let prompt = completion::Prompt {
             model: &self.engine.model,
@@ -155,13 +154,13 @@
     }
 }
 
-fn clients(setting: &Setting) -> (awc::Client, Client) {
+fn clients(setting: &Setting) -> (endpoint::Client, Client) {
     let timeouts = Timeouts {
         connect: TIMEOUT,
         answer: TIMEOUT,
     };
     let node = Client::new(vec![setting.node], timeouts);
-    (http::client(TIMEOUT), node)
+    (endpoint::Client::new(TIMEOUT), node)
 }
 
 /// Measures latency: one request at a time, directly and through the node in turns.
