Count a response without a body among those with a length

A response that can have no body (204, 304) has neither a length nor chunks in its head, and would have cost a look at its endpoint's process.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -4,8 +4,9 @@
 //! connection, and so does one whose endpoint crashed.
 
 use bytes::Bytes;
-use hyper::HeaderMap;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::Response;
+use hyper::body::Body;
+use hyper::header::TRANSFER_ENCODING;
 
 use crate::split::{Events, Scanner, Splitter, TooLong};
 
@@ -21,12 +22,15 @@
 }
 
 impl Framing {
-    /// Returns the framing that the headers of a response declare.
-    pub fn of(headers: &HeaderMap) -> Self {
-        if headers.contains_key(TRANSFER_ENCODING) {
+    /// Returns the framing of a response. One that can have no body has a length.
+    pub fn of<B>(response: &Response<B>) -> Self
+    where
+        B: Body,
+    {
+        if response.headers().contains_key(TRANSFER_ENCODING) {
             return Self::Chunks;
         }
-        if headers.contains_key(CONTENT_LENGTH) {
+        if response.body().size_hint().exact().is_some() {
             return Self::Length;
         }
         Self::Connection
--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -218,7 +218,7 @@
     if !forward::is_event_stream(&response) {
         return Exit::Interrupted(End::Error, "unexpected_answer");
     }
-    let mut reader = Reader::new(Framing::of(response.headers()), Content::Resumable);
+    let mut reader = Reader::new(Framing::of(&response), Content::Resumable);
     let mut body = response.into_body();
     loop {
         let frame = match timeout(IDLE_TIMEOUT, body.frame()).await {
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -55,7 +55,7 @@
             true if self.is_resumable() => Content::Resumable,
             true => Content::Stream,
         };
-        let mut reader = Reader::new(Framing::of(response.headers()), content);
+        let mut reader = Reader::new(Framing::of(&response), content);
         let mut body = response.into_body();
         if stream {
             // Another endpoint may resume the stream, which changes its length, and a stream that
--- a/tests/answer_reader.rs
+++ b/tests/answer_reader.rs
@@ -1,10 +1,15 @@
 //! Where the body of an endpoint's answer ended.
 
+use std::convert::Infallible;
+
 use auburnspoke::answer::{Content, End, Framing, Reader};
 use bytes::Bytes;
+use futures_util::stream;
 use googletest::prelude::*;
-use hyper::HeaderMap;
-use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use http_body_util::{Empty, Full, StreamBody};
+use hyper::Response;
+use hyper::body::Frame;
+use hyper::header::TRANSFER_ENCODING;
 
 /// Reads a stream of these parts as one that can be resumed and as one that can't. Returns where
 /// it ended.
@@ -83,16 +88,18 @@
 
 #[gtest]
 fn framing_each() {
-    let framing = |headers: &[(HeaderName, &'static str)]| {
-        let headers = headers
-            .iter()
-            .map(|(name, value)| (name.clone(), HeaderValue::from_static(value)));
-        Framing::of(&headers.collect::<HeaderMap>())
-    };
-    expect_that!(framing(&[]), eq(Framing::Connection));
-    expect_that!(framing(&[(CONTENT_LENGTH, "4")]), eq(Framing::Length));
+    let unknown = || StreamBody::new(stream::empty::<Result<Frame<Bytes>, Infallible>>());
+    let chunked = Response::builder().header(TRANSFER_ENCODING, "chunked");
     expect_that!(
-        framing(&[(TRANSFER_ENCODING, "chunked")]),
+        Framing::of(&chunked.body(unknown()).unwrap()),
         eq(Framing::Chunks)
     );
+    expect_that!(
+        Framing::of(&Response::new(unknown())),
+        eq(Framing::Connection)
+    );
+    let known = Full::new(Bytes::from_static(b"four"));
+    expect_that!(Framing::of(&Response::new(known)), eq(Framing::Length));
+    let none = Empty::<Bytes>::new();
+    expect_that!(Framing::of(&Response::new(none)), eq(Framing::Length));
 }
