Let a replica of the stand-in crash twice

Two killers may run at one replica; the second crash found no listener to abort and panicked in its task, which only showed on standard error.

--- a/standin/src/site/replica.rs
+++ b/standin/src/site/replica.rs
@@ -169,9 +169,12 @@
         /// Time in which connections write what they have.
         const FLUSH_TIME: Duration = Duration::from_millis(3);
         self.crashed.notify_waiters();
-        let mut tasks = std::mem::take(&mut *self.tasks.borrow_mut());
-        // The listener.
-        tasks.remove(0).abort();
+        let mut tasks = std::mem::take(&mut *self.tasks.borrow_mut()).into_iter();
+        // The first task listens. There is none if the replica has crashed before.
+        let Some(listener) = tasks.next() else {
+            return;
+        };
+        listener.abort();
         let replica = Rc::clone(self);
         actix_rt::spawn(async move {
             sleep(FLUSH_TIME).await;
