Look at the process twice when an answer ends with its connection

Cause: the stand-in's crash closed connections up to 2 ms before its proxy stopped listening; the one look at the listener found it open. A process that ends may do the same, which is why lost runs are looked after twice.

Change: the look is repeated after 10 ms, as for lost runs. It delays the end of an answer without length or chunks by that time, not its events. The stand-in closes its connections after its listener now.

--- a/src/quarantine/detector.rs
+++ b/src/quarantine/detector.rs
@@ -220,7 +220,8 @@
     /// listener show at once. An answer that ends with its connection is whole only if it has not.
     pub async fn has_crashed(&self, endpoint: &Endpoint) -> bool {
         let entry = loss::entry(&self.setup.catalog.read(), endpoint);
-        loss::classify(entry, loss::probe(endpoint).await) == Finding::Crashed
+        let listener = loss::probe_after_failure(endpoint.address).await;
+        loss::classify(entry, listener) == Finding::Crashed
     }
 
     /// Watches an endpoint whose process may have ended unnoticed: behind a partition, or
--- a/src/quarantine/loss.rs
+++ b/src/quarantine/loss.rs
@@ -56,7 +56,8 @@
     connect::probe(endpoint.address, PROBE_TIMEOUT).await
 }
 
-/// Checks whether anything listens at an address where a run has just failed. A listener that is
+/// Checks whether anything listens at an address where a run has just failed, or has ended as a
+/// crash would end it. A listener that is
 /// found open is checked once more, since the process may be ending.
 pub async fn probe_after_failure(address: SocketAddr) -> Reachability {
     match connect::probe(address, PROBE_TIMEOUT).await {
--- a/standin/src/site/replica.rs
+++ b/standin/src/site/replica.rs
@@ -168,6 +168,9 @@
     pub fn crash(self: &Rc<Self>) {
         /// Time in which connections write what they have.
         const FLUSH_TIME: Duration = Duration::from_millis(3);
+        /// Time in which the proxy notices. A process closes its connections no sooner than its
+        /// listener.
+        const PROXY_TIME: Duration = Duration::from_millis(20);
         self.crashed.notify_waiters();
         let mut tasks = std::mem::take(&mut *self.tasks.borrow_mut()).into_iter();
         // The first task listens. There is none if the replica has crashed before.
@@ -179,6 +182,7 @@
         actix_rt::spawn(async move {
             sleep(FLUSH_TIME).await;
             replica.down.set(true);
+            sleep(PROXY_TIME).await;
             for task in tasks {
                 task.abort();
             }
