Leave the look at the process out of how slow endpoints are

Cause: the look at the process after an answer that ends with its connection takes 10 ms and more, and was counted as a part of the answer; scaled to a long answer it makes the estimate over 0.2 s too long.

Change: the time at which the body ended is taken before the look.

--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -115,6 +115,7 @@
             }
             blocked += self.node.clock.now().since(now);
         }
+        let ended = self.node.clock.now();
         let end = reader.end(is_continued);
         self.node.count.answer(reader.framing(), end);
         self.ending = Some((reader.framing(), end));
@@ -131,9 +132,8 @@
             }
         }
         if let Some(began) = began.filter(|_| is_whole) {
-            let now = self.node.clock.now();
-            let rest = now.since(began).saturating_sub(blocked);
-            self.record_pace(now, began.since(granted), rest);
+            let rest = ended.since(began).saturating_sub(blocked);
+            self.record_pace(ended, began.since(granted), rest);
         }
         self.send_head(&mut head);
         let rest = reader.rest();
