Log and count at which software version a stream is resumed

The version is decoded from an endpoint's entry and travels with it between nodes. E521 has it, with the request that the caller resumes; auburnspoke_resumed_total counts resumed runs by who resumes and by how the versions compare. No decision reads either.

--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -177,6 +177,10 @@
     /// each start gets its own id.
     #[serde(default)]
     pub incarnation: u64,
+    /// Version of its software; `None` where its entry names none. A stream can't be resumed at
+    /// another version, see docs/design/resume.md.
+    #[serde(default)]
+    pub software: Option<Name>,
 }
 
 /// One node's current view, published as a snapshot.
--- a/src/catalog/registry.rs
+++ b/src/catalog/registry.rs
@@ -41,9 +41,18 @@
 #[derive(Serialize, Deserialize)]
 struct Packed(Name, u64, Option<PackedEndpoint>);
 
-/// Service, address, availability zone, slots, whether it is ready, and incarnation.
+/// Service, address, availability zone, slots, whether it is ready, incarnation, and version of the
+/// software.
 #[derive(Serialize, Deserialize)]
-struct PackedEndpoint(Name, SocketAddr, Name, u32, bool, u64);
+struct PackedEndpoint(
+    Name,
+    SocketAddr,
+    Name,
+    u32,
+    bool,
+    u64,
+    #[serde(default)] Option<Name>,
+);
 
 impl From<Entry> for Packed {
     fn from(entry: Entry) -> Self {
@@ -56,8 +65,9 @@
                 slots,
                 ready,
                 incarnation,
+                software,
             } = it;
-            PackedEndpoint(service, address, zone, slots, ready, incarnation)
+            PackedEndpoint(service, address, zone, slots, ready, incarnation, software)
         });
         Self(entry.id, entry.version, endpoint)
     }
@@ -66,7 +76,7 @@
 impl From<Packed> for Entry {
     fn from(Packed(id, version, endpoint): Packed) -> Self {
         let endpoint = endpoint.map(|it| {
-            let PackedEndpoint(service, address, zone, slots, ready, incarnation) = it;
+            let PackedEndpoint(service, address, zone, slots, ready, incarnation, software) = it;
             Endpoint {
                 id: id.clone(),
                 service,
@@ -75,6 +85,7 @@
                 slots,
                 ready,
                 incarnation,
+                software,
             }
         });
         Self {
--- a/src/edge/count.rs
+++ b/src/edge/count.rs
@@ -29,6 +29,13 @@
     end: &'static str,
 }
 
+/// Labels of a run that resumes a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Resumption {
+    by: &'static str,
+    software: &'static str,
+}
+
 /// The counters of one process; clones share them.
 #[derive(Clone, Debug)]
 pub struct Count {
@@ -36,6 +43,7 @@
     refused: Family<Cause, Counter>,
     retried: Family<Cause, Counter>,
     answers: Family<Ending, Counter>,
+    resumed: Family<Resumption, Counter>,
     items: Family<Cause, Counter>,
     jobs: Family<Cause, Counter>,
     feed: Family<Cause, Counter>,
@@ -61,6 +69,7 @@
         let refused = Family::<Cause, Counter>::default();
         let retried = Family::<Cause, Counter>::default();
         let answers = Family::<Ending, Counter>::default();
+        let resumed = Family::<Resumption, Counter>::default();
         let items = Family::<Cause, Counter>::default();
         let jobs = Family::<Cause, Counter>::default();
         let feed = Family::<Cause, Counter>::default();
@@ -74,6 +83,11 @@
             "Answers whose body endpoints ended, by framing and by where it ended",
             answers.clone(),
         );
+        registry.register(
+            "resumed",
+            "Runs that resume a stream, by who resumes it and by how the endpoint's software compares with the one that began it",
+            resumed.clone(),
+        );
         registry.register(
             "items",
             "Runs of batch items, by how they ended",
@@ -119,6 +133,7 @@
             refused,
             retried,
             answers,
+            resumed,
             items,
             jobs,
             feed,
@@ -161,6 +176,14 @@
         self.answers.get_or_create(&Ending { framing, end }).inc();
     }
 
+    /// Counts a run that resumes a stream: by the node within one answer, by its caller, or of an
+    /// item, at an endpoint whose software compares like this with the one that began it.
+    pub fn resumption(&self, by: &'static str, software: &'static str) {
+        self.resumed
+            .get_or_create(&Resumption { by, software })
+            .inc();
+    }
+
     /// Counts a finished run of a batch item, by outcome.
     pub fn item(&self, reason: &'static str) {
         self.items.get_or_create(&Cause { reason }).inc();
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -437,6 +437,7 @@
     let mut headers = parts.headers;
     let timeout = call::timeout(&headers);
     let last_event = call::last_event_id(&headers);
+    let resumes = call::resumed_request(&headers);
     let max_tokens = call::max_output_tokens(&headers).unwrap_or_default();
     let prefix = call::shared_prefix(&headers).map_or(0, hash);
     forward::strip_hop_by_hop(&mut headers);
@@ -464,6 +465,7 @@
         arrived,
         timeout,
         last_event,
+        resumes,
         max_tokens,
         prefix,
     };
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -21,7 +21,7 @@
 use crate::answer::{self, Framing};
 use crate::attempt::{Attempt, Failure, Next, Repeat};
 use crate::catalog::keyring::Organisation;
-use crate::catalog::{Kind, Route};
+use crate::catalog::{Endpoint, Kind, Route};
 use crate::clock::{Time, Uptime};
 use crate::connect;
 use crate::event;
@@ -82,6 +82,8 @@
     pub timeout: Option<Duration>,
     /// Id of the last event that the caller has; the stream resumes after it.
     pub last_event: Option<u64>,
+    /// Id of the request that brought the first event of that stream, as the caller names it.
+    pub resumes: Option<Name>,
     /// Most tokens to generate; 0 if the caller does not say.
     pub max_tokens: u32,
     /// Hash of the prompt's shared prefix, 0 for none.
@@ -135,6 +137,8 @@
     first: Option<Duration>,
     /// The framing and the end of the last answer, for the log.
     ending: Option<(Framing, answer::End)>,
+    /// The endpoint that sent the first event of the answer.
+    origin: Option<Arc<Endpoint>>,
     /// The token taken from the organisation's rate limit.
     token: Option<Token>,
 }
@@ -164,6 +168,7 @@
             error: None,
             first: None,
             ending: None,
+            origin: None,
             token: None,
         }
     }
@@ -229,7 +234,8 @@
                 return self.end("stopping", Duration::ZERO).await;
             }
             let endpoint = permit.endpoint.id.clone();
-            self.log_granted(&endpoint);
+            self.log_granted(&permit.endpoint);
+            self.count_resumption(&permit.endpoint);
             self.call.open.run(&endpoint);
             let began = self.node.clock.now();
             let ended = tokio::select! {
@@ -406,23 +412,45 @@
         }
     }
 
-    fn log_granted(&self, endpoint: &Name) {
+    fn log_granted(&self, endpoint: &Endpoint) {
         let now = self.node.clock.now();
         let catalog = self.node.catalog.read();
         log::info!(
-            "{} id={} print={} organisation={} endpoint={endpoint} waited_ms={} behind={:?} known_ms={} config={} vouched_ms={:?}",
+            "{} id={} print={} organisation={} endpoint={} software={} waited_ms={} behind={:?} resumes={} known_ms={} config={} vouched_ms={:?}",
             event::REQUEST_GRANTED,
             self.call.forward.id,
             self.call.fingerprint,
             self.call.organisation.as_ref().map_or("-", |it| &it.name),
+            endpoint.id,
+            endpoint.software.as_deref().unwrap_or("-"),
             now.since(self.call.arrived).as_millis(),
             self.attempt.last(),
+            self.call.resumes.as_deref().unwrap_or("-"),
             now.since(catalog.confirmed).as_millis(),
             catalog.config.as_ref().map_or(0, |config| config.version),
             identity::age(&catalog, Uptime::now()).map(|age| age.as_millis()),
         );
     }
 
+    /// Counts a run that resumes a stream.
+    fn count_resumption(&self, endpoint: &Endpoint) {
+        if self.attempt.last().is_none() {
+            return;
+        }
+        let origin = self.origin.as_ref().and_then(|it| it.software.as_ref());
+        let software = match (origin, &endpoint.software) {
+            (Some(origin), Some(software)) if origin == software => "same",
+            (Some(_), Some(_)) => "other",
+            _ => "unknown",
+        };
+        let by = if self.origin.is_some() {
+            "node"
+        } else {
+            "caller"
+        };
+        self.node.count.resumption(by, software);
+    }
+
     fn log_done(&self, endpoint: &Name) {
         let took = self.node.clock.now().since(self.call.arrived);
         log::info!(
--- a/src/permit/fallback.rs
+++ b/src/permit/fallback.rs
@@ -42,6 +42,7 @@
             slots: 1,
             ready: true,
             incarnation: 0,
+            software: None,
         }))
     }
 
--- a/src/platform/call.rs
+++ b/src/platform/call.rs
@@ -21,6 +21,8 @@
 pub const PROMPT_PREFIX: HeaderName = HeaderName::from_static("x-prompt-prefix");
 /// The last event that the caller received; the stream resumes after it.
 pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+/// The request that brought the first event of the stream that the caller resumes.
+const RESUMES: HeaderName = HeaderName::from_static("resumes");
 /// The prompt's tokens and the most tokens to generate, separated by a comma.
 pub const TOKEN_COUNT: HeaderName = HeaderName::from_static("x-token-count");
 /// How long a read may wait for a result, in milliseconds.
@@ -167,6 +169,12 @@
         .ok()
 }
 
+/// Returns the id of the request that brought the first event of the stream that this one resumes.
+pub fn resumed_request(headers: &HeaderMap) -> Option<Name> {
+    let value = headers.get(RESUMES)?.to_str().ok()?;
+    (!value.is_empty()).then(|| value.into())
+}
+
 /// Returns the most tokens that the caller lets an endpoint generate, if it says so.
 pub fn max_output_tokens(headers: &HeaderMap) -> Option<u32> {
     let text = headers.get(TOKEN_COUNT)?.to_str().ok()?;
--- a/src/platform/endpoint.rs
+++ b/src/platform/endpoint.rs
@@ -23,6 +23,9 @@
     /// each start its own endpoint id.
     #[serde(default)]
     born: u64,
+    /// Version of its software.
+    #[serde(default)]
+    version: Option<Name>,
 }
 
 #[derive(Deserialize)]
@@ -78,6 +81,7 @@
                 slots: value.slots,
                 ready: matches!(value.state, State::Ready),
                 incarnation: value.born,
+                software: value.version.filter(|it| !it.is_empty()),
             })
         }
     };
--- a/standin/tests/quarantine_hold.rs
+++ b/standin/tests/quarantine_hold.rs
@@ -29,6 +29,7 @@
         slots: 4,
         ready: true,
         incarnation: 0,
+        software: None,
     }
 }
 
--- a/tests/catalog_book.rs
+++ b/tests/catalog_book.rs
@@ -27,6 +27,7 @@
             slots: 8,
             ready,
             incarnation: 0,
+            software: None,
         }),
     }
 }
--- a/tests/catalog_endpoints.rs
+++ b/tests/catalog_endpoints.rs
@@ -21,6 +21,7 @@
         slots: 7,
         ready,
         incarnation: 0,
+        software: None,
     }
 }
 
--- a/tests/permit_owner.rs
+++ b/tests/permit_owner.rs
@@ -185,6 +185,7 @@
         slots: 8,
         ready: true,
         incarnation: 0,
+        software: None,
     }
 }
 
--- a/tests/permit_zones.rs
+++ b/tests/permit_zones.rs
@@ -39,6 +39,7 @@
         slots: SLOTS,
         ready: true,
         incarnation: 0,
+        software: None,
     }
 }
 
--- a/tests/pool_shard.rs
+++ b/tests/pool_shard.rs
@@ -15,6 +15,7 @@
         slots,
         ready: true,
         incarnation: 0,
+        software: None,
     };
     Catalog {
         endpoints: (0..endpoints).map(endpoint).collect(),
--- a/tests/quarantine_explore/fleet.rs
+++ b/tests/quarantine_explore/fleet.rs
@@ -175,6 +175,7 @@
         slots: 8,
         ready: true,
         incarnation,
+        software: None,
     })
 }
 
--- a/tests/support/pool.rs
+++ b/tests/support/pool.rs
@@ -23,6 +23,7 @@
         slots: SLOTS,
         ready: true,
         incarnation: 0,
+        software: None,
     })
 }
 
