Reproduce a stream that holds events of two software versions

Callers got events of two versions of an endpoint's software in one stream, within one answer and over two requests.

The run of a part against real nodes moves to tests/support/play.rs, which edge_answers shares.

--- a/standin/src/site/replica.rs
+++ b/standin/src/site/replica.rs
@@ -2,7 +2,7 @@
 //! of a request for the checks.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -83,6 +83,8 @@
 pub struct Replica {
     /// Its id in the table of endpoints.
     pub id: String,
+    /// Version of its software, which each event names.
+    pub software: String,
     /// The fault that it has now.
     pub fault: Cell<Fault>,
     /// How it frames its streams and breaks them off.
@@ -102,18 +104,44 @@
     format!("{path}#{number}")
 }
 
+/// Separates an event's text from the version of the software that wrote it.
+const SOFTWARE_SEPARATOR: char = '@';
+
+/// Returns an answer without the versions of the software that wrote its events, and those
+/// versions.
+pub fn split_software(answer: &str) -> (String, BTreeSet<&str>) {
+    let mut versions = BTreeSet::new();
+    let mut rest = String::with_capacity(answer.len());
+    for line in answer.split_inclusive('\n') {
+        let (text, end) = match line.strip_suffix('\n') {
+            Some(text) => (text, "\n"),
+            None => (line, ""),
+        };
+        match text.rsplit_once(SOFTWARE_SEPARATOR) {
+            Some((text, software)) => {
+                versions.insert(software);
+                rest.push_str(text);
+            }
+            None => rest.push_str(text),
+        }
+        rest.push_str(end);
+    }
+    (rest, versions)
+}
+
 /// Returns the number of events in a response of `tokens` tokens.
 pub fn events(tokens: u64) -> u64 {
     tokens.div_ceil(EVENT_TOKENS).max(1)
 }
 
 impl Replica {
-    /// Starts a replica that sends an event every `step`.
+    /// Starts a replica of this software version that sends an event every `step`.
     ///
     /// # Errors
     /// Fails if no port is free.
     pub async fn start(
         id: String,
+        software: String,
         slots: usize,
         step: Duration,
         history: History,
@@ -122,6 +150,7 @@
         let address = listener.local_addr()?;
         let replica = Rc::new(Self {
             id,
+            software,
             fault: Cell::default(),
             style: Cell::default(),
             step,
@@ -250,7 +279,11 @@
         let (chunks, body) = mpsc::channel(4);
         let step = self.step * fault.slowdown;
         let events = (last + 1..=total)
-            .map(|number| format!("id: {number}\ndata: {}\n\n", text(&path, number)))
+            .map(|number| {
+                let text = text(&path, number);
+                let software = &self.software;
+                format!("id: {number}\ndata: {text}{SOFTWARE_SEPARATOR}{software}\n\n")
+            })
             .collect();
         let script = Script::draw(self.style.get(), fault.break_rate, events, last > 0);
         let (framing, length) = (script.framing, script.length());
--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -15,6 +15,7 @@
 pub mod fleet;
 pub mod holder;
 pub mod ports;
+pub mod resume;
 pub mod stop;
 
 /// Returns the definition of the `soak` subcommand.
@@ -30,6 +31,11 @@
         ))
         .arg(number("nodes", "4", "Nodes"))
         .arg(number("replicas", "3", "Replicas"))
+        .arg(number(
+            "versions",
+            "1",
+            "Versions of the replicas' software, which serve side by side",
+        ))
         .arg(number(
             "killers",
             "0",
@@ -67,6 +73,8 @@
     pub nodes: usize,
     /// Number of replicas.
     pub replicas: usize,
+    /// Number of versions of the replicas' software.
+    pub versions: usize,
     /// Number of killers: requests that crash the replica that runs them and are sent repeatedly.
     pub killers: usize,
     /// The faults besides those that the killers cause.
@@ -108,6 +116,7 @@
             length: Duration::from_secs(get("seconds")),
             nodes: count("nodes"),
             replicas: count("replicas"),
+            versions: count("versions"),
             killers: count("killers"),
             faults,
         };
--- a/standin/src/soak/caller.rs
+++ b/standin/src/soak/caller.rs
@@ -18,9 +18,10 @@
 use serde_json::{Value, json};
 use tokio::time::{sleep, timeout};
 
-use super::check::{Attempt, End, Job, expected_stream};
+use super::check::{Attempt, End, Job, expected_stream, fault_of_stream};
 use super::fleet::{HOST, Harness, KEY};
-use crate::site::replica::CRASH_MARKER;
+use super::resume;
+use crate::site::replica::{CRASH_MARKER, split_software};
 
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest time that a caller waits for a response.
@@ -35,7 +36,7 @@
 const SUBMIT_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Returns true if the status guarantees that the request was not run.
-fn guarantees_not_run(status: StatusCode) -> bool {
+pub(super) fn guarantees_not_run(status: StatusCode) -> bool {
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
@@ -65,6 +66,10 @@
             tokens: TOKENS,
             repeatable,
         };
+        if repeatable && number.is_multiple_of(3) {
+            resume::leave_and_resume(&harness, node, conn, question).await;
+            continue;
+        }
         if ask(&harness, node, &mut conn, question).await == End::Whole {
             kept = Some((node, conn));
         }
@@ -123,7 +128,9 @@
     let is_answered = matches!(answer, Ok(Some(_)));
     let end = match answer {
         Ok(Some((StatusCode::OK, body))) => {
-            if body != expected_stream(&path, tokens) {
+            if let Some(fault) = fault_of_stream(&path, tokens, &body) {
+                harness.record_violation(format!("{id} was answered with {fault}"));
+            } else if split_software(&body).0 != expected_stream(&path, tokens) {
                 harness.record_violation(format!(
                     "{id} was answered with a wrong body of {} bytes",
                     body.len()
@@ -204,7 +211,7 @@
 
 /// Opens a connection to an address from the directory. Returns it with the index of the node that
 /// owns the address.
-async fn open(harness: &Harness) -> Option<(usize, Conn)> {
+pub(super) async fn open(harness: &Harness) -> Option<(usize, Conn)> {
     let first = draw(harness, harness.plan.nodes);
     for at in 0..harness.plan.nodes {
         let node = (first + at) % harness.plan.nodes;
--- a/standin/src/soak/check.rs
+++ b/standin/src/soak/check.rs
@@ -5,7 +5,7 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
-use crate::site::replica::{CRASH_MARKER, History, Run, events, text};
+use crate::site::replica::{CRASH_MARKER, History, Run, events, split_software, text};
 
 pub mod stop;
 
@@ -72,6 +72,8 @@
     pub seed: u64,
     /// Number of requests by how they ended.
     pub ends: BTreeMap<End, usize>,
+    /// Number of streams that their callers resumed, by how they ended.
+    pub resumed: BTreeMap<End, usize>,
     /// Number of requests that nodes read after a planned signal to them.
     pub stopping: usize,
     /// Number of requests that were cut around planned signals, by why that is allowed.
@@ -94,10 +96,11 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "seed {}: {} faults, requests {:?} ({} around planned signals, cut {:?}), {} jobs, {} items, {} crashed, {} store calls",
+            "seed {}: {} faults, requests {:?}, resumed {:?} ({} around planned signals, cut {:?}), {} jobs, {} items, {} crashed, {} store calls",
             self.seed,
             self.faults,
             self.ends,
+            self.resumed,
             self.stopping,
             self.excused,
             self.jobs,
@@ -115,7 +118,21 @@
     }
 }
 
-/// Returns the complete event stream that must answer a request for `path` and `tokens`.
+/// Returns what is wrong with a stream, which may have been cut off, as an answer to a request for
+/// `path` and `tokens`.
+pub fn fault_of_stream(path: &str, tokens: u64, stream: &str) -> Option<String> {
+    let (text, versions) = split_software(stream);
+    if versions.len() > 1 {
+        return Some(format!("events of the software versions {versions:?}"));
+    }
+    // A connection may break inside an event.
+    let whole = text.rfind("\n\n").map_or("", |at| &text[..at + 2]);
+    let is_prefix = expected_stream(path, tokens).starts_with(whole);
+    (!is_prefix).then(|| format!("wrong events in {} bytes", stream.len()))
+}
+
+/// Returns the complete event stream that must answer a request for `path` and `tokens`, without
+/// the versions of the software that writes it.
 pub fn expected_stream(path: &str, tokens: u64) -> String {
     let all: Vec<String> = (1..=events(tokens))
         .map(|number| format!("id: {number}\ndata: {}\n\n", text(path, number)))
@@ -123,7 +140,8 @@
     all.concat()
 }
 
-/// Returns the output that a completed item must have.
+/// Returns the output that a completed item must have, without the versions of the software that
+/// writes it.
 pub fn expected_output(path: &str, tokens: u64) -> String {
     let texts: Vec<String> = (1..=events(tokens))
         .map(|number| text(path, number))
@@ -301,12 +319,19 @@
                     None => self.record_violation(format!("item {id} of job {} was lost", job.id)),
                     Some((_, state, output)) if state == "complete" => {
                         self.items += 1;
-                        if *output != expected_output(path, *tokens) {
+                        let (output, versions) = split_software(output);
+                        if output != expected_output(path, *tokens) {
                             self.record_violation(format!(
                                 "item {id} of job {} has a wrong output",
                                 job.id
                             ));
                         }
+                        if versions.len() > 1 {
+                            self.record_violation(format!(
+                                "item {id} of job {} has output of the software versions {versions:?}",
+                                job.id
+                            ));
+                        }
                     }
                     Some(_) if path.contains("never") || path.contains("fails") => {}
                     Some(_) => self.record_violation(format!("item {id} of job {} failed", job.id)),
--- a/standin/src/soak/fault.rs
+++ b/standin/src/soak/fault.rs
@@ -380,7 +380,7 @@
     let Some(upstream) = harness.replicas.borrow_mut().remove(&id) else {
         return Ok(());
     };
-    harness.write_replica(&id, upstream.proxy.address, "draining");
+    harness.write_replica(&upstream, "draining");
     sleep(Duration::from_secs(2) + length).await;
     harness.store.remove("servers", &id);
     harness.record_disruption(Target::Replica(id));
--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -19,7 +19,7 @@
 use tokio::time::sleep;
 
 use super::check::stop::{GRACE_PERIOD, Ledger, Target};
-use super::check::{self, Attempt, Job, Outage, Report};
+use super::check::{self, Attempt, End, Job, Outage, Report};
 use super::ports::Ports;
 use super::{Faults, Plan};
 use super::{caller, fault, holder, stop};
@@ -94,6 +94,8 @@
     pub history: History,
     /// Requests that callers sent.
     pub attempts: RefCell<Vec<Attempt>>,
+    /// How streams ended that their callers resumed.
+    pub resumed: RefCell<Vec<End>>,
     /// Statuses of the responses to killers; `None` without a response.
     pub killer_statuses: RefCell<Vec<Option<StatusCode>>>,
     /// Jobs that callers submitted.
@@ -179,27 +181,44 @@
         self.store.put("op", "config", &config);
     }
 
-    /// Starts and registers a replica.
+    /// Starts and registers a replica of the software version that fewer replicas have.
     ///
     /// # Errors
     /// Fails if no port is free.
     pub async fn add_replica(&self) -> Result<()> {
+        let count = |software: &str| {
+            let replicas = self.replicas.borrow();
+            let is_same = |it: &&Upstream| it.replica.software == software;
+            replicas.values().filter(is_same).count()
+        };
+        let versions = (1..=self.plan.versions).map(|number| format!("v{number}"));
+        let software = versions.min_by_key(|it| count(it));
+        self.add_replica_of(&software.unwrap_or_default()).await
+    }
+
+    /// Starts and registers a replica of this software version.
+    ///
+    /// # Errors
+    /// Fails if no port is free.
+    pub async fn add_replica_of(&self, software: &str) -> Result<()> {
         let id = format!("i-{}", self.next_number());
         let history = Rc::clone(&self.history);
-        let (replica, address) = Replica::start(id.clone(), SLOTS, EVENT_INTERVAL, history).await?;
+        let (replica, address) =
+            Replica::start(id.clone(), software.into(), SLOTS, EVENT_INTERVAL, history).await?;
         let proxy = Proxy::start(address).await?;
-        self.write_replica(&id, proxy.address, "ready");
-        self.replicas
-            .borrow_mut()
-            .insert(id, Upstream { replica, proxy });
+        let upstream = Upstream { replica, proxy };
+        self.write_replica(&upstream, "ready");
+        self.replicas.borrow_mut().insert(id, upstream);
         Ok(())
     }
 
     /// Writes a replica's row to the store.
-    pub fn write_replica(&self, id: &str, address: SocketAddr, state: &str) {
-        let row = json!({"service": SERVICE, "address": address, "zone": "z0", "version": "v1",
-                         "slots": SLOTS, "state": state, "cold_left_ms": 0, "seq": 1});
-        self.store.put("servers", id, &row);
+    pub fn write_replica(&self, upstream: &Upstream, state: &str) {
+        let Upstream { replica, proxy } = upstream;
+        let row = json!({"service": SERVICE, "address": proxy.address, "zone": "z0",
+                         "version": replica.software, "slots": SLOTS, "state": state,
+                         "cold_left_ms": 0, "seq": 1});
+        self.store.put("servers", &replica.id, &row);
     }
 }
 
@@ -415,6 +434,9 @@
         violations: harness.violations.take(),
         ..Report::default()
     };
+    for end in harness.resumed.borrow().iter() {
+        *report.resumed.entry(*end).or_default() += 1;
+    }
     report.check_requests(&harness.attempts.borrow(), &harness.history);
     report.check_killers(&harness.history);
     let outages: Vec<Outage> = harness
@@ -475,6 +497,7 @@
         replicas: RefCell::default(),
         history: History::default(),
         attempts: RefCell::default(),
+        resumed: RefCell::default(),
         killer_statuses: RefCell::default(),
         jobs: RefCell::default(),
         ledger,
--- a/standin/tests/edge_answers.rs
+++ b/standin/tests/edge_answers.rs
@@ -1,6 +1,5 @@
 //! What callers get of answers that endpoints frame in different ways and cut off.
 
-use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use auburnspoke::connect;
@@ -9,13 +8,16 @@
 use standin::site::replica::Fault;
 use standin::site::script::{Cut, Framing, Style};
 use standin::soak::caller::{Question, ask};
-use standin::soak::check::{End, LOG_DELAY};
-use standin::soak::fleet::{Harness, log_folder, start};
+use standin::soak::check::End;
+use standin::soak::fleet::Harness;
 use standin::soak::{Faults, Plan};
 use tokio::time::sleep;
 
-/// Runs at the same time would slow each other down.
-static RUNNING: Mutex<()> = Mutex::new(());
+use play::run;
+
+#[path = "support/play.rs"]
+mod play;
+
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const NODES: usize = 3;
 const REPLICAS: usize = 8;
@@ -30,34 +32,16 @@
     rejects_resumption: false,
 };
 
-/// Starts nodes and replicas, and lets `part` play. The answers must have no wrong body.
-fn run<F>(seed: u64, part: F)
-where
-    F: AsyncFnOnce(&Harness),
-{
-    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
-    let plan = Plan {
+fn plan(seed: u64) -> Plan {
+    Plan {
         seed,
         length: Duration::ZERO,
         nodes: NODES,
         replicas: REPLICAS,
+        versions: 1,
         killers: 0,
         faults: Faults::None,
-    };
-    let folder = log_folder(plan).unwrap();
-    let violations = actix_rt::System::new().block_on(async {
-        let harness = start(plan, &folder).await.unwrap();
-        part(&harness).await;
-        // Nodes log with a delay.
-        sleep(LOG_DELAY).await;
-        harness.violations.take()
-    });
-    if violations.is_empty() {
-        std::fs::remove_dir_all(&folder).unwrap();
-    } else {
-        eprintln!("the logs are in {}", folder.display());
     }
-    expect_that!(violations, is_empty());
 }
 
 /// Sends requests to replicas of this style and with this fault. Returns how the resumable requests
@@ -91,7 +75,7 @@
 /// its body is taken for its end.
 #[gtest]
 fn answer_cut_off() {
-    run(41, async |harness| {
+    run(plan(41), async |harness| {
         for framing in Framing::ALL {
             let mut others = Vec::new();
             for cut in Cut::ALL {
@@ -111,7 +95,7 @@
 /// Guards against a check of whole answers that takes one for cut off.
 #[gtest]
 fn answer_whole() {
-    run(42, async |harness| {
+    run(plan(42), async |harness| {
         for framing in Framing::ALL {
             let style = Style {
                 framing: Some(framing),
@@ -129,7 +113,7 @@
 /// complete.
 #[gtest]
 fn answer_resumption_rejected() {
-    run(43, async |harness| {
+    run(plan(43), async |harness| {
         let style = Style {
             framing: None,
             cut: Some(Cut::Reset),
@@ -151,7 +135,7 @@
 /// between two events: its connection closes as at the end of a whole stream.
 #[gtest]
 fn answer_process_ended() {
-    run(44, async |harness| {
+    run(plan(44), async |harness| {
         let style = Style {
             framing: Some(Framing::Connection),
             cut: Some(Cut::BetweenEvents),
--- a/standin/tests/edge_stop.rs
+++ b/standin/tests/edge_stop.rs
@@ -61,6 +61,7 @@
         length: Duration::ZERO,
         nodes: NODES + 1,
         replicas,
+        versions: 1,
         killers: 0,
         faults: Faults::None,
     };
--- a/standin/tests/support/fleet.rs
+++ b/standin/tests/support/fleet.rs
@@ -153,9 +153,10 @@
         let store = Store::new();
         let history = History::default();
         let step = Duration::from_millis(5);
-        let (replica, address) = Replica::start("i-1".into(), 4, step, Rc::clone(&history))
-            .await
-            .unwrap();
+        let (replica, address) =
+            Replica::start("i-1".into(), "v1".into(), 4, step, Rc::clone(&history))
+                .await
+                .unwrap();
         let route = route(attempts);
         let catalog = Arc::new(Cell::new(catalog(&route, address)));
         let clock = Clock::start();
