Resume a stream only at the software version that began it

What callers saw: one answer held events of two versions of the endpoints' software, which don't fit together. Cause: the rest of a stream went to the best endpoint of its service, whatever its version. Change: Attempt keeps the version of the endpoint that sent the first event; the claim for the next slot names it, and pools, the local choice without a pool, and the check of a granted endpoint accept that version only. A pool keeps its endpoints by zone and version in order of load, so the choice costs no more than before. Without a ready endpoint of that version the request is refused at once: the stream is broken off, and its caller may take it up elsewhere. An endpoint whose entry names no version begins streams that can't be resumed.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::clock::Time;
+use crate::name::Name;
 
 /// Number of endpoints that may report a request as not run before it is refused; each attempt
 /// costs a few milliseconds.
@@ -52,6 +53,15 @@
     Break,
 }
 
+/// What is known of the software that sent the first event of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// Its version, at which alone the stream may be resumed.
+    Software(Name),
+    /// Nothing; the stream can't be resumed.
+    Unknown,
+}
+
 /// A request that is being attempted.
 #[derive(Clone, Debug)]
 pub struct Attempt {
@@ -66,6 +76,8 @@
     begun: bool,
     /// Number of the last event that the caller has.
     last_event: Option<u64>,
+    /// What sent the first event; `None` before that.
+    origin: Option<Origin>,
     /// False when the caller has data after which no run can resume.
     resumable: bool,
     /// The caller's or the operator's deadline.
@@ -83,6 +95,7 @@
             not_run: 0,
             begun: false,
             last_event,
+            origin: None,
             resumable: true,
             deadline,
         }
@@ -98,6 +111,19 @@
         self.last_event
     }
 
+    /// Returns what sent the first event of the stream.
+    pub fn origin(&self) -> Option<&Origin> {
+        self.origin.as_ref()
+    }
+
+    /// Returns the version of the software at which alone the next run may be made, if any.
+    pub fn software(&self) -> Option<&Name> {
+        match self.origin.as_ref()? {
+            Origin::Software(software) => Some(software),
+            Origin::Unknown => None,
+        }
+    }
+
     /// True once the caller has the head of an answer.
     pub fn has_begun(&self) -> bool {
         self.begun
@@ -113,7 +139,7 @@
         let possible = match self.repeat {
             Repeat::Never => false,
             Repeat::Whole => !self.begun,
-            Repeat::Resume => self.resumable,
+            Repeat::Resume => self.resumable && self.origin != Some(Origin::Unknown),
         };
         possible && self.runs < self.max_runs
     }
@@ -128,9 +154,14 @@
         self.begun = true;
     }
 
-    /// Records that the caller gets more data, up to the event `last_event`. Data without an
-    /// event number can't be resumed after: the next run would repeat or skip it.
-    pub fn forwarded(&mut self, last_event: Option<u64>) {
+    /// Records that the caller gets more data, up to the event `last_event`, from an endpoint with
+    /// this software. Data without an event number can't be resumed after: the next run would
+    /// repeat or skip it.
+    pub fn forwarded(&mut self, last_event: Option<u64>, software: Option<&Name>) {
+        self.origin.get_or_insert_with(|| match software {
+            Some(software) => Origin::Software(software.clone()),
+            None => Origin::Unknown,
+        });
         self.resumable = last_event.is_some();
         self.last_event = last_event.or(self.last_event);
     }
--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -80,6 +80,7 @@
             request,
             suspect,
             avoid: work.failed_at.borrow()[item].clone(),
+            software: None,
         },
     };
     let permit = jobs.setup.broker.acquire(claim).await;
--- a/src/catalog/endpoints.rs
+++ b/src/catalog/endpoints.rs
@@ -13,6 +13,14 @@
 /// Slots of the ready endpoints, by availability zone.
 pub type Slots = BTreeMap<Name, u32>;
 
+/// The endpoints of a service that have the same software.
+#[derive(Clone, Debug, Default)]
+struct Version {
+    /// Their number, also of those that are leaving.
+    endpoints: u32,
+    slots: Slots,
+}
+
 /// A difference between two versions of [`Endpoints`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Difference<'a> {
@@ -29,6 +37,8 @@
     /// By service. Kept with each change, because every request needs it and counting the slots
     /// of thousands of endpoints each time would cost more than serving the request.
     slots: Arc<BTreeMap<Name, Slots>>,
+    /// By service and version of the software, for requests that need one version.
+    versions: Arc<BTreeMap<Name, BTreeMap<Option<Name>, Version>>>,
 }
 
 impl Endpoints {
@@ -57,6 +67,24 @@
         self.slots.get(service)
     }
 
+    /// Returns the slots of the endpoints of a service that have this software; none if none of them
+    /// is ready.
+    pub fn slots_of(&self, service: &str, software: &Name) -> Option<&Slots> {
+        let versions = self.versions.get(service)?;
+        let version = versions.get(&Some(software.clone()))?;
+        (!version.slots.is_empty()).then_some(&version.slots)
+    }
+
+    /// Returns the version of the software that all endpoints of a service have, also those that
+    /// are leaving; none if they differ or an entry names none.
+    pub fn only_software(&self, service: &str) -> Option<&Name> {
+        let versions = self.versions.get(service)?;
+        match versions.first_key_value()? {
+            (Some(software), _) if versions.len() == 1 => Some(software),
+            _ => None,
+        }
+    }
+
     /// Iterates over the services that have a ready endpoint.
     pub fn services(&self) -> impl Iterator<Item = &Name> {
         self.slots.keys()
@@ -93,23 +121,44 @@
     }
 
     fn count(&mut self, endpoint: &Endpoint, change: fn(u32, u32) -> u32) {
+        self.count_version(endpoint, change);
         if !endpoint.ready {
             return;
         }
         let all = Arc::make_mut(&mut self.slots);
         let zones = all.entry(endpoint.service.clone()).or_default();
-        let slots = zones.entry(endpoint.zone.clone()).or_default();
-        *slots = change(*slots, endpoint.slots);
-        if *slots > 0 {
+        count_slots(zones, endpoint, change);
+        if zones.is_empty() {
+            all.remove(&endpoint.service);
+        }
+    }
+
+    fn count_version(&mut self, endpoint: &Endpoint, change: fn(u32, u32) -> u32) {
+        let all = Arc::make_mut(&mut self.versions);
+        let versions = all.entry(endpoint.service.clone()).or_default();
+        let version = versions.entry(endpoint.software.clone()).or_default();
+        version.endpoints = change(version.endpoints, 1);
+        if endpoint.ready {
+            count_slots(&mut version.slots, endpoint, change);
+        }
+        if version.endpoints > 0 {
             return;
         }
-        zones.remove(&endpoint.zone);
-        if zones.is_empty() {
+        versions.remove(&endpoint.software);
+        if versions.is_empty() {
             all.remove(&endpoint.service);
         }
     }
 }
 
+fn count_slots(zones: &mut Slots, endpoint: &Endpoint, change: fn(u32, u32) -> u32) {
+    let slots = zones.entry(endpoint.zone.clone()).or_default();
+    *slots = change(*slots, endpoint.slots);
+    if *slots == 0 {
+        zones.remove(&endpoint.zone);
+    }
+}
+
 impl FromIterator<Endpoint> for Endpoints {
     fn from_iter<I>(endpoints: I) -> Self
     where
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -137,8 +137,6 @@
     first: Option<Duration>,
     /// The framing and the end of the last answer, for the log.
     ending: Option<(Framing, answer::End)>,
-    /// The endpoint that sent the first event of the answer.
-    origin: Option<Arc<Endpoint>>,
     /// The token taken from the organisation's rate limit.
     token: Option<Token>,
 }
@@ -168,7 +166,6 @@
             error: None,
             first: None,
             ending: None,
-            origin: None,
             token: None,
         }
     }
@@ -437,13 +434,12 @@
         if self.attempt.last().is_none() {
             return;
         }
-        let origin = self.origin.as_ref().and_then(|it| it.software.as_ref());
-        let software = match (origin, &endpoint.software) {
+        let software = match (self.attempt.software(), &endpoint.software) {
             (Some(origin), Some(software)) if origin == software => "same",
             (Some(_), Some(_)) => "other",
             _ => "unknown",
         };
-        let by = if self.origin.is_some() {
+        let by = if self.attempt.has_begun() {
             "node"
         } else {
             "caller"
--- a/src/edge/relay/admit.rs
+++ b/src/edge/relay/admit.rs
@@ -85,6 +85,7 @@
                 request: self.call.fingerprint,
                 suspect: self.is_suspect(),
                 avoid: self.tried.clone(),
+                software: self.attempt.software().cloned(),
             },
         }
     }
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -1,6 +1,5 @@
 //! Passes an endpoint's answer on to the caller.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use http_body_util::BodyExt as _;
@@ -103,10 +102,8 @@
             if self.is_repeated(events.first) {
                 return Ended::Failed(Failure::Lost, End::Error, "event_order");
             }
-            if self.origin.is_none() && self.attempt.last().is_none() {
-                self.origin = Some(Arc::clone(&permit.endpoint));
-            }
-            self.attempt.forwarded(events.last);
+            let software = permit.endpoint.software.as_ref();
+            self.attempt.forwarded(events.last, software);
             let now = self.node.clock.now();
             // An answer that is complete is delivered, however late.
             let begins = self.head.is_some() && !body.is_end_stream();
--- a/src/permit.rs
+++ b/src/permit.rs
@@ -90,6 +90,13 @@
     attempts: Attempts,
 }
 
+/// An endpoint as a pool names it in a grant.
+struct Named {
+    id: Name,
+    address: SocketAddr,
+    software: Option<Name>,
+}
+
 struct Granted {
     endpoint: Arc<Endpoint>,
     owner: Option<SocketAddr>,
@@ -225,7 +232,16 @@
     /// # Errors
     /// [`Refusal`] when the wait would be too long, or no endpoint is known.
     pub async fn acquire(self: &Rc<Self>, claim: Claim) -> Result<Permit, Refusal> {
-        let shards = shard::shards(&self.catalog.read(), &claim.service);
+        let shards = {
+            let catalog = self.catalog.read();
+            match &claim.requirements.software {
+                Some(software) => shard::with_software(&catalog, &claim.service, software),
+                None => shard::shards(&catalog, &claim.service),
+            }
+        };
+        if shards.is_empty() {
+            return Err(Refusal::NoEndpoint(NO_ENDPOINT_RETRY_DELAY));
+        }
         // All gateways use the same pool for a suspect; otherwise each pool would run it.
         let (first, point) = if claim.requirements.suspect {
             let point = claim.requirements.request.0;
@@ -385,8 +401,17 @@
             // Receiving it has already marked the owner as alive.
             Body::Alive => {}
             Body::Counted(answer) => self.handle_count(now, from, reply.seq, answer),
-            Body::Grant { endpoint, address } => {
-                self.handle_grant(now, from, reply.seq, &endpoint, address);
+            Body::Grant {
+                endpoint,
+                address,
+                software,
+            } => {
+                let named = Named {
+                    id: endpoint,
+                    address,
+                    software,
+                };
+                self.handle_grant(now, from, reply.seq, named);
             }
         }
     }
@@ -410,7 +435,7 @@
         }
     }
 
-    fn handle_grant(&self, now: Time, from: SocketAddr, seq: u64, id: &Name, address: SocketAddr) {
+    fn handle_grant(&self, now: Time, from: SocketAddr, seq: u64, named: Named) {
         let Some(mut waiting) = self.waiting.borrow_mut().remove(&seq) else {
             // A duplicated grant is already held; any other one is no longer needed.
             if !self.held.borrow().contains_key(&seq) {
@@ -418,10 +443,10 @@
             }
             return;
         };
-        let Some(endpoint) = self.usable(now, id, &waiting.claim.service, address) else {
-            // By this node's catalog, the endpoint is leaving or gone.
+        let Some(endpoint) = self.usable(now, &named, &waiting.claim) else {
+            // By this node's catalog, the endpoint is leaving or gone, or has other software.
             self.send_release(from, seq, &waiting.pool, End::Left);
-            waiting.claim.requirements.avoid.push(id.clone());
+            waiting.claim.requirements.avoid.push(named.id);
             waiting.attempts.unanswered = 0;
             self.send_acquire(now, seq, &mut waiting);
             self.waiting.borrow_mut().insert(seq, waiting);
--- a/src/permit/fallback.rs
+++ b/src/permit/fallback.rs
@@ -1,13 +1,12 @@
 //! Decisions that a gateway makes locally: whether it may use a granted endpoint, and
 //! which one it uses when no pool answers.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::{Broker, Granted, NO_ENDPOINT_RETRY_DELAY, Refusal};
+use super::{Broker, Claim, Granted, NO_ENDPOINT_RETRY_DELAY, Named, Refusal};
 use crate::catalog::Endpoint;
 use crate::clock::Time;
 use crate::event;
@@ -17,32 +16,31 @@
     /// Returns the granted endpoint if this node may use it. An endpoint that is missing
     /// from a fresh catalog is gone; one that is missing from a stale catalog, or from one that
     /// is still being read, may be new.
-    pub(super) fn usable(
-        &self,
-        now: Time,
-        id: &Name,
-        service: &Name,
-        address: SocketAddr,
-    ) -> Option<Arc<Endpoint>> {
+    pub(super) fn usable(&self, now: Time, named: &Named, claim: &Claim) -> Option<Arc<Endpoint>> {
         /// Age up to which a catalog is fresh. Its source confirms it about every second.
         const MAX_FRESH_AGE: Duration = Duration::from_millis(2_500);
         let catalog = self.catalog.read();
-        if let Some(endpoint) = catalog.endpoints.get(id) {
-            return endpoint.ready.then(|| Arc::clone(endpoint));
+        let accepts = |software: &Option<Name>| claim.requirements.accepts(software.as_ref());
+        if let Some(endpoint) = catalog.endpoints.get(&named.id) {
+            let is_usable = endpoint.ready && accepts(&endpoint.software);
+            return is_usable.then(|| Arc::clone(endpoint));
         }
         let is_confirmed = catalog.confirmed > Time::ZERO;
         if is_confirmed && now.since(catalog.confirmed) < MAX_FRESH_AGE {
             return None;
         }
+        if !accepts(&named.software) {
+            return None;
+        }
         Some(Arc::new(Endpoint {
-            id: id.clone(),
-            service: service.clone(),
-            address,
+            id: named.id.clone(),
+            service: claim.service.clone(),
+            address: named.address,
             zone: "".into(),
             slots: 1,
             ready: true,
             incarnation: 0,
-            software: None,
+            software: named.software.clone(),
         }))
     }
 
@@ -63,7 +61,12 @@
         let best = catalog
             .endpoints
             .values()
-            .filter(|endpoint| endpoint.ready && endpoint.service == waiting.claim.service)
+            .filter(|endpoint| {
+                let software = endpoint.software.as_ref();
+                endpoint.ready
+                    && endpoint.service == waiting.claim.service
+                    && waiting.claim.requirements.accepts(software)
+            })
             .min_by_key(|endpoint| {
                 let id = &endpoint.id;
                 (has_failed(id), used(id), rank(seq, id))
--- a/src/pool/candidates.rs
+++ b/src/pool/candidates.rs
@@ -20,17 +20,23 @@
 /// not negative, which sort like the number, then its tie-break.
 type Position = (u64, u64, Name);
 
+/// Endpoints among which only load decides: their availability zone and the version of their
+/// software.
+type Group = (Name, Option<Name>);
+
 /// The endpoints of one pool.
 #[derive(Debug)]
 pub(super) struct Candidates {
     /// Seed of the tie-break between endpoints with equal scores.
     salt: u64,
     by_id: BTreeMap<Name, Candidate>,
-    /// The ready endpoints by availability zone, in order of load.
-    by_load: BTreeMap<Name, BTreeSet<Position>>,
+    /// The ready endpoints by group, in order of load.
+    by_load: BTreeMap<Group, BTreeSet<Position>>,
     by_prefix: HashMap<u64, Vec<Name>>,
     /// Slots of the ready endpoints.
     slots: u32,
+    /// The same by version of their software.
+    slots_by_software: BTreeMap<Option<Name>, u32>,
     /// Those that are not in use, also where an endpoint is paused or on trial.
     unused: u32,
     /// Endpoints that may be paused or on trial.
@@ -45,6 +51,7 @@
             by_load: BTreeMap::new(),
             by_prefix: HashMap::new(),
             slots: 0,
+            slots_by_software: BTreeMap::new(),
             unused: 0,
             impaired: BTreeSet::new(),
         }
@@ -63,6 +70,35 @@
         self.slots
     }
 
+    /// Slots of the ready endpoints that a request may run at.
+    pub(super) fn slots_for(&self, requirements: &Requirements) -> u32 {
+        if requirements.software.is_none() {
+            return self.slots;
+        }
+        let slots = self.slots_by_software.get(&requirements.software);
+        slots.copied().unwrap_or_default()
+    }
+
+    /// True if some ready endpoint that a request may run at `is_allowed`.
+    pub(super) fn any<A>(&self, requirements: &Requirements, is_allowed: A) -> bool
+    where
+        A: Fn(&Name) -> bool,
+    {
+        self.groups(requirements)
+            .any(|(_, by_load)| by_load.iter().any(|(_, _, id)| is_allowed(id)))
+    }
+
+    /// Returns the zone and the ready endpoints of the groups that a request may run at.
+    fn groups<'a>(
+        &'a self,
+        requirements: &'a Requirements,
+    ) -> impl Iterator<Item = (&'a Name, &'a BTreeSet<Position>)> {
+        self.by_load
+            .iter()
+            .filter(|((_, software), _)| requirements.accepts(software.as_ref()))
+            .map(|((zone, _), by_load)| (zone, by_load))
+    }
+
     /// Slots that can be granted now.
     pub(super) fn free(&self, now: Time) -> u32 {
         let impaired = self.impaired.iter().filter_map(|id| self.by_id.get(id));
@@ -167,7 +203,8 @@
             let Some(candidate) = self.by_id.get(id) else {
                 return best;
             };
-            if candidate.free(now) == 0 || !is_allowed(id) {
+            let is_accepted = requirements.accepts(candidate.endpoint.software.as_ref());
+            if candidate.free(now) == 0 || !is_accepted || !is_allowed(id) {
                 return best;
             }
             let score = candidate.score(requirements) + extra_cost(id);
@@ -183,7 +220,7 @@
                 consider(id);
             }
         }
-        for (zone, by_load) in &self.by_load {
+        for (zone, by_load) in self.groups(requirements) {
             let cost = zone_cost(zone, requirements);
             for (load, tie, id) in by_load {
                 let best = consider(id);
@@ -215,11 +252,18 @@
             self.slots -= candidate.slots();
             self.unused -= candidate.unused();
             let position = self.position(&candidate);
-            let zone = &candidate.endpoint.zone;
-            if let Some(by_load) = self.by_load.get_mut(zone) {
+            let group = group(&candidate);
+            if let Some(by_load) = self.by_load.get_mut(&group) {
                 by_load.remove(&position);
                 if by_load.is_empty() {
-                    self.by_load.remove(zone);
+                    self.by_load.remove(&group);
+                }
+            }
+            let (_, software) = group;
+            if let Some(slots) = self.slots_by_software.get_mut(&software) {
+                *slots -= candidate.slots();
+                if *slots == 0 {
+                    self.slots_by_software.remove(&software);
                 }
             }
         }
@@ -235,8 +279,10 @@
             self.slots += candidate.slots();
             self.unused += candidate.unused();
             let position = self.position(&candidate);
-            let zone = candidate.endpoint.zone.clone();
-            self.by_load.entry(zone).or_default().insert(position);
+            let group = group(&candidate);
+            let slots = self.slots_by_software.entry(group.1.clone()).or_default();
+            *slots += candidate.slots();
+            self.by_load.entry(group).or_default().insert(position);
         }
         self.by_id.insert(id, candidate);
     }
@@ -256,3 +302,8 @@
         }
     }
 }
+
+fn group(candidate: &Candidate) -> Group {
+    let endpoint = &candidate.endpoint;
+    (endpoint.zone.clone(), endpoint.software.clone())
+}
--- a/src/pool/grant.rs
+++ b/src/pool/grant.rs
@@ -16,15 +16,55 @@
 /// of its slots in use.
 const RISK_COST: f64 = 0.5;
 
+/// The online requests that wait ahead of another one.
+#[derive(Default)]
+struct Queue {
+    /// Those that may run at any endpoint.
+    any: u32,
+    /// The others, by the version of the software that they need.
+    by_software: BTreeMap<Name, u32>,
+}
+
+impl Queue {
+    fn add(&mut self, requirements: &Requirements) {
+        match &requirements.software {
+            Some(software) => *self.by_software.entry(software.clone()).or_default() += 1,
+            None => self.any += 1,
+        }
+    }
+
+    /// Returns how long a request waits that may run on `slots` of `all` slots, if each becomes free
+    /// after `mean_hold` on average.
+    fn expected_wait(
+        &self,
+        mean_hold: Duration,
+        requirements: &Requirements,
+        slots: u32,
+        all: u32,
+    ) -> Duration {
+        let others = match &requirements.software {
+            Some(software) => self.by_software.get(software).copied().unwrap_or_default(),
+            None => self.by_software.values().sum(),
+        };
+        // Requests that may run anywhere take their share of these slots.
+        mean_hold * self.any / all.max(1) + mean_hold * (others + 1) / slots.max(1)
+    }
+}
+
 impl Pool {
     pub(super) fn serve_online(&mut self, now: Time, actions: &mut Vec<Action>) {
         if self.online.is_empty() {
             return;
         }
         let waiting = std::mem::take(&mut self.online);
-        let slots = self.candidates.slots();
-        let mut ahead = 0_u32;
+        let mut queue = Queue::default();
         for (key, waiting) in waiting {
+            let slots = self.candidates.slots_for(&waiting.requirements);
+            if slots == 0 && waiting.requirements.software.is_some() {
+                // Nothing shows that an endpoint of this version will be ready again.
+                actions.push(Action::Refuse(key, MIN_RETRY_DELAY));
+                continue;
+            }
             if self.must_wait(now, &waiting.requirements) {
                 if now.since(waiting.arrived) > waiting.requirements.max_wait {
                     actions.push(Action::Refuse(key, MIN_RETRY_DELAY));
@@ -42,14 +82,14 @@
             }
             // Every slot holds an online request. Each becomes free after `mean_hold`
             // on average, so the wait follows from the number of requests ahead.
-            ahead += 1;
-            let expected = self.mean_hold * ahead / slots.max(1);
+            let all = self.candidates.slots();
+            let expected = queue.expected_wait(self.mean_hold, &waiting.requirements, slots, all);
             let waited = now.since(waiting.arrived);
             if waited + expected > waiting.requirements.max_wait {
                 actions.push(Action::Refuse(key, self.retry_after(expected)));
-                ahead -= 1;
                 continue;
             }
+            queue.add(&waiting.requirements);
             self.online.push((key, waiting));
         }
     }
@@ -166,11 +206,8 @@
     /// request. If all of them have, all are considered again.
     pub(super) fn best(&self, now: Time, requirements: &Requirements) -> Option<Name> {
         let untried = |id: &Name| !requirements.avoid.contains(id);
-        let any_untried = requirements.avoid.is_empty()
-            || self
-                .candidates
-                .iter()
-                .any(|(id, candidate)| candidate.slots() > 0 && untried(id));
+        let any_untried =
+            requirements.avoid.is_empty() || self.candidates.any(requirements, untried);
         let is_suspect = self.suspects.contains(requirements.request);
         let with_suspects = self.suspects_running();
         let is_allowed = |id: &Name| {
@@ -227,9 +264,10 @@
                 permit.class == Class::Batch
                     && permit.stopping.is_none()
                     && !requirements.avoid.contains(&permit.endpoint)
-                    && candidates
-                        .get(&permit.endpoint)
-                        .is_some_and(|candidate| candidate.is_available(now))
+                    && candidates.get(&permit.endpoint).is_some_and(|candidate| {
+                        candidate.is_available(now)
+                            && requirements.accepts(candidate.endpoint.software.as_ref())
+                    })
             })
             .max_by_key(|(_, permit)| permit.due)?;
         permit.stopping = Some((now, now));
--- a/src/pool/message.rs
+++ b/src/pool/message.rs
@@ -65,6 +65,17 @@
     /// Endpoints that failed the request.
     #[serde(rename = "a", default, skip_serializing_if = "Vec::is_empty")]
     pub avoid: Vec<Name>,
+    /// Version of the software that began the stream to resume; `None` for a request that may run
+    /// at any endpoint.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<Name>,
+}
+
+impl Requirements {
+    /// Returns true if the request may run at an endpoint with this software.
+    pub fn accepts(&self, software: Option<&Name>) -> bool {
+        self.software.is_none() || self.software.as_ref() == software
+    }
 }
 
 /// True when there is no organisation.
@@ -239,6 +250,9 @@
         /// Its address, for gateways with an older catalog.
         #[serde(rename = "a")]
         address: SocketAddr,
+        /// Version of its software, also for these.
+        #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+        software: Option<Name>,
     },
     /// The request is queued.
     #[serde(rename = "q")]
--- a/src/pool/serve.rs
+++ b/src/pool/serve.rs
@@ -275,6 +275,7 @@
                 Body::Grant {
                     endpoint: endpoint.id.clone(),
                     address: endpoint.address,
+                    software: endpoint.software.clone(),
                 },
             ),
             Action::Queued(key) => (key, Body::Queued),
--- a/src/pool/shard.rs
+++ b/src/pool/shard.rs
@@ -46,6 +46,23 @@
         .collect()
 }
 
+/// Returns those of a service's pools that have endpoints with this software, with their slots.
+pub fn with_software(catalog: &Catalog, service: &Name, software: &Name) -> Vec<Shard> {
+    let Some(zones) = catalog.endpoints.slots_of(service, software) else {
+        return Vec::new();
+    };
+    let slots = |shard: &Shard| match zone(&shard.pool) {
+        Some(zone) => zones.get(zone).copied().unwrap_or_default(),
+        None => zones.values().sum(),
+    };
+    let shards = shards(catalog, service).into_iter();
+    let shards = shards.map(|shard| Shard {
+        slots: slots(&shard),
+        ..shard
+    });
+    shards.filter(|shard| shard.slots > 0).collect()
+}
+
 /// True when `endpoint` belongs to `pool`.
 pub fn contains(pool: &str, endpoint: &Endpoint) -> bool {
     match pool.split_once(ZONE_SEPARATOR) {
--- a/standin/tests/support/fleet.rs
+++ b/standin/tests/support/fleet.rs
@@ -127,7 +127,7 @@
         slots: 4,
         ready: true,
         incarnation: 0,
-        software: None,
+        software: Some("v1".into()),
     };
     let config = Config {
         version: 1,
--- a/tests/attempt_decide.rs
+++ b/tests/attempt_decide.rs
@@ -21,7 +21,7 @@
     let mut attempt = attempt(Repeat::Resume, 2);
     attempt.start_run();
     attempt.start_answer();
-    attempt.forwarded(None);
+    attempt.forwarded(None, Some(&"v1".into()));
     expect_that!(attempt.can_fail_over(), eq(false));
     expect_that!(attempt.failed(START, Failure::Lost), eq(Next::Break));
 }
@@ -32,13 +32,41 @@
     let mut attempt = attempt(Repeat::Resume, 2);
     attempt.start_run();
     attempt.start_answer();
-    attempt.forwarded(Some(4));
+    attempt.forwarded(Some(4), Some(&"v1".into()));
     expect_that!(attempt.failed(START, Failure::Lost), eq(Next::Again));
     expect_that!(attempt.last(), some(eq(4)));
     attempt.start_run();
     expect_that!(attempt.failed(START, Failure::Lost), eq(Next::Break));
 }
 
+/// Guards against a stream that goes on at another software version than the one that began it:
+/// the version of its first event stays, whichever endpoint sends the later ones.
+#[gtest]
+fn software_first_event() {
+    let mut attempt = attempt(Repeat::Resume, 3);
+    expect_that!(attempt.software(), none());
+    attempt.start_run();
+    expect_that!(attempt.failed(START, Failure::Lost), eq(Next::Again));
+    expect_that!(attempt.software(), none());
+    attempt.start_run();
+    attempt.start_answer();
+    attempt.forwarded(Some(1), Some(&"v1".into()));
+    attempt.forwarded(Some(2), Some(&"v2".into()));
+    expect_that!(attempt.failed(START, Failure::Lost), eq(Next::Again));
+    expect_that!(attempt.software(), some(eq(&"v1".into())));
+}
+
+/// Guards against a resumption by guess: the endpoint's entry names no version.
+#[gtest]
+fn failed_software_unknown() {
+    let mut attempt = attempt(Repeat::Resume, 3);
+    attempt.start_run();
+    attempt.start_answer();
+    attempt.forwarded(Some(4), None);
+    expect_that!(attempt.can_fail_over(), eq(false));
+    expect_that!(attempt.failed(START, Failure::Lost), eq(Next::Break));
+}
+
 /// A request that must not be repeated reached an endpoint, which then broke the connection.
 /// Reporting it as "not run", or running it again, could run it twice.
 #[gtest]
@@ -129,7 +157,7 @@
                     begun = true;
                     numbered = last.is_some();
                     attempt.start_answer();
-                    attempt.forwarded(last);
+                    attempt.forwarded(last, Some(&"v1".into()));
                     continue;
                 }
                 Step::NotRun if begun => Failure::Lost,
--- a/tests/permit_owner.rs
+++ b/tests/permit_owner.rs
@@ -152,6 +152,7 @@
             request: Fingerprint(0),
             suspect: false,
             avoid: Vec::new(),
+            software: None,
         },
     }
 }
--- a/tests/permit_zones.rs
+++ b/tests/permit_zones.rs
@@ -103,6 +103,7 @@
         request: Fingerprint(0),
         suspect: false,
         avoid: Vec::new(),
+        software: None,
     };
     let claim = Claim {
         service: "llm".into(),
--- a/tests/quarantine_explore/fleet.rs
+++ b/tests/quarantine_explore/fleet.rs
@@ -387,6 +387,7 @@
             request: Fingerprint(request),
             suspect: marks_suspects && status != Status::Clear,
             avoid: avoid.clone(),
+            software: None,
         };
         let waiting = Waiting {
             node,
--- a/tests/support/pool.rs
+++ b/tests/support/pool.rs
@@ -46,6 +46,7 @@
         request: Fingerprint(0),
         suspect: false,
         avoid: Vec::new(),
+        software: None,
     }
 }
 
