Resume a caller's stream only at the software version that began it

What callers saw: a stream that they took up with another request went on at another version of the endpoints' software than the one that began it. Cause: Last-Event-Id selected the event and nothing selected the version; Resumes was not read, and no node knew what began a stream that another node had served. Change: before a caller has the first event, the node tells itself and three members, chosen by a digest of host, organisation and request id, which service and version began the stream. A node that is asked to resume one asks these members; without an answer that knows, or without a ready endpoint of that version, it refuses at once. Why it works: the version travels with the stream's identity and is never inferred from what a node happens to know of the endpoints; four members of different zones outlive the node that served it.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -53,11 +53,11 @@
     Break,
 }
 
-/// What is known of the software that sent the first event of a stream.
+/// What is known of the software that wrote the first event of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Origin {
+pub enum Writer {
     /// Its version, at which alone the stream may be resumed.
-    Software(Name),
+    Version(Name),
     /// Nothing; the stream can't be resumed.
     Unknown,
 }
@@ -76,8 +76,8 @@
     begun: bool,
     /// Number of the last event that the caller has.
     last_event: Option<u64>,
-    /// What sent the first event; `None` before that.
-    origin: Option<Origin>,
+    /// What wrote the first event; `None` before that.
+    writer: Option<Writer>,
     /// False when the caller has data after which no run can resume.
     resumable: bool,
     /// The caller's or the operator's deadline.
@@ -95,7 +95,7 @@
             not_run: 0,
             begun: false,
             last_event,
-            origin: None,
+            writer: None,
             resumable: true,
             deadline,
         }
@@ -111,16 +111,21 @@
         self.last_event
     }
 
-    /// Returns what sent the first event of the stream.
-    pub fn origin(&self) -> Option<&Origin> {
-        self.origin.as_ref()
+    /// Sets the version of the software that wrote the event after which the caller resumes.
+    pub fn resume_at(&mut self, software: Name) {
+        self.writer = Some(Writer::Version(software));
+    }
+
+    /// True while nobody has an event of the stream.
+    pub fn is_unwritten(&self) -> bool {
+        self.writer.is_none()
     }
 
     /// Returns the version of the software at which alone the next run may be made, if any.
     pub fn software(&self) -> Option<&Name> {
-        match self.origin.as_ref()? {
-            Origin::Software(software) => Some(software),
-            Origin::Unknown => None,
+        match self.writer.as_ref()? {
+            Writer::Version(software) => Some(software),
+            Writer::Unknown => None,
         }
     }
 
@@ -139,7 +144,7 @@
         let possible = match self.repeat {
             Repeat::Never => false,
             Repeat::Whole => !self.begun,
-            Repeat::Resume => self.resumable && self.origin != Some(Origin::Unknown),
+            Repeat::Resume => self.resumable && self.writer != Some(Writer::Unknown),
         };
         possible && self.runs < self.max_runs
     }
@@ -158,9 +163,9 @@
     /// this software. Data without an event number can't be resumed after: the next run would
     /// repeat or skip it.
     pub fn forwarded(&mut self, last_event: Option<u64>, software: Option<&Name>) {
-        self.origin.get_or_insert_with(|| match software {
-            Some(software) => Origin::Software(software.clone()),
-            None => Origin::Unknown,
+        self.writer.get_or_insert_with(|| match software {
+            Some(software) => Writer::Version(software.clone()),
+            None => Writer::Unknown,
         });
         self.resumable = last_event.is_some();
         self.last_event = last_event.or(self.last_event);
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -37,6 +37,7 @@
 mod admit;
 mod finish;
 mod loss;
+mod origin;
 mod stream;
 
 use admit::Denied;
@@ -197,6 +198,9 @@
     async fn serve(&mut self) {
         let detector = Rc::clone(&self.node.detector);
         let request = self.call.fingerprint;
+        if !self.settle_origin().await {
+            return;
+        }
         loop {
             detector.caught_up(self.attempt.deadline()).await;
             let deadline = self.attempt.deadline();
--- /dev/null
+++ b/src/edge/relay/origin.rs
@@ -0,0 +1,74 @@
+//! Where a stream that its caller resumes may go on.
+
+use tokio::time::timeout;
+
+use super::{RETRY_DELAY, Relay};
+use crate::catalog::{Endpoint, Kind};
+use crate::name::Name;
+use crate::origin::{Key, Origin};
+
+impl Relay {
+    /// Finds out at which software version a stream goes on that the caller resumes. Returns false
+    /// if that is unknown; the request has then been refused.
+    pub(super) async fn settle_origin(&mut self) -> bool {
+        let is_stream = matches!(self.call.route.kind, Kind::Stream { .. });
+        if !is_stream || self.attempt.last().is_none() {
+            return true;
+        }
+        match self.find_origin().await {
+            Ok(origin) => {
+                self.call.service = origin.service;
+                self.attempt.resume_at(origin.software);
+                true
+            }
+            Err(why) => {
+                self.end(why, RETRY_DELAY).await;
+                false
+            }
+        }
+    }
+
+    async fn find_origin(&self) -> Result<Origin, &'static str> {
+        let Some(resumed) = &self.call.resumes else {
+            return self.only_origin().ok_or("origin_unnamed");
+        };
+        let left = self.attempt.deadline().since(self.node.clock.now());
+        let asked = self.node.broker.find_origin(self.key(resumed));
+        let found = timeout(left, asked).await.ok().flatten();
+        let origin = found.ok_or("origin_unknown")?;
+        // The configuration may have moved the route since.
+        let targets = &self.call.route.targets;
+        let is_allowed = targets
+            .iter()
+            .any(|it| it.service == origin.service && it.weight > 0);
+        is_allowed.then_some(origin).ok_or("origin_moved")
+    }
+
+    /// Returns the only origin that a stream can have whose caller doesn't name the request that
+    /// began it.
+    fn only_origin(&self) -> Option<Origin> {
+        let service = self.call.service.clone();
+        let catalog = self.node.catalog.read();
+        let software = catalog.endpoints.only_software(&service)?.clone();
+        Some(Origin { service, software })
+    }
+
+    /// Tells other nodes what begins the answer, before its caller has the first event.
+    pub(super) fn tell_origin(&self, endpoint: &Endpoint) {
+        let Some(software) = &endpoint.software else {
+            return;
+        };
+        let origin = Origin {
+            service: self.call.service.clone(),
+            software: software.clone(),
+        };
+        let key = self.key(&self.call.forward.id);
+        self.node.broker.tell_origin(key, &origin);
+    }
+
+    fn key(&self, id: &Name) -> Key {
+        let organisation = self.call.organisation.as_ref();
+        let organisation = organisation.map(|it| &*it.name);
+        Key::of(&self.call.route.host, organisation, id)
+    }
+}
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -103,6 +103,9 @@
                 return Ended::Failed(Failure::Lost, End::Error, "event_order");
             }
             let software = permit.endpoint.software.as_ref();
+            if content == Content::Resumable && self.attempt.is_unwritten() {
+                self.tell_origin(&permit.endpoint);
+            }
             self.attempt.forwarded(events.last, software);
             let now = self.node.clock.now();
             // An answer that is complete is delivered, however late.
--- a/src/permit.rs
+++ b/src/permit.rs
@@ -32,11 +32,13 @@
 mod attempts;
 pub mod count;
 mod fallback;
+mod origin;
 pub mod owner;
 mod send;
 
 use attempts::Attempts;
 use count::Counting;
+use origin::Asking;
 use owner::Owners;
 
 /// Interval between checks for unanswered requests, while there are any.
@@ -137,6 +139,7 @@
     next_seq: StdCell<u64>,
     waiting: RefCell<HashMap<u64, Waiting>>,
     counting: RefCell<HashMap<u64, Counting>>,
+    asking: RefCell<HashMap<u64, Asking>>,
     meter: RefCell<Meter>,
     view: Arc<Cell<View>>,
     held: RefCell<BTreeMap<u64, Held>>,
@@ -219,6 +222,7 @@
             next_seq: StdCell::new(setup.boot << 24),
             waiting: RefCell::default(),
             counting: RefCell::default(),
+            asking: RefCell::default(),
             meter: RefCell::new(Meter::new(setup.tolerance)),
             view: setup.view,
             held: RefCell::default(),
@@ -352,6 +356,7 @@
                     last_tick = now;
                     self.repeat_requests(now);
                     self.repeat_counts(now);
+                    self.repeat_questions(now);
                     self.repeat_witnesses(now);
                     self.probe(now);
                     if now.since(last_renewal) >= RENEW_INTERVAL {
@@ -367,7 +372,10 @@
     /// nothing. Most nodes of a large fleet have no requests at most times, and a tick that finds
     /// nothing to do costs them more than all else that they do.
     fn next_tick(&self, last_tick: Time, last_renewal: Time) -> Option<Time> {
-        if !self.waiting.borrow().is_empty() || !self.counting.borrow().is_empty() {
+        let is_waiting = !self.waiting.borrow().is_empty()
+            || !self.counting.borrow().is_empty()
+            || !self.asking.borrow().is_empty();
+        if is_waiting {
             return Some(last_tick + TICK);
         }
         let renewal = (!self.held.borrow().is_empty()).then(|| last_renewal + RENEW_INTERVAL);
@@ -400,6 +408,7 @@
             }
             // Receiving it has already marked the owner as alive.
             Body::Alive => {}
+            Body::Origin(origin) => self.handle_origin(from, reply.seq, origin),
             Body::Counted(answer) => self.handle_count(now, from, reply.seq, answer),
             Body::Grant {
                 endpoint,
--- a/src/permit/owner.rs
+++ b/src/permit/owner.rs
@@ -25,6 +25,9 @@
 /// have left.
 const SILENT_TTL: Duration = Duration::from_secs(10);
 
+/// Maximum number of members of the ring that are looked at for one choice.
+const MAX_STEPS: usize = 24;
+
 #[derive(Clone, Copy, Debug)]
 struct Silent {
     since: Time,
@@ -60,6 +63,8 @@
     ranked_view: Option<Arc<View>>,
     /// The members that may own a pool.
     candidates: Vec<Candidate>,
+    /// All members by the hash of their address, in order.
+    ring: Vec<(u64, Candidate)>,
     /// Owners by pool, in order of rank.
     ranked: HashMap<Name, Vec<SocketAddr>>,
     /// Members that do not answer and are skipped.
@@ -74,6 +79,7 @@
             port,
             ranked_view: None,
             candidates: Vec::new(),
+            ring: Vec::new(),
             ranked: HashMap::new(),
             silent: HashMap::new(),
         }
@@ -148,18 +154,52 @@
             .copied()
     }
 
-    /// Ranks a pool's candidates, unless this is done for the current view.
-    fn rank(&mut self, pool: &Name) {
+    /// Returns the address at which the member with this IP address receives messages.
+    pub fn at(&self, ip: IpAddr) -> SocketAddr {
+        SocketAddr::new(ip, self.port)
+    }
+
+    /// Returns the `count` members that follow `point` on the ring, at first one of each
+    /// availability zone, so that the loss of a zone leaves the others.
+    pub fn nearest(&mut self, point: u64, count: usize) -> Vec<SocketAddr> {
+        self.refresh();
+        let first = self.ring.partition_point(|(hash, _)| *hash < point);
+        let (before, after) = self.ring.split_at(first);
+        let mut nearest = Vec::with_capacity(count);
+        let mut passed_over = Vec::new();
+        let mut zones: Vec<&Name> = Vec::new();
+        for (_, member) in after.iter().chain(before).take(MAX_STEPS) {
+            if nearest.len() == count {
+                break;
+            }
+            if zones.contains(&&member.zone) {
+                passed_over.push(member.address);
+            } else {
+                zones.push(&member.zone);
+                nearest.push(member.address);
+            }
+        }
+        nearest.extend(passed_over);
+        nearest.truncate(count);
+        nearest
+    }
+
+    /// Takes over the members of the current view.
+    fn refresh(&mut self) {
         let view = self.view.load();
-        if self
-            .ranked_view
-            .as_ref()
-            .is_none_or(|ranked_view| !Arc::ptr_eq(ranked_view, &view))
-        {
-            self.ranked.clear();
-            self.candidates = candidates(&view, self.port);
-            self.ranked_view = Some(Arc::clone(&view));
+        let is_current = |ranked: &Arc<View>| Arc::ptr_eq(ranked, &view);
+        if self.ranked_view.as_ref().is_some_and(is_current) {
+            return;
         }
+        self.ranked.clear();
+        self.candidates = candidates(&view, self.port);
+        self.ring = ring(&view, self.port);
+        self.ranked_view = Some(view);
+    }
+
+    /// Ranks a pool's candidates, unless this is done for the current view.
+    fn rank(&mut self, pool: &Name) {
+        self.refresh();
         let candidates = &self.candidates;
         if !self.ranked.contains_key(pool) {
             let owners = rank_all(candidates, pool);
@@ -176,17 +216,37 @@
     let has_enough = view.usable().filter(|member| is_strong(member)).count() >= MAX_OWNERS;
     view.usable()
         .filter(|member| !has_enough || is_strong(member))
-        .filter_map(|member| {
-            let control: SocketAddr = member.control.parse().ok()?;
-            Some(Candidate {
-                address: SocketAddr::new(control.ip(), port),
-                zone: member.zone.clone(),
-                is_strong: is_strong(member),
-            })
-        })
+        .filter_map(|member| candidate(member, port, is_strong(member)))
         .collect()
 }
 
+fn candidate(member: &Member, port: u16, is_strong: bool) -> Option<Candidate> {
+    let control: SocketAddr = member.control.parse().ok()?;
+    Some(Candidate {
+        address: SocketAddr::new(control.ip(), port),
+        zone: member.zone.clone(),
+        is_strong,
+    })
+}
+
+/// Returns all members in the order of the hash of their address. Keeping what began a stream
+/// takes little of a weak member.
+fn ring(view: &View, port: u16) -> Vec<(u64, Candidate)> {
+    let candidates = view
+        .usable()
+        .filter_map(|member| candidate(member, port, true));
+    let mut ring: Vec<_> = candidates
+        .map(|candidate| {
+            let mut hasher = Xxh3::new();
+            candidate.address.hash(&mut hasher);
+            (hasher.finish(), candidate)
+        })
+        .collect();
+    ring.sort_unstable_by_key(|(hash, candidate)| (*hash, candidate.address));
+    ring.dedup_by_key(|(_, candidate)| candidate.address);
+    ring
+}
+
 /// Returns the members that may own a pool, in order of rank. Members with at least half
 /// the power of the strongest one come first, and among them those in the pool's zone.
 fn rank_all(candidates: &[Candidate], pool: &Name) -> Vec<SocketAddr> {
--- a/src/pool/message.rs
+++ b/src/pool/message.rs
@@ -10,6 +10,7 @@
 
 use crate::limit::coordinator;
 use crate::name::Name;
+use crate::origin::{self, Origin};
 use crate::quarantine::Fingerprint;
 
 /// Maximum size of a datagram in bytes, below the smallest common path MTU.
@@ -143,7 +144,8 @@
     Stopped,
 }
 
-/// A message from a gateway to a pool, or to a coordinator of limits.
+/// A message from a gateway to a pool, to a coordinator of limits, or to a member that keeps the
+/// origins of streams.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Request {
     /// Requests a slot, or repeats the request.
@@ -213,16 +215,41 @@
     /// Checks whether a node that did not answer is reachable again.
     #[serde(rename = "p")]
     Probe,
+    /// Tells what began a stream.
+    #[serde(rename = "g")]
+    Began {
+        /// The stream.
+        #[serde(rename = "k")]
+        key: origin::Key,
+        /// What began it.
+        #[serde(rename = "o")]
+        origin: Origin,
+    },
+    /// Asks what began a stream.
+    #[serde(rename = "o")]
+    FindOrigin {
+        /// The gateway's sequence number.
+        #[serde(rename = "s")]
+        seq: u64,
+        /// The stream.
+        #[serde(rename = "k")]
+        key: origin::Key,
+    },
 }
 
 impl Request {
-    /// Returns the addressed pool, or `None` for messages about limits and probes.
+    /// Returns the addressed pool, or `None` for messages about limits and streams, and probes.
     pub fn pool(&self) -> Option<&Name> {
         match self {
             Self::Acquire { pool, .. } | Self::Renew { pool, .. } | Self::Release { pool, .. } => {
                 Some(pool)
             }
-            Self::Count { .. } | Self::Refund { .. } | Self::Levels { .. } | Self::Probe => None,
+            Self::Count { .. }
+            | Self::Refund { .. }
+            | Self::Levels { .. }
+            | Self::Probe
+            | Self::Began { .. }
+            | Self::FindOrigin { .. } => None,
         }
     }
 }
@@ -273,4 +300,7 @@
     /// The decision on a [`Request::Count`].
     #[serde(rename = "c")]
     Counted(coordinator::Answer),
+    /// Answers [`Request::FindOrigin`]: what began the stream; `None` if that is not known here.
+    #[serde(rename = "o")]
+    Origin(Option<Origin>),
 }
--- a/src/pool/serve.rs
+++ b/src/pool/serve.rs
@@ -20,6 +20,7 @@
 use crate::limit::isolation::Isolation;
 use crate::member::View;
 use crate::name::Name;
+use crate::origin::Ledger;
 use crate::snapshot::Cell;
 use crate::wire;
 
@@ -39,6 +40,8 @@
     by_name: BTreeMap<Name, Pool>,
     /// Limits that this node coordinates.
     coordinator: Coordinator,
+    /// What began the streams that other nodes told this one of.
+    origins: Ledger,
     view: Arc<Cell<View>>,
     /// Source address of this node's own requests.
     own: IpAddr,
@@ -77,6 +80,7 @@
         catalog: setup.catalog,
         view: setup.view,
         own: setup.own,
+        origins: Ledger::default(),
         last_remote_request: Time::ZERO,
         isolation: Isolation::default(),
         last_maintenance: Time::ZERO,
@@ -135,7 +139,7 @@
         }
         let key = |seq| Key { gateway: from, seq };
         let Some(name) = request.pool().cloned() else {
-            return self.count(now, from, request);
+            return self.receive_other(now, from, request);
         };
         let pool = self
             .by_name
@@ -155,12 +159,25 @@
             Request::Count { .. }
             | Request::Refund { .. }
             | Request::Levels { .. }
-            | Request::Probe => {}
+            | Request::Probe
+            | Request::Began { .. }
+            | Request::FindOrigin { .. } => {}
         }
     }
 
-    /// Handles requests that are not addressed to a pool: counts and refunds of limits,
-    /// and probes.
+    /// Handles requests that are not addressed to a pool.
+    fn receive_other(&mut self, now: Time, from: SocketAddr, request: Request) {
+        match request {
+            Request::Began { key, origin } => self.origins.record(now, key, origin),
+            Request::FindOrigin { seq, key } => {
+                let body = Body::Origin(self.origins.find(now, key).cloned());
+                self.send(from, &Reply { seq, body });
+            }
+            request => self.count(now, from, request),
+        }
+    }
+
+    /// Handles counts and refunds of limits, and probes.
     fn count(&mut self, now: Time, from: SocketAddr, request: Request) {
         let nodes = self.view.read().usable().count();
         self.coordinator.set_node_count(now, nodes);
@@ -196,7 +213,11 @@
                 let body = Body::Alive;
                 self.send(from, &Reply { seq: 0, body });
             }
-            Request::Acquire { .. } | Request::Renew { .. } | Request::Release { .. } => {}
+            Request::Acquire { .. }
+            | Request::Renew { .. }
+            | Request::Release { .. }
+            | Request::Began { .. }
+            | Request::FindOrigin { .. } => {}
         }
     }
 
--- a/standin/src/soak/resume.rs
+++ b/standin/src/soak/resume.rs
@@ -21,15 +21,25 @@
 const PAUSE: Duration = Duration::from_millis(60);
 
 /// A stream that a caller reads over several requests.
-struct Stream {
-    question: Question,
+pub struct Stream {
+    /// The request for the whole stream.
+    pub question: Question,
     /// The request that brought the first event.
-    origin: Option<String>,
+    pub origin: Option<String>,
     /// The whole events so far.
-    text: String,
+    pub text: String,
 }
 
 impl Stream {
+    /// Creates a stream without events.
+    pub fn new(question: Question) -> Self {
+        Self {
+            question,
+            origin: None,
+            text: String::new(),
+        }
+    }
+
     fn events(&self) -> usize {
         self.text.matches("\n\n").count()
     }
@@ -47,11 +57,7 @@
     let until = Instant::now() + DEADLINE;
     let leave_after = EVENTS_READ.start + draw(harness, EVENTS_READ.len());
     let id = question.id.clone();
-    let mut stream = Stream {
-        question,
-        origin: None,
-        text: String::new(),
-    };
+    let mut stream = Stream::new(question);
     let first = read(harness, (node, conn), &mut stream, &id, until, leave_after);
     if first.await == Some(End::Whole) || stream.origin.is_none() {
         return None;
@@ -74,7 +80,7 @@
 
 /// Sends one request for the rest of the stream, and reads until the stream has `leave_after`
 /// events. Returns how the request ended, or nothing if the caller left.
-async fn read(
+pub async fn read(
     harness: &Harness,
     (node, mut conn): (usize, Conn),
     stream: &mut Stream,
@@ -129,10 +135,11 @@
         .header("authorization", format!("Token {KEY}"))
         .header("x-token-count", format!("300,{tokens}"))
         .header("x-timeout-ms", left.as_millis().to_string());
+    if stream.events() > 0 {
+        request = request.header("last-event-id", stream.events().to_string());
+    }
     if let Some(origin) = &stream.origin {
-        request = request
-            .header("resumes", origin)
-            .header("last-event-id", stream.events().to_string());
+        request = request.header("resumes", origin);
     }
     let request = request.body(Full::new(Bytes::from_static(b"question")));
     let response = conn.send(request.ok()?).await.ok()?;
--- a/standin/tests/edge_streams.rs
+++ b/standin/tests/edge_streams.rs
@@ -1,17 +1,19 @@
 //! What callers get of streams that are resumed while endpoints of two software versions serve.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use auburnspoke::connect;
 use futures_util::future::join_all;
 use googletest::prelude::*;
+use rustix::process::Signal;
 use standin::site::replica::Fault;
 use standin::site::script::{Cut, Style};
 use standin::soak::caller::{Question, ask};
 use standin::soak::check::End;
 use standin::soak::fleet::Harness;
-use standin::soak::resume::leave_and_resume;
+use standin::soak::resume::{Stream, leave_and_resume, read};
 use standin::soak::{Faults, Plan};
+use tokio::time::sleep;
 
 use play::run;
 
@@ -74,20 +76,114 @@
     });
 }
 
+/// Sends requests to the first `nodes` nodes, whose callers leave and resume.
+async fn leave_and_resume_all(harness: &Harness, nodes: usize) -> Vec<End> {
+    let ends = (0..STREAMS).map(async |at| {
+        let node = at % nodes;
+        let address = harness.caller_address(node);
+        let conn = connect::open(address, CONNECT_TIMEOUT).await.unwrap();
+        leave_and_resume(harness, node, conn, question(harness)).await
+    });
+    let ends = join_all(ends).await.into_iter().flatten().collect();
+    println!("{ends:?}");
+    ends
+}
+
 /// Guards against a stream whose caller takes it up at another node, and that goes on at an endpoint
 /// of another software version or not at all.
 #[gtest]
 fn resume_by_caller() {
     run(plan(52), async |harness| {
-        let ends = (0..STREAMS).map(async |at| {
+        let ends = leave_and_resume_all(harness, NODES).await;
+        expect_that!(ends, not(is_empty()));
+        expect_that!(ends, each(eq(&End::Whole)));
+    });
+}
+
+/// Guards against a stream that goes nowhere because the node that began it is gone, and with it
+/// what it knew.
+#[gtest]
+fn resume_node_killed() {
+    run(plan(53), async |harness| {
+        let kill = async {
+            // A stream takes 0.16 s, and callers leave within 0.1 s.
+            sleep(Duration::from_millis(40)).await;
+            harness.nodes[0].signal(Signal::KILL);
+        };
+        let (ends, ()) = tokio::join!(leave_and_resume_all(harness, 1), kill);
+        expect_that!(ends.len(), gt(STREAMS / 2));
+        expect_that!(ends, each(eq(&End::Whole)));
+    });
+}
+
+/// Guards against a caller that waits for a version that is gone, and against a stream that goes on
+/// at another one then.
+#[gtest]
+fn resume_version_gone() {
+    /// Time until every node knows a change of an entry.
+    const KNOWN: Duration = Duration::from_secs(2);
+    /// Longest time for a refusal.
+    const REFUSAL: Duration = Duration::from_millis(300);
+    run(plan(54), async |harness| {
+        let mut streams: Vec<Stream> = (0..STREAMS)
+            .map(|_| Stream::new(question(harness)))
+            .collect();
+        let until = Instant::now() + Duration::from_secs(20);
+        let begin = streams.iter_mut().enumerate().map(async |(at, stream)| {
             let node = at % NODES;
             let address = harness.caller_address(node);
             let conn = connect::open(address, CONNECT_TIMEOUT).await.unwrap();
-            leave_and_resume(harness, node, conn, question(harness)).await
+            let id = stream.question.id.clone();
+            read(harness, (node, conn), stream, &id, until, 3).await
         });
-        let ends: Vec<End> = join_all(ends).await.into_iter().flatten().collect();
+        join_all(begin).await;
+        for upstream in harness.replicas.borrow().values() {
+            if upstream.replica.software == "v1" {
+                harness.write_replica(upstream, "draining");
+            }
+        }
+        sleep(KNOWN).await;
+        let mut ends = Vec::new();
+        for (at, mut stream) in streams.into_iter().enumerate() {
+            let node = at % NODES;
+            let address = harness.caller_address(node);
+            let conn = connect::open(address, CONNECT_TIMEOUT).await.unwrap();
+            let id = format!("r{at}");
+            let began = Instant::now();
+            let began_at_v1 = stream.text.contains("@v1");
+            let end = read(harness, (node, conn), &mut stream, &id, until, usize::MAX).await;
+            let end = end.unwrap();
+            if began_at_v1 {
+                expect_that!(end, eq(End::Refused));
+                expect_that!(began.elapsed(), lt(REFUSAL));
+            } else {
+                expect_that!(end, eq(End::Whole));
+            }
+            ends.push(end);
+        }
         println!("{ends:?}");
-        expect_that!(ends, not(is_empty()));
-        expect_that!(ends, each(eq(&End::Whole)));
+        expect_that!(ends, contains(eq(&End::Whole)));
+        expect_that!(ends, contains(eq(&End::Refused)));
+    });
+}
+
+/// Guards against a version that is guessed: for a stream that nobody began, or whose caller does
+/// not say who did.
+#[gtest]
+fn resume_origin_unknown() {
+    run(plan(55), async |harness| {
+        let until = Instant::now() + Duration::from_secs(20);
+        for origin in [Some("nobody".to_owned()), None] {
+            for node in 0..NODES {
+                let mut stream = Stream::new(question(harness));
+                let id = stream.question.id.clone();
+                stream.origin.clone_from(&origin);
+                stream.text = format!("id: 1\ndata: {}#1@v1\n\n", stream.question.path);
+                let address = harness.caller_address(node);
+                let conn = connect::open(address, CONNECT_TIMEOUT).await.unwrap();
+                let end = read(harness, (node, conn), &mut stream, &id, until, usize::MAX).await;
+                expect_that!(end, some(eq(End::Refused)));
+            }
+        }
     });
 }
