Resume an item of a batch job only at the software version that began it

What callers saw: an item's output held events of two versions of the endpoints' software. Cause: the same as for streams: an item's next run, also under another owner, took any endpoint. Change: the output so far keeps the service and version that wrote its first event, in memory and in the rows that an owner stores when it leaves. The next run claims an endpoint of that version; if none is ready while others are, if the route has moved, or if the version is not known (also rows of earlier releases), the item begins anew, since nobody has seen its output.

--- a/src/batch/item.rs
+++ b/src/batch/item.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::name::Name;
+use crate::origin::Origin;
 
 /// An item as submitted.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -61,12 +62,20 @@
     /// The data of the events, separated by line feeds.
     #[serde(rename = "o")]
     pub output: String,
+    /// What wrote the first event; `None` if there is none, or if that is unknown.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub origin: Option<Origin>,
 }
 
 impl Partial {
+    /// Returns true if there is no output.
+    pub fn is_empty(&self) -> bool {
+        self.last.is_none() && self.output.is_empty()
+    }
+
     /// Appends the data of one event.
     pub fn push(&mut self, data: &str) {
-        if self.last.is_some() || !self.output.is_empty() {
+        if !self.is_empty() {
             self.output.push('\n');
         }
         self.output.push_str(data);
--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 
 use super::commit::RETRY_DELAY;
-use super::item::State;
+use super::item::{Partial, State};
 use super::shell::{Jobs, Pending};
 use super::work::{Slot, Work};
 use crate::answer::{self, Content, Framing, Reader};
@@ -18,6 +18,7 @@
 use crate::connect::{self, Reachability};
 use crate::event;
 use crate::name::Name;
+use crate::origin::Origin;
 use crate::permit::{Claim, Permit};
 use crate::platform::forward::{self, Forward, Verdict};
 use crate::pool::message::{Class, End, Requirements};
@@ -66,9 +67,11 @@
         Status::Suspect => true,
         Status::Clear => false,
     };
+    drop_unresumable(&jobs, &work, item, &service);
+    let origin = work.partials.borrow()[item].origin.clone();
     let now = jobs.now();
     let claim = Claim {
-        service,
+        service: service.clone(),
         requirements: Requirements {
             class: Class::Batch,
             priority: u8::MAX,
@@ -80,7 +83,7 @@
             request,
             suspect,
             avoid: work.failed_at.borrow()[item].clone(),
-            software: None,
+            software: origin.as_ref().map(|origin| origin.software.clone()),
         },
     };
     let permit = jobs.setup.broker.acquire(claim).await;
@@ -97,6 +100,11 @@
         permit.endpoint.id,
         work.partials.borrow()[item].last,
     );
+    if let Some(origin) = &origin {
+        let software = permit.endpoint.software.as_ref();
+        let count = &jobs.setup.count;
+        count.resumption("job", Some(&origin.software), software);
+    }
     let began = jobs.now();
     let is_first = work.partials.borrow()[item].last.is_none();
     let exit = tokio::select! {
@@ -104,7 +112,7 @@
         biased;
         () = permit.stopped() => Exit::Stopped,
         () = detector.until_condemned(request) => Exit::Condemned,
-        exit = exchange(&jobs, &work, item, &forward, &permit) => exit,
+        exit = exchange(&jobs, &work, item, &forward, &service, &permit) => exit,
     };
     let took = jobs.now().since(began);
     work.run_time.borrow_mut()[item] += took;
@@ -159,6 +167,35 @@
     detector.investigate(&endpoint, run).await;
 }
 
+/// Drops an item's output if no endpoint can resume it, so that the item begins anew: nobody has
+/// seen its output yet.
+fn drop_unresumable(jobs: &Jobs, work: &Work, item: usize, service: &Name) {
+    let why = {
+        let partials = work.partials.borrow();
+        let partial = &partials[item];
+        if partial.is_empty() {
+            return;
+        }
+        let catalog = jobs.setup.catalog.read();
+        let endpoints = &catalog.endpoints;
+        match &partial.origin {
+            None => "origin_unknown",
+            Some(origin) if origin.service != *service => "origin_moved",
+            // While no endpoint is ready, the version may come back first.
+            Some(origin)
+                if endpoints.slots_of(service, &origin.software).is_none()
+                    && endpoints.slots(service).is_some() =>
+            {
+                "version_gone"
+            }
+            Some(_) => return,
+        }
+    };
+    report_stop(jobs, work, item, why);
+    work.partials.borrow_mut()[item] = Partial::default();
+    work.run_time.borrow_mut()[item] = Duration::ZERO;
+}
+
 fn prepare(jobs: &Jobs, work: &Work, item: usize) -> Option<(Name, Forward, u32)> {
     let entry = work.entry.borrow();
     let spec = &work.items[item];
@@ -186,6 +223,7 @@
     work: &Work,
     item: usize,
     forward: &Forward,
+    service: &Name,
     permit: &Permit,
 ) -> Exit {
     let endpoint = &permit.endpoint;
@@ -234,7 +272,7 @@
         match reader.push(bytes) {
             Ok(None) => {}
             Ok(Some(events)) => {
-                if !append(work, item, &events) {
+                if !append(work, item, &events, service, endpoint) {
                     return Exit::Interrupted(End::Error, "event_order");
                 }
                 permit.mark_answering();
@@ -260,8 +298,15 @@
     }
 }
 
-/// Appends whole events to an item's output; returns false if they are not in sequence.
-fn append(work: &Work, item: usize, events: &split::Events) -> bool {
+/// Appends whole events of an endpoint to an item's output; returns false if they are not in
+/// sequence.
+fn append(
+    work: &Work,
+    item: usize,
+    events: &split::Events,
+    service: &Name,
+    endpoint: &Endpoint,
+) -> bool {
     let mut partials = work.partials.borrow_mut();
     let partial = &mut partials[item];
     if let (Some(first), Some(last)) = (events.first, partial.last)
@@ -269,6 +314,12 @@
     {
         return false;
     }
+    if partial.is_empty() {
+        partial.origin = endpoint.software.clone().map(|software| Origin {
+            service: service.clone(),
+            software,
+        });
+    }
     for data in split::data(&events.bytes) {
         partial.push(&String::from_utf8_lossy(&data));
     }
--- a/src/edge/count.rs
+++ b/src/edge/count.rs
@@ -177,8 +177,14 @@
     }
 
     /// Counts a run that resumes a stream: by the node within one answer, by its caller, or of an
-    /// item, at an endpoint whose software compares like this with the one that began it.
-    pub fn resumption(&self, by: &'static str, software: &'static str) {
+    /// item. `origin` is the version of the software that began it, and `software` that of the
+    /// endpoint.
+    pub fn resumption(&self, by: &'static str, origin: Option<&Name>, software: Option<&Name>) {
+        let software = match (origin, software) {
+            (Some(origin), Some(software)) if origin == software => "same",
+            (Some(_), Some(_)) => "other",
+            _ => "unknown",
+        };
         self.resumed
             .get_or_create(&Resumption { by, software })
             .inc();
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -438,17 +438,14 @@
         if self.attempt.last().is_none() {
             return;
         }
-        let software = match (self.attempt.software(), &endpoint.software) {
-            (Some(origin), Some(software)) if origin == software => "same",
-            (Some(_), Some(_)) => "other",
-            _ => "unknown",
-        };
         let by = if self.attempt.has_begun() {
             "node"
         } else {
             "caller"
         };
-        self.node.count.resumption(by, software);
+        let origin = self.attempt.software();
+        let software = endpoint.software.as_ref();
+        self.node.count.resumption(by, origin, software);
     }
 
     fn log_done(&self, endpoint: &Name) {
--- a/standin/tests/edge_streams.rs
+++ b/standin/tests/edge_streams.rs
@@ -1,5 +1,6 @@
 //! What callers get of streams that are resumed while endpoints of two software versions serve.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use auburnspoke::connect;
@@ -8,8 +9,8 @@
 use rustix::process::Signal;
 use standin::site::replica::Fault;
 use standin::site::script::{Cut, Style};
-use standin::soak::caller::{Question, ask};
-use standin::soak::check::End;
+use standin::soak::caller::{Question, ask, submit_jobs};
+use standin::soak::check::{End, Job, Report};
 use standin::soak::fleet::Harness;
 use standin::soak::resume::{Stream, leave_and_resume, read};
 use standin::soak::{Faults, Plan};
@@ -167,6 +168,43 @@
     });
 }
 
+/// Guards against an item of a batch job that is resumed at an endpoint of another software version,
+/// or never ends because its version is gone.
+#[gtest]
+fn resume_items() {
+    /// Time for which jobs are submitted, before and after one version is gone.
+    const SUBMITTED: Duration = Duration::from_secs(3);
+    run(plan(56), async |harness| {
+        for upstream in harness.replicas.borrow().values() {
+            upstream.replica.fault.set(Fault {
+                break_rate: 0.3,
+                ..Fault::default()
+            });
+        }
+        let submitters: Vec<_> = (0..3)
+            .map(|_| actix_rt::spawn(submit_jobs(Rc::clone(harness))))
+            .collect();
+        sleep(SUBMITTED).await;
+        for upstream in harness.replicas.borrow().values() {
+            if upstream.replica.software == "v1" {
+                harness.write_replica(upstream, "draining");
+            }
+        }
+        sleep(SUBMITTED).await;
+        harness.sending.set(false);
+        for submitter in submitters {
+            submitter.await.unwrap();
+        }
+        let jobs = harness.jobs.borrow();
+        let jobs: Vec<Job> = jobs.iter().map(|job| job.borrow().clone()).collect();
+        let mut report = Report::default();
+        report.check_jobs(&jobs, &harness.history);
+        println!("{report}");
+        expect_that!(report.items, gt(0));
+        expect_that!(report.violations, is_empty());
+    });
+}
+
 /// Guards against a version that is guessed: for a stream that nobody began, or whose caller does
 /// not say who did.
 #[gtest]
--- a/standin/tests/support/play.rs
+++ b/standin/tests/support/play.rs
@@ -1,5 +1,6 @@
 //! Plays a part against real nodes and replicas, and checks what callers saw.
 
+use std::rc::Rc;
 use std::sync::{Mutex, PoisonError};
 
 use googletest::prelude::*;
@@ -14,7 +15,7 @@
 /// Starts nodes and replicas, and lets `part` play. No answer may have a wrong body.
 pub fn run<F>(plan: Plan, part: F)
 where
-    F: AsyncFnOnce(&Harness),
+    F: AsyncFnOnce(&Rc<Harness>),
 {
     let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
     let folder = log_folder(plan).unwrap();
