--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -33,7 +33,7 @@
         .arg(number("replicas", "3", "Replicas"))
         .arg(number(
             "versions",
-            "1",
+            "2",
             "Versions of the replicas' software, which serve side by side",
         ))
         .arg(number(
--- a/standin/tests/edge_answers.rs
+++ b/standin/tests/edge_answers.rs
@@ -38,7 +38,7 @@
         length: Duration::ZERO,
         nodes: NODES,
         replicas: REPLICAS,
-        versions: 1,
+        versions: 2,
         killers: 0,
         faults: Faults::None,
     }
--- a/standin/tests/edge_stop.rs
+++ b/standin/tests/edge_stop.rs
@@ -61,7 +61,7 @@
         length: Duration::ZERO,
         nodes: NODES + 1,
         replicas,
-        versions: 1,
+        versions: 2,
         killers: 0,
         faults: Faults::None,
     };
--- a/standin/tests/quarantine_fleet.rs
+++ b/standin/tests/quarantine_fleet.rs
@@ -18,7 +18,7 @@
         length,
         nodes: 3,
         replicas: 6,
-        versions: 1,
+        versions: 2,
         killers,
         faults,
     };
--- a/standin/tests/soak_short.rs
+++ b/standin/tests/soak_short.rs
@@ -22,7 +22,7 @@
         length: Duration::from_secs(6),
         nodes: 3,
         replicas: 3,
-        versions: 1,
+        versions: 2,
         killers: 0,
         faults: Faults::Drawn,
     });
@@ -38,7 +38,7 @@
             length: Duration::from_secs(10),
             nodes: 4,
             replicas: 5,
-            versions: 1,
+            versions: 2,
             killers: 3,
             faults: Faults::Drawn,
         };
--- a/standin/tests/soak_stops.rs
+++ b/standin/tests/soak_stops.rs
@@ -14,7 +14,7 @@
         length: Duration::from_secs(12),
         nodes: 4,
         replicas: 6,
-        versions: 1,
+        versions: 2,
         killers: 0,
         faults: Faults::Stops,
     };
