Log the parts of the prompt under which endpoints crash

It has the fingerprints of the prompt's shared parts and the number of pieces written now. No decision reads either.

--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -1,6 +1,7 @@
 //! Runs one item of a job at an endpoint. After a stop or a failure the item is queued again and
 //! resumes at another endpoint.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,7 +23,7 @@
 use crate::permit::{Claim, Permit};
 use crate::platform::forward::{self, Forward, Verdict};
 use crate::pool::message::{Class, End, Requirements};
-use crate::quarantine::Fingerprint;
+use crate::quarantine::Subject;
 use crate::quarantine::detector::{Detector, Run};
 use crate::quarantine::evidence::Status;
 use crate::quarantine::loss::{self, Finding};
@@ -59,7 +60,8 @@
         return requeue(&jobs, &work, item, "no_route");
     };
     let detector = Rc::clone(&jobs.setup.detector);
-    let request = work.fingerprint(item);
+    let subject = work.subject(item, &service, &forward.headers);
+    let request = subject.request;
     detector.caught_up(work.expires).await;
     let suspect = match detector.status(request) {
         Status::Condemned => return suspend(&jobs, &work, item),
@@ -67,24 +69,24 @@
         Status::Suspect => true,
         Status::Clear => false,
     };
-    drop_unresumable(&jobs, &work, item, &service);
-    let origin = work.partials.borrow()[item].origin.clone();
+    let origin = settle_origin(&jobs, &work, item, &service);
     let now = jobs.now();
+    let requirements = Requirements {
+        class: Class::Batch,
+        priority: u8::MAX,
+        zone: jobs.setup.zone.clone(),
+        max_wait: QUEUE_TIMEOUT,
+        due: work.urgency(now, item, &jobs.estimator).since(now),
+        prefix: 0,
+        organisation: work.organisation_hash(),
+        request,
+        suspect,
+        avoid: work.failed_at.borrow()[item].clone(),
+        software: origin.as_ref().map(|origin| origin.software.clone()),
+    };
     let claim = Claim {
         service: service.clone(),
-        requirements: Requirements {
-            class: Class::Batch,
-            priority: u8::MAX,
-            zone: jobs.setup.zone.clone(),
-            max_wait: QUEUE_TIMEOUT,
-            due: work.urgency(now, item, &jobs.estimator).since(now),
-            prefix: 0,
-            organisation: work.organisation_hash(),
-            request,
-            suspect,
-            avoid: work.failed_at.borrow()[item].clone(),
-            software: origin.as_ref().map(|origin| origin.software.clone()),
-        },
+        requirements,
     };
     let permit = jobs.setup.broker.acquire(claim).await;
     drop(pending);
@@ -105,6 +107,7 @@
         let count = &jobs.setup.count;
         count.resumption("job", Some(&origin.software), software);
     }
+    let written = Cell::new(0);
     let began = jobs.now();
     let is_first = work.partials.borrow()[item].last.is_none();
     let exit = tokio::select! {
@@ -112,7 +115,7 @@
         biased;
         () = permit.stopped() => Exit::Stopped,
         () = detector.until_condemned(request) => Exit::Condemned,
-        exit = exchange(&jobs, &work, item, &forward, &service, &permit) => exit,
+        exit = exchange(&jobs, &work, item, &forward, &service, &permit, &written) => exit,
     };
     let took = jobs.now().since(began);
     work.run_time.borrow_mut()[item] += took;
@@ -123,7 +126,8 @@
         Exit::Interrupted(End::Error, why) => {
             let run = Run {
                 id: &work.items[item].id,
-                request,
+                subject: &subject,
+                written: written.get(),
                 ran: took,
                 why,
             };
@@ -137,9 +141,14 @@
             Exit::Done
         }
         Exit::Stopped => {
-            let id = work.items[item].id.clone();
             let endpoint = Arc::clone(&permit.endpoint);
-            actix_rt::spawn(investigate_stopped(detector, endpoint, id, request, took));
+            let run = Stopped {
+                id: work.items[item].id.clone(),
+                subject,
+                written: written.get(),
+                ran: took,
+            };
+            actix_rt::spawn(investigate_stopped(detector, endpoint, run));
             Exit::Stopped
         }
         exit => exit,
@@ -147,34 +156,37 @@
     finish(&jobs, &work, item, attempts, permit, &exit);
 }
 
-/// Investigates a run that the pool stopped, if its endpoint's process ends right afterwards.
-async fn investigate_stopped(
-    detector: Rc<Detector>,
-    endpoint: Arc<Endpoint>,
+/// A run that the pool stopped.
+struct Stopped {
     id: Name,
-    request: Fingerprint,
+    subject: Subject,
+    written: u32,
     ran: Duration,
-) {
+}
+
+/// Investigates a run that the pool stopped, if its endpoint's process ends right afterwards.
+async fn investigate_stopped(detector: Rc<Detector>, endpoint: Arc<Endpoint>, stopped: Stopped) {
     if loss::probe_after_stop(endpoint.address).await != Reachability::Refused {
         return;
     }
     let run = Run {
-        id: &id,
-        request,
-        ran,
+        id: &stopped.id,
+        subject: &stopped.subject,
+        written: stopped.written,
+        ran: stopped.ran,
         why: "stopped",
     };
     detector.investigate(&endpoint, run).await;
 }
 
-/// Drops an item's output if no endpoint can resume it, so that the item begins anew: nobody has
-/// seen its output yet.
-fn drop_unresumable(jobs: &Jobs, work: &Work, item: usize, service: &Name) {
+/// Returns what began an item's output so far. Output that no endpoint can resume is dropped, so
+/// that the item begins anew: nobody has seen it yet.
+fn settle_origin(jobs: &Jobs, work: &Work, item: usize, service: &Name) -> Option<Origin> {
     let why = {
         let partials = work.partials.borrow();
         let partial = &partials[item];
         if partial.is_empty() {
-            return;
+            return None;
         }
         let catalog = jobs.setup.catalog.read();
         let endpoints = &catalog.endpoints;
@@ -188,12 +200,13 @@
             {
                 "version_gone"
             }
-            Some(_) => return,
+            Some(origin) => return Some(origin.clone()),
         }
     };
     report_stop(jobs, work, item, why);
     work.partials.borrow_mut()[item] = Partial::default();
     work.run_time.borrow_mut()[item] = Duration::ZERO;
+    None
 }
 
 fn prepare(jobs: &Jobs, work: &Work, item: usize) -> Option<(Name, Forward, u32)> {
@@ -225,6 +238,7 @@
     forward: &Forward,
     service: &Name,
     permit: &Permit,
+    written: &Cell<u32>,
 ) -> Exit {
     let endpoint = &permit.endpoint;
     let Ok(mut conn) = connect::open(endpoint.address, CONNECT_TIMEOUT).await else {
@@ -276,6 +290,7 @@
                     return Exit::Interrupted(End::Error, "event_order");
                 }
                 permit.mark_answering();
+                written.set(written.get() + 1);
             }
             Err(TooLong) => return Exit::Interrupted(End::Error, "event_size"),
         }
--- a/src/batch/work.rs
+++ b/src/batch/work.rs
@@ -4,6 +4,7 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
+use hyper::HeaderMap;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::absence::Absence;
@@ -14,7 +15,8 @@
 use crate::edge::body::Guard;
 use crate::name::Name;
 use crate::node;
-use crate::quarantine::Fingerprint;
+use crate::platform::call;
+use crate::quarantine::{Fingerprint, Subject};
 
 /// Moving average of item durations, from runs that were not interrupted.
 #[derive(Debug)]
@@ -191,12 +193,14 @@
         name.map_or(0, |name| xxh3_64(name.as_bytes()))
     }
 
-    /// Fingerprint of an item's request, independent of its id.
-    pub(super) fn fingerprint(&self, item: usize) -> Fingerprint {
+    /// Identifies an item's request and its prompt by their content, independent of its id.
+    pub(super) fn subject(&self, item: usize, service: &str, headers: &HeaderMap) -> Subject {
         let entry = self.entry.borrow();
         let record = &entry.record;
+        let organisation = record.organisation.as_deref();
         let Item { path, body, .. } = &self.items[item];
-        Fingerprint::of(&record.host, record.organisation.as_deref(), path, body)
+        let request = Fingerprint::of(&record.host, organisation, path, body);
+        Subject::new(request, service, organisation, call::shared_parts(headers))
     }
 
     /// Number of items that wait for a slot or run.
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -38,7 +38,7 @@
 use crate::platform::call::{self, Call, Location};
 use crate::platform::forward::{self, Forward};
 use crate::platform::organisation;
-use crate::quarantine::Fingerprint;
+use crate::quarantine::{Fingerprint, Subject};
 
 /// Added to the operators' idle timeout, so that a caller that stays within the timeout never
 /// finds its connection closed.
@@ -447,9 +447,10 @@
         .uri
         .path_and_query()
         .map_or_else(|| parts.uri.path().to_owned(), ToString::to_string);
-    let fingerprint = Fingerprint::of(&route.host, name, &path, &body);
+    let request = Fingerprint::of(&route.host, name, &path, &body);
+    let subject = Subject::new(request, &service, name, call::shared_parts(&headers));
     let call = relay::Call {
-        fingerprint,
+        subject,
         forward: Forward {
             method: parts.method,
             path,
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -32,7 +32,7 @@
 use crate::platform::call;
 use crate::platform::forward::{self, Forward, Verdict};
 use crate::pool::message::End;
-use crate::quarantine::Fingerprint;
+use crate::quarantine::Subject;
 
 mod admit;
 mod finish;
@@ -63,8 +63,8 @@
 
 /// A request to relay, with its whole body.
 pub struct Call {
-    /// Identifies the request by its content, independent of its id.
-    pub fingerprint: Fingerprint,
+    /// Identifies the request and its prompt by their content, independent of its id.
+    pub subject: Subject,
     /// The request as it is forwarded.
     pub forward: Forward,
     /// Its route.
@@ -136,6 +136,8 @@
     error: Option<Response<Bytes>>,
     /// Time from arrival to the first byte of the answer.
     first: Option<Duration>,
+    /// Pieces of the answer, one or more whole events each, that the current run has sent.
+    written: u32,
     /// The framing and the end of the last answer, for the log.
     ending: Option<(Framing, answer::End)>,
     /// The token taken from the organisation's rate limit.
@@ -166,6 +168,7 @@
             tried: Vec::new(),
             error: None,
             first: None,
+            written: 0,
             ending: None,
             token: None,
         }
@@ -197,7 +200,7 @@
 
     async fn serve(&mut self) {
         let detector = Rc::clone(&self.node.detector);
-        let request = self.call.fingerprint;
+        let request = self.call.subject.request;
         if !self.settle_origin().await {
             return;
         }
@@ -277,7 +280,7 @@
                 "{} id={} print={} endpoint={endpoint} why={why} next={next:?} last={:?} left_ms={}",
                 event::REQUEST_RETRIED,
                 self.call.forward.id,
-                self.call.fingerprint,
+                self.call.subject.request,
                 self.attempt.last(),
                 left.as_millis(),
             );
@@ -295,6 +298,7 @@
         let deadline = self.attempt.deadline();
         let endpoint = &permit.endpoint;
         self.attempt.start_run();
+        self.written = 0;
         // Set before anything is sent, because this task may be aborted at any await point.
         self.mark_spent(true);
         let opened = connect::open(endpoint.address, CONNECT_TIMEOUT).await;
@@ -420,7 +424,7 @@
             "{} id={} print={} organisation={} endpoint={} software={} waited_ms={} behind={:?} resumes={} known_ms={} config={} vouched_ms={:?}",
             event::REQUEST_GRANTED,
             self.call.forward.id,
-            self.call.fingerprint,
+            self.call.subject.request,
             self.call.organisation.as_ref().map_or("-", |it| &it.name),
             endpoint.id,
             endpoint.software.as_deref().unwrap_or("-"),
--- a/src/edge/relay/loss.rs
+++ b/src/edge/relay/loss.rs
@@ -30,7 +30,7 @@
         let next = self.attempt.failed(self.node.clock.now(), failure);
         self.mark_spent(!self.attempt.is_not_run());
         if end == End::Crashed && next != Next::Again {
-            self.node.detector.give_up(self.call.fingerprint);
+            self.node.detector.give_up(self.call.subject.request);
         }
         next
     }
@@ -40,7 +40,8 @@
     async fn find_cause(&self, endpoint: &Arc<Endpoint>, began: Time, why: &'static str) -> End {
         let run = Run {
             id: &self.call.forward.id,
-            request: self.call.fingerprint,
+            subject: &self.call.subject,
+            written: self.written,
             ran: self.node.clock.now().since(began),
             why,
         };
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -107,6 +107,7 @@
                 self.tell_origin(&permit.endpoint);
             }
             self.attempt.forwarded(events.last, software);
+            self.written += 1;
             let now = self.node.clock.now();
             // An answer that is complete is delivered, however late.
             let begins = self.head.is_some() && !body.is_end_stream();
--- a/src/platform/call.rs
+++ b/src/platform/call.rs
@@ -188,6 +188,16 @@
     parts.rsplit_once(',').map(|(shared, _)| shared)
 }
 
+/// Returns the ids of the parts of the prompt that other requests share.
+pub fn shared_parts(headers: &HeaderMap) -> impl Iterator<Item = &str> {
+    let shared = shared_prefix(headers).unwrap_or_default();
+    let ids = shared.split(',').map(|part| {
+        let id = part.split_once(':').map_or(part, |(id, _)| id);
+        id.trim()
+    });
+    ids.filter(|id| !id.is_empty())
+}
+
 #[derive(Serialize)]
 struct Resolution<'a> {
     addresses: &'a [Name],
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -15,6 +15,8 @@
 pub mod record;
 pub mod statuses;
 pub mod storage;
+mod subject;
 
 pub use detector::Detector;
 pub use fingerprint::Fingerprint;
+pub use subject::Subject;
--- a/src/quarantine/detector.rs
+++ b/src/quarantine/detector.rs
@@ -16,6 +16,7 @@
 use super::loss::{self, Finding};
 use super::record::{self, Key, Observation};
 use super::storage::Storage;
+use super::subject::{Parts, Subject};
 use crate::catalog::{Catalog, Endpoint};
 use crate::clock::{Clock, Time, unix_millis};
 use crate::connect::Reachability;
@@ -81,7 +82,9 @@
     /// The id of its attempt, for the log.
     pub id: &'a Name,
     /// The request.
-    pub request: Fingerprint,
+    pub subject: &'a Subject,
+    /// Pieces of the answer that it had sent, one or more whole events each.
+    pub written: u32,
     /// How long it ran.
     pub ran: Duration,
     /// How it failed.
@@ -197,21 +200,23 @@
         let entry = loss::entry(&self.setup.catalog.read(), endpoint);
         let listener = loss::probe_after_failure(endpoint.address).await;
         log::info!(
-            "{} id={} print={} endpoint={} incarnation={} ran_ms={} why={} listener={listener:?} entry={entry:?}",
+            "{} id={} print={} endpoint={} incarnation={} ran_ms={} written={} parts={} why={} listener={listener:?} entry={entry:?}",
             event::RUN_LOST,
             run.id,
-            run.request,
+            run.subject.request,
             endpoint.id,
             endpoint.incarnation,
             run.ran.as_millis(),
+            run.written,
+            Parts(&run.subject.parts),
             run.why,
         );
         let stage = Stage::of(run.ran);
         let finding = loss::classify(entry, listener);
         match finding {
-            Finding::Crashed => self.record_crash(endpoint, run.request, stage),
+            Finding::Crashed => self.record_crash(endpoint, run.subject.request, stage),
             Finding::NotCrashed => {}
-            Finding::Undecided => self.watch(endpoint, run.request, stage),
+            Finding::Undecided => self.watch(endpoint, run.subject.request, stage),
         }
         finding
     }
