Reproduce a part of prompts that crashes endpoint after endpoint

Replicas of the stand-in crash as they begin to write an answer to a prompt with such a part. The soak sends requests with them (--crash-parts), and checks how many reach replicas after five crashes, and how the other requests fare, which share the first part. The check of killers keeps its bounds and shares the count with the new one.

--- a/standin/src/site/replica.rs
+++ b/standin/src/site/replica.rs
@@ -32,6 +32,9 @@
 pub const CRASH_MARKER: &str = "kills";
 /// Events after which such a request crashes the replica.
 const CRASH_STEPS: u32 = 4;
+/// A replica crashes as it begins to write an answer to a prompt with a shared part whose id begins
+/// with this, in hexadecimal like every id.
+pub const CRASH_PART: &str = "dead";
 /// Tokens in one event.
 pub const EVENT_TOKENS: u64 = 10;
 
@@ -42,6 +45,8 @@
     pub replica: String,
     /// The requested path.
     pub path: String,
+    /// The parts of the prompt: ids with tokens, separated by commas.
+    pub prompt: String,
     /// The organisation that the node sent with it; empty for none.
     pub organisation: String,
     /// True if it came with a caller's key.
@@ -52,6 +57,25 @@
     pub ended: Option<Instant>,
 }
 
+impl Run {
+    /// Returns the shared part of the prompt that crashes replicas, if there is one.
+    pub fn crash_part(&self) -> Option<&str> {
+        crash_part(&self.prompt)
+    }
+
+    /// Returns true if the request crashes the replica that runs it.
+    pub fn is_killer(&self) -> bool {
+        self.path.contains(CRASH_MARKER) || self.crash_part().is_some()
+    }
+}
+
+/// Returns the id of the part of a prompt that crashes replicas; the last part never does.
+fn crash_part(prompt: &str) -> Option<&str> {
+    let (shared, _) = prompt.rsplit_once(',')?;
+    let mut ids = shared.split(',').filter_map(|part| part.split(':').next());
+    ids.find(|id| id.starts_with(CRASH_PART))
+}
+
 /// Every run so far by request id.
 pub type History = Rc<RefCell<HashMap<String, Vec<Run>>>>;
 
@@ -238,6 +262,7 @@
             return Ok(refuse(StatusCode::SERVICE_UNAVAILABLE, &id));
         }
         let path = request.uri().path().to_owned();
+        let prompt = header("x-prompt-prefix");
         let tokens = header("x-token-count");
         let out = tokens.split(',').nth(1).and_then(|out| out.parse().ok());
         let last: u64 = header("last-event-id").parse().unwrap_or(0);
@@ -250,6 +275,7 @@
         let run = Run {
             replica: self.id.clone(),
             path: path.clone(),
+            prompt: prompt.clone(),
             organisation: header("x-tenant"),
             has_caller_key: request.headers().contains_key("authorization"),
             began: Instant::now(),
@@ -267,9 +293,13 @@
         if path.contains("fails") {
             return Ok(failed(StatusCode::INTERNAL_SERVER_ERROR, &id));
         }
-        if path.contains(CRASH_MARKER) {
+        let crash_steps = match crash_part(&prompt) {
+            Some(_) => Some(1),
+            None => path.contains(CRASH_MARKER).then_some(CRASH_STEPS),
+        };
+        if let Some(steps) = crash_steps {
             let replica = Rc::clone(self);
-            let after = self.step * CRASH_STEPS;
+            let after = self.step * steps;
             actix_rt::spawn(async move {
                 sleep(after).await;
                 replica.crash();
--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -41,6 +41,11 @@
             "0",
             "Requests that crash the replicas that run them, sent again and again",
         ))
+        .arg(number(
+            "crash-parts",
+            "0",
+            "Parts of prompts that crash replicas, each in requests that differ",
+        ))
         .arg(
             Arg::new("faults")
                 .long("faults")
@@ -77,6 +82,9 @@
     pub versions: usize,
     /// Number of killers: requests that crash the replica that runs them and are sent repeatedly.
     pub killers: usize,
+    /// Number of parts of prompts that crash the replica that begins to write an answer on them,
+    /// each in requests that differ.
+    pub crash_parts: usize,
     /// The faults besides those that the killers cause.
     pub faults: Faults,
 }
@@ -118,6 +126,7 @@
             replicas: count("replicas"),
             versions: count("versions"),
             killers: count("killers"),
+            crash_parts: count("crash-parts"),
             faults,
         };
         let report = actix_rt::System::new().block_on(fleet::play(plan))?;
--- a/standin/src/soak/caller.rs
+++ b/standin/src/soak/caller.rs
@@ -21,13 +21,15 @@
 use super::check::{Attempt, End, Job, expected_stream, fault_of_stream};
 use super::fleet::{HOST, Harness, KEY};
 use super::resume;
-use crate::site::replica::{CRASH_MARKER, split_software};
+use crate::site::replica::{CRASH_MARKER, CRASH_PART, split_software};
 
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest time that a caller waits for a response.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(6);
 /// Tokens of a response.
 const TOKENS: u64 = 200;
+/// Id of the first part of all prompts.
+const FIRST_PART: &str = "f0";
 /// Tokens of an item's output.
 const ITEM_TOKENS: u64 = 600;
 /// Time after which an accepted job and its results are visible at every node.
@@ -117,6 +119,7 @@
         // A false organisation; nodes must not trust it.
         .header("x-tenant", "another")
         .header("x-token-count", format!("300,{tokens}"))
+        .header("x-prompt-prefix", prompt(&path))
         .header("x-timeout-ms", "5000")
         .body(Full::new(Bytes::from_static(b"question")));
     let Ok(request) = request else {
@@ -161,6 +164,61 @@
     end
 }
 
+/// Returns the parts of the prompt of a request that crashes no replica. All share the first part,
+/// and many the second one.
+pub(super) fn prompt(path: &str) -> String {
+    let number: u64 = path
+        .rsplit('/')
+        .next()
+        .and_then(|it| it.parse().ok())
+        .unwrap_or(0);
+    format!("{FIRST_PART}:100,{:x}:100,c{number:x}:100", number % 7)
+}
+
+/// Sends requests whose prompts share a part that crashes replicas, until the run ends. No two are
+/// alike; they come at any node, and are resumable or not, or items of jobs.
+pub async fn send_crash_part(harness: Rc<Harness>, at: usize) {
+    while harness.sending.get() {
+        sleep(Duration::from_millis(100)).await;
+        let number = harness.next_number();
+        let prompt = format!("{FIRST_PART}:100,{CRASH_PART}{at:x}:100,c{number:x}:100");
+        let harness = Rc::clone(&harness);
+        // The next request does not wait for this response.
+        actix_rt::spawn(async move {
+            match draw(&harness, 8) {
+                0 => submit_crash_part(&harness, number, &prompt).await,
+                1 => send_once(&harness, &format!("/v/{number}"), prompt).await,
+                _ => send_once(&harness, &format!("/q/{number}"), prompt).await,
+            }
+        });
+    }
+}
+
+/// Sends a request to a random node.
+async fn send_once(harness: &Harness, path: &str, prompt: String) {
+    let headers = vec![
+        ("x-attempt-id", format!("p{:x}", harness.next_number())),
+        ("x-token-count", format!("300,{TOKENS}")),
+        ("x-prompt-prefix", prompt),
+        ("x-timeout-ms", "5000".to_owned()),
+    ];
+    let answer = call_any(harness, "POST", path, headers, "question").await;
+    let mut statuses = harness.killer_statuses.borrow_mut();
+    statuses.push(answer.map(|it| it.0));
+}
+
+/// Submits a job with one item whose prompt has these parts.
+async fn submit_crash_part(harness: &Harness, number: u64, prompt: &str) {
+    let path = format!("/n/item/{number}");
+    let item = json!({"id": format!("t{number:x}"), "path": path, "body": STANDARD.encode(&path),
+        "tokens": ITEM_TOKENS + 300, "headers": {"X-Model": "m", "X-Prompt-Prefix": prompt,
+        "X-Token-Count": format!("300,{ITEM_TOKENS}")}});
+    let id = format!("j{number:x}");
+    let headers = vec![("x-attempt-id", id.clone())];
+    let body = json!({"requests": [item]}).to_string();
+    call_any(harness, "POST", &format!("/n/{id}"), headers, &body).await;
+}
+
 /// Sends killers, which crash every replica that runs them, until the run ends. By index, the
 /// killer is a resumable request, one that is not resumable, or an item of a job.
 pub async fn send_killers(harness: Rc<Harness>, at: usize) {
@@ -353,7 +411,8 @@
         .iter()
         .map(|(id, path, tokens)| {
             json!({"id": id, "path": path, "body": STANDARD.encode(path), "tokens": tokens + 300,
-                   "headers": {"X-Model": "m", "X-Token-Count": format!("300,{tokens}")}})
+                   "headers": {"X-Model": "m", "X-Token-Count": format!("300,{tokens}"),
+                               "X-Prompt-Prefix": prompt(path)}})
         })
         .collect();
     json!({"requests": requests}).to_string()
--- a/standin/src/soak/check.rs
+++ b/standin/src/soak/check.rs
@@ -1,7 +1,7 @@
 //! Records what callers and replicas saw in a run, and checks it against the guarantees of the
 //! system.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 use std::time::{Duration, Instant};
 
@@ -84,6 +84,9 @@
     pub items: usize,
     /// Number of injected faults.
     pub faults: usize,
+    /// Number of requests that came while the cause of crashes in other requests' prompts was known,
+    /// by how they ended.
+    pub beside: BTreeMap<End, usize>,
     /// Number of replicas that a killer crashed.
     pub crashed: usize,
     /// Number of calls to the store.
@@ -96,7 +99,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "seed {}: {} faults, requests {:?}, resumed {:?} ({} around planned signals, cut {:?}), {} jobs, {} items, {} crashed, {} store calls",
+            "seed {}: {} faults, requests {:?}, resumed {:?} ({} around planned signals, cut {:?}), {} jobs, {} items, {} crashed, beside {:?}, {} store calls",
             self.seed,
             self.faults,
             self.ends,
@@ -106,6 +109,7 @@
             self.jobs,
             self.items,
             self.crashed,
+            self.beside,
             self.store_calls
         )?;
         if self.violations.is_empty() {
@@ -149,9 +153,28 @@
     texts.join("\n")
 }
 
+/// Time in which a verdict reaches every node.
+const VERDICT_DELAY: Duration = Duration::from_secs(3);
 /// Longest delay between an event and its line in a node's log.
 pub const LOG_DELAY: Duration = Duration::from_millis(400);
 
+/// Groups the runs by `key`, each group in order of time.
+fn group<K>(history: &HashMap<String, Vec<Run>>, key: K) -> BTreeMap<String, Vec<&Run>>
+where
+    K: Fn(&Run) -> Option<String>,
+{
+    let mut groups: BTreeMap<String, Vec<&Run>> = BTreeMap::new();
+    for run in history.values().flatten() {
+        if let Some(key) = key(run) {
+            groups.entry(key).or_default().push(run);
+        }
+    }
+    for runs in groups.values_mut() {
+        runs.sort_by_key(|run| run.began);
+    }
+    groups
+}
+
 impl Report {
     /// Records a violated guarantee.
     pub fn record_violation(&mut self, what: String) {
@@ -221,37 +244,61 @@
     /// verdict has had time to reach every node.
     pub fn check_killers(&mut self, history: &History) {
         const CRASHES: usize = 3;
-        const PROPAGATION_DELAY: Duration = Duration::from_secs(3);
-        const MAX_LATE_RUNS: usize = 3;
         let history = history.borrow();
-        let mut runs: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
-        for run in history.values().flatten() {
-            if run.path.contains(CRASH_MARKER) {
-                runs.entry(&run.path).or_default().push(run);
-            }
+        let killer = |run: &Run| {
+            let is_killer = run.path.contains(CRASH_MARKER);
+            is_killer.then(|| run.path.clone())
+        };
+        for (path, runs) in group(&history, killer) {
+            self.check_crashes(&path, &runs, CRASHES);
         }
-        for (path, mut runs) in runs {
-            runs.sort_by_key(|run| run.began);
-            let mut crashed = BTreeSet::new();
-            let blocked_from = runs.iter().find_map(|run| {
-                crashed.insert(&run.replica);
-                (crashed.len() >= CRASHES).then_some(run.began + PROPAGATION_DELAY)
-            });
-            let replicas: BTreeSet<_> = runs.iter().map(|run| &run.replica).collect();
-            self.crashed += replicas.len();
-            let late = runs
-                .iter()
-                .filter(|run| blocked_from.is_some_and(|at| run.began > at));
-            let late = late.count();
-            if late > MAX_LATE_RUNS {
-                self.record_violation(format!(
-                    "{path} had crashed {CRASHES} replicas and was sent to {late} more; {} crashed in all",
-                    replicas.len()
-                ));
+    }
+
+    /// Checks that requests whose prompts share a part reach hardly any replica once five have
+    /// crashed under them and the verdict has had time to reach every node. Records how the other
+    /// requests ended that came later than twice that time, which share the first part of their
+    /// prompts.
+    pub fn check_crash_parts(&mut self, attempts: &[Attempt], history: &History) {
+        const CRASHES: usize = 5;
+        let history = history.borrow();
+        let part = |run: &Run| run.crash_part().map(|part| format!("the part {part}"));
+        for (part, runs) in group(&history, part) {
+            let known_at = self.check_crashes(&part, &runs, CRASHES);
+            let last = runs.last().map(|run| run.began);
+            let Some(from) = known_at.or(last.map(|last| last + VERDICT_DELAY)) else {
+                continue;
+            };
+            let from = from + VERDICT_DELAY;
+            for request in attempts.iter().filter(|request| request.began > from) {
+                *self.beside.entry(request.end).or_default() += 1;
             }
         }
     }
 
+    /// Checks the runs of requests that crash replicas for the same reason. Returns when every node
+    /// knows that, if `limit` replicas have crashed.
+    fn check_crashes(&mut self, what: &str, runs: &[&Run], limit: usize) -> Option<Instant> {
+        const MAX_LATE_RUNS: usize = 3;
+        let mut crashed = BTreeSet::new();
+        let known_at = runs.iter().find_map(|run| {
+            crashed.insert(&run.replica);
+            (crashed.len() >= limit).then_some(run.began + VERDICT_DELAY)
+        });
+        let replicas: BTreeSet<_> = runs.iter().map(|run| &run.replica).collect();
+        self.crashed += replicas.len();
+        let late = runs
+            .iter()
+            .filter(|run| known_at.is_some_and(|at| run.began > at));
+        let late = late.count();
+        if late > MAX_LATE_RUNS {
+            self.record_violation(format!(
+                "{what} had crashed {limit} replicas and was sent to {late} more; {} crashed in all",
+                replicas.len()
+            ));
+        }
+        known_at
+    }
+
     /// Checks that each request reached its replica with the right organisation and without the
     /// caller's key, and that no node logged a key.
     pub fn check_keys(
--- a/standin/src/soak/fault.rs
+++ b/standin/src/soak/fault.rs
@@ -12,7 +12,7 @@
 use super::check::stop::Target;
 use super::fleet::Harness;
 use crate::site::proxy::Mode;
-use crate::site::replica::{CRASH_MARKER, Fault};
+use crate::site::replica::Fault;
 use crate::site::store::Degradation;
 
 /// Pause between the starts of two faults.
@@ -142,7 +142,7 @@
     let runs = || {
         let history = harness.history.borrow();
         let runs = history.values().flatten();
-        runs.filter(|run| run.path.contains(CRASH_MARKER)).count()
+        runs.filter(|run| run.is_killer()).count()
     };
     let until = Instant::now() + harness.plan.length;
     let mut seen = 0;
--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -389,6 +389,10 @@
             at,
         )));
     }
+    for at in 0..plan.crash_parts {
+        let sending = caller::send_crash_part(Rc::clone(&harness), at);
+        callers.push(actix_rt::spawn(sending));
+    }
     actix_rt::spawn(fault::replace_crashed(Rc::clone(&harness)));
     if plan.faults == Faults::Stops {
         for at in 0..holder::PER_NODE * plan.nodes {
@@ -439,6 +443,7 @@
     }
     report.check_requests(&harness.attempts.borrow(), &harness.history);
     report.check_killers(&harness.history);
+    report.check_crash_parts(&harness.attempts.borrow(), &harness.history);
     let outages: Vec<Outage> = harness
         .nodes
         .iter()
--- a/standin/src/soak/resume.rs
+++ b/standin/src/soak/resume.rs
@@ -8,7 +8,7 @@
 use hyper::{Request, StatusCode};
 use tokio::time::{sleep, timeout_at};
 
-use super::caller::{Question, draw, guarantees_not_run, open};
+use super::caller::{Question, draw, guarantees_not_run, open, prompt};
 use super::check::{Attempt, End, expected_stream, fault_of_stream};
 use super::fleet::{HOST, Harness, KEY};
 use crate::site::replica::split_software;
@@ -134,6 +134,7 @@
         .header("x-attempt-id", id)
         .header("authorization", format!("Token {KEY}"))
         .header("x-token-count", format!("300,{tokens}"))
+        .header("x-prompt-prefix", prompt(path))
         .header("x-timeout-ms", left.as_millis().to_string());
     if stream.events() > 0 {
         request = request.header("last-event-id", stream.events().to_string());
--- a/standin/tests/edge_stop.rs
+++ b/standin/tests/edge_stop.rs
@@ -63,6 +63,7 @@
         replicas,
         versions: 2,
         killers: 0,
+        crash_parts: 0,
         faults: Faults::None,
     };
     let folder = log_folder(plan).unwrap();
--- a/standin/tests/edge_streams.rs
+++ b/standin/tests/edge_streams.rs
@@ -35,6 +35,7 @@
         replicas: REPLICAS,
         versions: 2,
         killers: 0,
+        crash_parts: 0,
         faults: Faults::None,
     }
 }
--- a/standin/tests/quarantine_fleet.rs
+++ b/standin/tests/quarantine_fleet.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use standin::soak::check::End;
 use standin::soak::{Faults, Plan, fleet};
 
 /// Time in which a killer that is not condemned crashes far more replicas than one that is.
@@ -11,7 +12,7 @@
 /// Runs at the same time would slow each other down.
 static RUNNING: Mutex<()> = Mutex::new(());
 
-fn play(killers: usize, faults: Faults, length: Duration) {
+fn play(killers: usize, crash_parts: usize, faults: Faults, length: Duration) {
     let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
     let plan = Plan {
         seed: 1,
@@ -20,31 +21,38 @@
         replicas: 6,
         versions: 2,
         killers,
+        crash_parts,
         faults,
     };
     let report = actix_rt::System::new().block_on(fleet::play(plan)).unwrap();
     expect_that!(report.violations, is_empty(), "{report}");
+    if crash_parts > 0 && faults == Faults::None {
+        let whole = report.beside.get(&End::Whole).copied().unwrap_or_default();
+        let all: usize = report.beside.values().sum();
+        expect_that!(whole, gt(0), "{report}");
+        expect_that!(whole * 2, ge(all), "{report}");
+    }
 }
 
 /// Guards against one request that crashes every endpoint that runs it and is sent repeatedly to
 /// every node: without quarantine no other caller is served any more.
 #[gtest]
 fn killer_repeats_everywhere() {
-    play(1, Faults::None, LENGTH);
+    play(1, 0, Faults::None, LENGTH);
 }
 
 /// The same with a request that is not resumable, and with an item of a batch job, which its owner
 /// retries by itself.
 #[gtest]
 fn killers_of_each_kind() {
-    play(3, Faults::None, LENGTH);
+    play(3, 0, Faults::None, LENGTH);
 }
 
 /// Guards against a node that serves before it knows the verdicts: it learns the configuration
 /// from other nodes while the store refuses it, and runs requests that all of them refuse.
 #[gtest]
 fn killers_after_restarts_without_store() {
-    play(3, Faults::RestartsWithoutStore, LENGTH);
+    play(3, 0, Faults::RestartsWithoutStore, LENGTH);
 }
 
 /// Guards against crashes that are known to one node only, and forgotten when all nodes end right
@@ -52,5 +60,12 @@
 #[gtest]
 fn killers_all_nodes_end_after_each_crash() {
     // Each crash takes a restart of all nodes.
-    play(2, Faults::KillsAfterCrashes, LENGTH * 2);
+    play(2, 0, Faults::KillsAfterCrashes, LENGTH * 2);
+}
+
+/// Guards against a part of prompts that crashes endpoint after endpoint, because no two requests
+/// with it are alike, and against a verdict on the part that sound requests share with them.
+#[gtest]
+fn part_crashes_replicas() {
+    play(0, 1, Faults::None, LENGTH * 2);
 }
--- a/standin/tests/quarantine_hold.rs
+++ b/standin/tests/quarantine_hold.rs
@@ -11,7 +11,7 @@
 use auburnspoke::platform::store::Client;
 use auburnspoke::quarantine::detector::{Run, Setup};
 use auburnspoke::quarantine::evidence::Status;
-use auburnspoke::quarantine::{Detector, Fingerprint};
+use auburnspoke::quarantine::{Detector, Fingerprint, Subject};
 use auburnspoke::snapshot::Cell;
 use googletest::prelude::*;
 use standin::site::store::Store;
@@ -59,7 +59,11 @@
     for endpoint in endpoints {
         let run = Run {
             id: &"a1".into(),
-            request: REQUEST,
+            subject: &Subject {
+                request: REQUEST,
+                parts: [].into(),
+            },
+            written: 0,
             ran: Duration::ZERO,
             why: "broken_stream",
         };
--- a/standin/tests/soak_check.rs
+++ b/standin/tests/soak_check.rs
@@ -106,6 +106,7 @@
     let run = |organisation: &str, has_caller_key| Run {
         replica: "i-1".into(),
         path: "/q/1".into(),
+        prompt: String::new(),
         organisation: organisation.into(),
         has_caller_key,
         began: Instant::now(),
@@ -166,6 +167,7 @@
         let run = Run {
             replica: "i-1".into(),
             path: "/q/1".into(),
+            prompt: String::new(),
             organisation: String::new(),
             has_caller_key: false,
             began: self.began,
--- a/standin/tests/soak_short.rs
+++ b/standin/tests/soak_short.rs
@@ -24,6 +24,7 @@
         replicas: 3,
         versions: 2,
         killers: 0,
+        crash_parts: 0,
         faults: Faults::Drawn,
     });
 }
@@ -40,6 +41,7 @@
             replicas: 5,
             versions: 2,
             killers: 3,
+            crash_parts: 0,
             faults: Faults::Drawn,
         };
         check(plan);
--- a/standin/tests/soak_stops.rs
+++ b/standin/tests/soak_stops.rs
@@ -16,6 +16,7 @@
         replicas: 6,
         versions: 2,
         killers: 0,
+        crash_parts: 0,
         faults: Faults::Stops,
     };
     let report = actix_rt::System::new().block_on(fleet::play(plan)).unwrap();
