--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -61,9 +61,8 @@
     };
     let detector = Rc::clone(&jobs.setup.detector);
     let subject = work.subject(item, &service, &forward.headers);
-    let request = subject.request;
     detector.caught_up(work.expires).await;
-    let suspect = match detector.status(request) {
+    let suspect = match detector.status(&subject) {
         Status::Condemned => return suspend(&jobs, &work, item),
         Status::Held(_) => return requeue(&jobs, &work, item, "held"),
         Status::Suspect => true,
@@ -79,7 +78,7 @@
         due: work.urgency(now, item, &jobs.estimator).since(now),
         prefix: 0,
         organisation: work.organisation_hash(),
-        request,
+        request: detector.admitted_as(&subject),
         suspect,
         avoid: work.failed_at.borrow()[item].clone(),
         software: origin.as_ref().map(|origin| origin.software.clone()),
@@ -114,7 +113,7 @@
         // Reclaiming the slot has priority.
         biased;
         () = permit.stopped() => Exit::Stopped,
-        () = detector.until_condemned(request) => Exit::Condemned,
+        () = detector.until_condemned(&subject) => Exit::Condemned,
         exit = exchange(&jobs, &work, item, &forward, &service, &permit, &written) => exit,
     };
     let took = jobs.now().since(began);
@@ -137,7 +136,7 @@
             }
         }
         Exit::Done => {
-            detector.completed(request);
+            detector.completed(&subject, written.get() > 0);
             Exit::Done
         }
         Exit::Stopped => {
--- a/src/dispatch/shell.rs
+++ b/src/dispatch/shell.rs
@@ -408,7 +408,7 @@
             endpoint: name.clone(),
             incarnation,
         };
-        let observation = Observation::Crashed(print, crash.clone(), Stage::of(ran));
+        let observation = Observation::Crashed(print, crash.clone(), Stage::of(ran).into());
         self.quarantine.report_and_wait(observation).await;
         Some(crash)
     }
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -200,14 +200,14 @@
 
     async fn serve(&mut self) {
         let detector = Rc::clone(&self.node.detector);
-        let request = self.call.subject.request;
         if !self.settle_origin().await {
             return;
         }
+        let subject = self.call.subject.clone();
         loop {
             detector.caught_up(self.attempt.deadline()).await;
             let deadline = self.attempt.deadline();
-            detector.until_decided(request, deadline).await;
+            detector.until_decided(&subject, deadline).await;
             self.call.open.wait();
             let now = self.node.clock.now();
             let left = self.attempt.deadline().since(now);
@@ -219,7 +219,7 @@
             let claim = self.claim(now, left, max_wait);
             let admitted = tokio::select! {
                 biased;
-                () = detector.until_condemned(request) => return self.reject_condemned().await,
+                () = detector.until_condemned(&subject) => return self.reject_condemned().await,
                 admitted = timeout(left, self.admit(claim)) => admitted,
             };
             let permit = match admitted {
@@ -244,13 +244,13 @@
             let began = self.node.clock.now();
             let ended = tokio::select! {
                 biased;
-                () = detector.until_condemned(request) => return self.reject_condemned().await,
+                () = detector.until_condemned(&subject) => return self.reject_condemned().await,
                 ended = self.exchange(&permit) => ended,
             };
             let (next, why) = match ended {
                 Ended::Complete => {
                     permit.finish(End::Done);
-                    detector.completed(request);
+                    detector.completed(&subject, self.written > 0);
                     return self.log_done(&endpoint);
                 }
                 Ended::Disconnected => return,
@@ -372,7 +372,7 @@
         const WHY: &str = "condemned";
         self.error = Some(call::error(
             StatusCode::BAD_REQUEST,
-            "endpoints that run this request crash; it is not run any more, so don't send it again",
+            "endpoints that run this request, or others with a part of its prompt, crash; it is not run any more, so don't send it again",
         ));
         let next = self.attempt.give_up(true);
         self.give_up(next, WHY, Duration::ZERO).await;
--- a/src/edge/relay/admit.rs
+++ b/src/edge/relay/admit.rs
@@ -82,7 +82,7 @@
                 prefix: self.call.prefix,
                 // The rate limit already keeps an organisation from taking others' slots.
                 organisation: 0,
-                request: self.call.subject.request,
+                request: self.node.detector.admitted_as(&self.call.subject),
                 suspect: self.is_suspect(),
                 avoid: self.tried.clone(),
                 software: self.attempt.software().cloned(),
@@ -91,7 +91,7 @@
     }
 
     fn is_suspect(&self) -> bool {
-        self.node.detector.status(self.call.subject.request) != Status::Clear
+        self.node.detector.status(&self.call.subject) != Status::Clear
     }
 
     /// An organisation's own priority overrides that of its route.
--- a/src/edge/relay/origin.rs
+++ b/src/edge/relay/origin.rs
@@ -6,6 +6,8 @@
 use crate::catalog::{Endpoint, Kind};
 use crate::name::Name;
 use crate::origin::{Key, Origin};
+use crate::platform::call;
+use crate::quarantine::Subject;
 
 impl Relay {
     /// Finds out at which software version a stream goes on that the caller resumes. Returns false
@@ -17,7 +19,9 @@
         }
         match self.find_origin().await {
             Ok(origin) => {
-                self.call.service = origin.service;
+                if self.call.service != origin.service {
+                    self.move_to(origin.service);
+                }
                 self.attempt.resume_at(origin.software);
                 true
             }
@@ -28,6 +32,15 @@
         }
     }
 
+    /// Sends the request to another service of its route.
+    fn move_to(&mut self, service: Name) {
+        let call = &mut self.call;
+        let organisation = call.organisation.as_ref().map(|it| &*it.name);
+        let parts = call::shared_parts(&call.forward.headers);
+        call.subject = Subject::new(call.subject.request, &service, organisation, parts);
+        call.service = service;
+    }
+
     async fn find_origin(&self) -> Result<Origin, &'static str> {
         let Some(resumed) = &self.call.resumes else {
             return self.only_origin().ok_or("origin_unnamed");
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -348,7 +348,7 @@
     async fn report_crash(&self, request: Fingerprint, refusal: &Refusal, began: Time) {
         if let Some(crash) = &refusal.crash {
             let stage = Stage::of(self.shared.clock.now().since(began));
-            let crashed = Observation::Crashed(request, crash.clone(), stage);
+            let crashed = Observation::Crashed(request, crash.clone(), stage.into());
             self.shared.quarantine.report_and_wait(crashed).await;
         }
     }
--- a/src/quarantine/detector.rs
+++ b/src/quarantine/detector.rs
@@ -11,14 +11,14 @@
 
 use super::Fingerprint;
 use super::backlog::Backlog;
-use super::evidence::{Added, Crash, Evidence, Stage, Status};
+use super::evidence::{Added, Crash, Evidence, Ran, Status};
 use super::export::Export;
 use super::loss::{self, Finding};
 use super::record::{self, Key, Observation};
 use super::storage::Storage;
 use super::subject::{Parts, Subject};
 use crate::catalog::{Catalog, Endpoint};
-use crate::clock::{Clock, Time, unix_millis};
+use crate::clock::{Clock, Time};
 use crate::connect::Reachability;
 use crate::edge::count::Count;
 use crate::edge::learn::follow;
@@ -152,9 +152,14 @@
         );
     }
 
-    /// Returns the current status of a request.
-    pub fn status(&self, request: Fingerprint) -> Status {
-        self.evidence.borrow().status(self.now(), request)
+    /// Returns the current status of a request with the parts of its prompt.
+    pub fn status(&self, subject: &Subject) -> Status {
+        self.evidence.borrow().status_of(self.now(), subject)
+    }
+
+    /// Returns what a request is admitted as at a pool: a suspect part of its prompt, or itself.
+    pub fn admitted_as(&self, subject: &Subject) -> Fingerprint {
+        self.evidence.borrow().admitted_as(self.now(), subject)
     }
 
     /// Waits until what other nodes observed while this process was paused is applied, or until
@@ -173,8 +178,8 @@
     /// Waits while the request is held, or until `deadline`. A hold lasts until the verdict, which
     /// is reached up to [`STEP_INTERVAL`] after it is due: a run in between could crash one more
     /// endpoint.
-    pub async fn until_decided(&self, request: Fingerprint, deadline: Time) {
-        while let Status::Held(wait) = self.status(request) {
+    pub async fn until_decided(&self, subject: &Subject, deadline: Time) {
+        while let Status::Held(wait) = self.status(subject) {
             let left = deadline.since(self.now());
             if left.is_zero() {
                 return;
@@ -184,10 +189,10 @@
     }
 
     /// Waits until the request is condemned.
-    pub async fn until_condemned(&self, request: Fingerprint) {
+    pub async fn until_condemned(&self, subject: &Subject) {
         loop {
             let changed = self.changed.notified();
-            if self.status(request) == Status::Condemned {
+            if self.status(subject) == Status::Condemned {
                 return;
             }
             changed.await;
@@ -211,12 +216,13 @@
             Parts(&run.subject.parts),
             run.why,
         );
-        let stage = Stage::of(run.ran);
+        let request = run.subject.request;
+        let ran = Ran::new(run.ran, run.written, &run.subject.parts);
         let finding = loss::classify(entry, listener);
         match finding {
-            Finding::Crashed => self.record_crash(endpoint, run.subject.request, stage),
+            Finding::Crashed => self.record_crash(endpoint, request, ran),
             Finding::NotCrashed => {}
-            Finding::Undecided => self.watch(endpoint, run.subject.request, stage),
+            Finding::Undecided => self.watch(endpoint, request, ran),
         }
         finding
     }
@@ -231,7 +237,7 @@
 
     /// Watches an endpoint whose process may have ended unnoticed: behind a partition, or
     /// without closing its connections.
-    fn watch(self: &Rc<Self>, endpoint: &Arc<Endpoint>, request: Fingerprint, stage: Stage) {
+    fn watch(self: &Rc<Self>, endpoint: &Arc<Endpoint>, request: Fingerprint, ran: Ran) {
         if self.watched.get() >= MAX_WATCHED {
             return;
         }
@@ -239,7 +245,7 @@
         let (detector, endpoint) = (Rc::clone(self), Arc::clone(endpoint));
         actix_rt::spawn(async move {
             if detector.watch_until_decided(&endpoint).await == Finding::Crashed {
-                detector.record_crash(&endpoint, request, stage);
+                detector.record_crash(&endpoint, request, ran);
                 // Most requests have ended by now, and a completion has refuted the crash.
                 detector.give_up(request);
             }
@@ -264,19 +270,20 @@
         Finding::NotCrashed
     }
 
-    fn record_crash(self: &Rc<Self>, endpoint: &Endpoint, request: Fingerprint, stage: Stage) {
+    fn record_crash(self: &Rc<Self>, endpoint: &Endpoint, request: Fingerprint, ran: Ran) {
         let crash = Crash {
             endpoint: endpoint.id.clone(),
             incarnation: endpoint.incarnation,
         };
         let now = self.now();
         let mut evidence = self.evidence.borrow_mut();
-        match evidence.add_crash(now, crash.clone(), request, stage) {
+        let ran = evidence.without_completed(now, ran);
+        match evidence.add_crash(now, crash.clone(), request, ran.clone()) {
             Added::New => {
                 evidence.update_blame(now);
                 drop(evidence);
                 self.setup.count.record_lost_run();
-                self.notify_members(&Observation::Crashed(request, crash, stage), 1);
+                self.notify_members(&Observation::Crashed(request, crash, ran));
                 self.store_crashes(now, request, Source::Own);
                 self.save();
             }
@@ -291,9 +298,16 @@
         self.save();
     }
 
-    /// Records that a run of the request completed.
-    pub fn completed(&self, request: Fingerprint) {
+    /// Records that a run of the request completed. One that had nothing left to write shows nothing
+    /// of the parts of its prompt.
+    pub fn completed(&self, subject: &Subject, has_written: bool) {
         let now = self.now();
+        for part in subject.parts.iter().filter(|_| has_written) {
+            if self.evidence.borrow_mut().add_part_completion(now, *part) {
+                self.notify_members(&Observation::PartCompleted(*part));
+            }
+        }
+        let request = subject.request;
         if self.evidence.borrow_mut().add_completion(now, request) {
             log::info!("{} print={request}", event::REQUEST_CLEARED);
             self.notify_completion(request);
@@ -302,24 +316,28 @@
     }
 
     fn notify_completion(&self, request: Fingerprint) {
-        self.notify_members(&Observation::Completed(request), unix_millis());
+        self.notify_members(&Observation::Completed(request));
     }
 
-    fn notify_members(&self, observation: &Observation, version: u64) {
+    fn notify_members(&self, observation: &Observation) {
         // A note that does not fit is dropped; the other runs of the crash, or the next
         // crash, produce equivalent ones.
-        let _ = self.setup.notes.try_send(observation.note(version));
+        let note = observation.note(observation.version());
+        let _ = self.setup.notes.try_send(note);
     }
 
     /// Applies an observation of another node.
     pub fn apply_note(&self, note: &Note) {
         let now = self.now();
         match Observation::read(note) {
-            Some(Observation::Crashed(request, crash, stage)) => {
-                let added = self
-                    .evidence
-                    .borrow_mut()
-                    .add_crash(now, crash, request, stage);
+            Some(Observation::Crashed(request, crash, ran)) => {
+                let mut evidence = self.evidence.borrow_mut();
+                let completed = evidence.take_part_reports(now, &ran.parts);
+                let added = evidence.add_crash(now, crash, request, ran);
+                drop(evidence);
+                for part in completed {
+                    self.notify_members(&Observation::PartCompleted(part));
+                }
                 match added {
                     Added::New => self.store_crashes(now, request, Source::Other),
                     Added::Refuted(true) => self.notify_completion(request),
@@ -331,6 +349,9 @@
                 self.evidence.borrow_mut().add_completion(now, request);
                 self.storage.borrow_mut().withdraw_crashes(request);
             }
+            Some(Observation::PartCompleted(part)) => {
+                self.evidence.borrow_mut().add_part_completion(now, part);
+            }
             None => {}
         }
     }
--- a/src/quarantine/detector/sync.rs
+++ b/src/quarantine/detector/sync.rs
@@ -11,7 +11,7 @@
 use crate::edge::learn::Update;
 use crate::event;
 use crate::quarantine::Fingerprint;
-use crate::quarantine::evidence::{Added, CRASH_TTL, Crash, Status};
+use crate::quarantine::evidence::{Added, CRASH_TTL, Crash, Ran, Status};
 use crate::quarantine::record::{self, CrashRow, Key, Record, VerdictRow};
 use crate::table::{self, Table as _, Transaction};
 
@@ -123,7 +123,8 @@
             .add_row(Key::Verdict(request), row.until);
         let now = self.now();
         let left = Duration::from_millis(row.until.saturating_sub(clock));
-        if self.status(request) != Status::Condemned && !left.is_zero() {
+        let status = self.evidence.borrow().status(now, request);
+        if status != Status::Condemned && !left.is_zero() {
             log::info!(
                 "{} print={request} source=store times={} term_s={} endpoints={}",
                 event::REQUEST_CONDEMNED,
@@ -146,8 +147,13 @@
         if left.is_zero() {
             return;
         }
+        let ran = Ran {
+            stage: row.stage,
+            ran: row.ran,
+            parts: row.parts.clone(),
+        };
         let mut evidence = self.evidence.borrow_mut();
-        if let Added::Refuted(_) = evidence.add_crash(observed, crash, request, row.stage) {
+        if let Added::Refuted(_) = evidence.add_crash(observed, crash, request, ran) {
             storage.withdraw_crashes(request);
         }
     }
--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -12,11 +12,16 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::Fingerprint;
 use super::export::{self, Export};
+use super::{Fingerprint, Subject};
 use crate::clock::Time;
 use crate::name::Name;
 
+mod part;
+
+use part::Parts;
+pub use part::Ran;
+
 /// Total crash weight at which a request is condemned: three crashes early in a run.
 const CONDEMN_WEIGHT: u32 = 6;
 /// Runs shorter than this count as early when their endpoint ends. A longer run was more
@@ -54,8 +59,8 @@
     pub incarnation: u64,
 }
 
-/// Quarantine status of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Quarantine status of a request or of a part of prompts, in order of severity.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Status {
     /// It may run without restrictions.
     Clear,
@@ -107,10 +112,11 @@
     Refuted(bool),
 }
 
-/// A verdict that puts a request into quarantine, with the crashes it rests on.
+/// A verdict that puts a request, or all requests whose prompts share a part, into quarantine, with
+/// the crashes it rests on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Condemnation {
-    /// The request.
+    /// The request or the part.
     pub request: Fingerprint,
     /// The endpoint processes that ended while running it.
     pub crashes: Vec<Crash>,
@@ -126,6 +132,8 @@
     /// When the latest observation of it was added.
     last_observed: Time,
     requests: BTreeMap<Fingerprint, Stage>,
+    /// The shared parts of their prompts that may be to blame.
+    parts: BTreeMap<Fingerprint, part::Runs>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -165,12 +173,48 @@
     blame: HashMap<Fingerprint, Blame>,
     /// Last completion of each request.
     completions: HashMap<Fingerprint, Completion>,
+    parts: Parts,
     /// A crash was added since `blame` was last computed.
     is_stale: bool,
 }
 
 impl Evidence {
-    /// Returns the status of a request.
+    /// Returns the status of a request with the parts of its prompt: the most severe one.
+    pub fn status_of(&self, now: Time, subject: &Subject) -> Status {
+        let parts = subject
+            .parts
+            .iter()
+            .map(|part| self.part_status(now, *part));
+        let request = self.status(now, subject.request);
+        parts.fold(request, Status::max)
+    }
+
+    /// Returns what a request is admitted as at a pool, which runs one suspect of a kind at a time:
+    /// a suspect part of its prompt, or else the request itself.
+    pub fn admitted_as(&self, now: Time, subject: &Subject) -> Fingerprint {
+        let mut parts = subject.parts.iter().copied();
+        let is_suspect = |part: &Fingerprint| self.part_status(now, *part) != Status::Clear;
+        parts.find(is_suspect).unwrap_or(subject.request)
+    }
+
+    /// Returns the status of all requests whose prompts have this part.
+    pub fn part_status(&self, now: Time, part: Fingerprint) -> Status {
+        let verdict = self.verdicts.get(&part);
+        if verdict.is_some_and(|verdict| verdict.is_active(now)) {
+            return Status::Condemned;
+        }
+        match self.parts.blame.get(&part) {
+            Some(blame) if blame.is_due() || verdict.is_some() => {
+                let settled = blame.newest + SETTLE_DELAY;
+                Status::Held(settled.since(now))
+            }
+            Some(blame) if blame.is_suspect() => Status::Suspect,
+            _ if verdict.is_some() => Status::Suspect,
+            _ => Status::Clear,
+        }
+    }
+
+    /// Returns the status of a request by itself.
     pub fn status(&self, now: Time, request: Fingerprint) -> Status {
         let verdict = self.verdicts.get(&request);
         if verdict.is_some_and(|verdict| verdict.is_active(now)) {
@@ -204,13 +248,11 @@
     /// Records that an endpoint ended while the request ran there. It takes effect with the
     /// next [`Self::update_blame`] or [`Self::step`]: after a crash the observations of all
     /// nodes arrive together, and the blame need not be recomputed for each.
-    pub fn add_crash(
-        &mut self,
-        now: Time,
-        crash: Crash,
-        request: Fingerprint,
-        stage: Stage,
-    ) -> Added {
+    pub fn add_crash<R>(&mut self, now: Time, crash: Crash, request: Fingerprint, ran: R) -> Added
+    where
+        R: Into<Ran>,
+    {
+        let Ran { stage, ran, parts } = ran.into();
         if let Some(completion) = self.completions.get_mut(&request)
             && now.since(completion.at) < COMPLETION_TTL
         {
@@ -224,12 +266,15 @@
             since: now,
             last_observed: now,
             requests: BTreeMap::new(),
+            parts: BTreeMap::new(),
         });
         let known = incident.requests.get(&request).copied();
         if known >= Some(stage) || known.is_none() && incident.requests.len() >= MAX_REQUESTS {
             return Added::Ignored;
         }
         incident.requests.insert(request, stage);
+        let parts = self.parts.blamable(now, &parts);
+        incident.add_parts(now, request, ran, parts);
         incident.last_observed = incident.last_observed.max(now);
         if self.incidents.len() > MAX_CRASHES {
             self.drop_oldest();
@@ -248,11 +293,25 @@
         }
     }
 
+    /// Returns a run without the parts that completed so recently that a crash is not blamed on them.
+    pub fn without_completed(&self, now: Time, mut ran: Ran) -> Ran {
+        let parts = self.parts.blamable(now, &ran.parts);
+        ran.parts = parts.map(|(_, part)| part).collect();
+        ran
+    }
+
+    /// Returns those of the parts that completed so recently that a crash is not blamed on them, if
+    /// other nodes, which may blame them, have to be notified.
+    pub fn take_part_reports(&mut self, now: Time, parts: &[Fingerprint]) -> Vec<Fingerprint> {
+        self.parts.take_reports(now, parts)
+    }
+
     /// Returns the recorded crashes that involve the request.
-    pub fn crashes_of(&self, request: Fingerprint) -> Vec<(Crash, Stage)> {
+    pub fn crashes_of(&self, request: Fingerprint) -> Vec<(Crash, Ran)> {
         let ran = |(crash, incident): (&Crash, &Incident)| {
-            let stage = incident.requests.get(&request)?;
-            Some((crash.clone(), *stage))
+            let stage = *incident.requests.get(&request)?;
+            let (parts, ran) = incident.parts_of(request);
+            Some((crash.clone(), Ran { stage, ran, parts }))
         };
         self.incidents.iter().filter_map(ran).collect()
     }
@@ -287,6 +346,20 @@
         true
     }
 
+    /// Records that a request with the part completed: crashes while others with it ran elsewhere
+    /// had another cause. Returns true when other nodes have to be notified.
+    pub fn add_part_completion(&mut self, now: Time, part: Fingerprint) -> bool {
+        self.parts.add_completion(now, part);
+        let mut is_known = false;
+        for incident in self.incidents.values_mut() {
+            is_known |= incident.parts.remove(&part).is_some();
+        }
+        if is_known {
+            self.update_blame(now);
+        }
+        is_known
+    }
+
     /// Applies a verdict that lasts until `until`, such as one from the store. An expired
     /// verdict is recorded too, since it doubles the term of the next one.
     pub fn condemn(&mut self, now: Time, request: Fingerprint, until: Time, times: u32) {
@@ -329,6 +402,16 @@
                     .iter()
                     .map(|(it, at)| (*it, *at))
                     .collect(),
+                parts: incident
+                    .parts
+                    .iter()
+                    .map(|(part, runs)| export::Part {
+                        part: *part,
+                        position: runs.position,
+                        ran: incident.since.since(runs.began),
+                        requests: runs.requests.iter().copied().collect(),
+                    })
+                    .collect(),
             });
         Export {
             verdicts: verdicts.collect(),
@@ -346,6 +429,14 @@
             for (request, stage) in incident.requests {
                 self.add_crash(observed, incident.crash.clone(), request, stage);
             }
+            if let Some(known) = self.incidents.get_mut(&incident.crash) {
+                for part in incident.parts {
+                    for request in part.requests {
+                        let of = std::iter::once((part.position, part.part));
+                        known.add_parts(observed, request, part.ran, of);
+                    }
+                }
+            }
         }
         self.update_blame(now);
     }
@@ -357,7 +448,8 @@
             self.update_blame(now);
         }
         let mut reached = Vec::new();
-        while let Some(condemnation) = self.next(now) {
+        // A part explains the crashes of all requests with it, so it goes first.
+        while let Some(condemnation) = self.next_part(now).or_else(|| self.next(now)) {
             let Condemnation { term, times, .. } = condemnation;
             self.verdicts.remove(&condemnation.request);
             self.condemn(now, condemnation.request, now + term, times);
@@ -374,20 +466,37 @@
             self.is_due(**request, blame) && blame.newest + SETTLE_DELAY <= now
         });
         let (request, _) = due.max_by_key(|(request, blame)| (blame.weight, **request))?;
-        let before = self.verdicts.get(request).map_or(0, |it| it.times);
         let crashes = self.unexplained(now);
         let crashes = crashes.filter(|(_, incident)| incident.requests.contains_key(request));
-        Some(Condemnation {
-            request: *request,
-            crashes: crashes.map(|(crash, _)| crash.clone()).collect(),
+        let crashes = crashes.map(|(crash, _)| crash.clone()).collect();
+        Some(self.condemnation(*request, crashes))
+    }
+
+    /// Returns the verdict on the part with the most blame, if one is due.
+    fn next_part(&self, now: Time) -> Option<Condemnation> {
+        let due = self.parts.blame.iter().filter(|(part, blame)| {
+            let is_due = blame.is_due() || self.verdicts.contains_key(*part);
+            is_due && blame.newest + SETTLE_DELAY <= now
+        });
+        let (part, _) = due.max_by_key(|(part, blame)| (blame.weight, **part))?;
+        let crashes = part::endpoints(*part, self.unexplained_by_parts(now));
+        Some(self.condemnation(*part, crashes))
+    }
+
+    fn condemnation(&self, request: Fingerprint, crashes: Vec<Crash>) -> Condemnation {
+        let before = self.verdicts.get(&request).map_or(0, |it| it.times);
+        Condemnation {
+            request,
+            crashes,
             term: FIRST_TERM * 2_u32.pow(before.min(MAX_DOUBLINGS)),
             times: before + 1,
-        })
+        }
     }
 
     fn expire(&mut self, now: Time) {
         self.completions
             .retain(|_, completion| now.since(completion.at) < COMPLETION_TTL);
+        self.parts.expire(now);
         let before = (self.incidents.len(), self.verdicts.len());
         self.incidents
             .retain(|_, incident| now.since(incident.since) < CRASH_TTL);
@@ -398,20 +507,33 @@
         }
     }
 
-    /// Returns the crashes that no condemned request explains.
+    fn is_condemned(&self, now: Time, request: Fingerprint) -> bool {
+        let verdict = self.verdicts.get(&request);
+        verdict.is_some_and(|verdict| verdict.is_active(now))
+    }
+
+    /// Returns the crashes that no condemned part explains.
+    fn unexplained_by_parts(&self, now: Time) -> impl Iterator<Item = (&Crash, &Incident)> {
+        self.incidents.iter().filter(move |(_, incident)| {
+            let mut parts = incident.parts.keys();
+            !parts.any(|part| self.is_condemned(now, *part))
+        })
+    }
+
+    /// Returns the crashes that no condemned part or request explains.
     fn unexplained(&self, now: Time) -> impl Iterator<Item = (&Crash, &Incident)> {
-        let explains = move |request: &Fingerprint| {
-            let verdict = self.verdicts.get(request);
-            verdict.is_some_and(|verdict| verdict.is_active(now))
-        };
-        self.incidents
-            .iter()
-            .filter(move |(_, incident)| !incident.requests.keys().any(explains))
+        self.unexplained_by_parts(now).filter(move |(_, incident)| {
+            let mut requests = incident.requests.keys();
+            !requests.any(|request| self.is_condemned(now, *request))
+        })
     }
 
     /// Recomputes the blame of each request.
     pub fn update_blame(&mut self, now: Time) {
         self.is_stale = false;
+        let mut parts = std::mem::take(&mut self.parts);
+        parts.update_blame(self.unexplained_by_parts(now).map(|(_, incident)| incident));
+        self.parts = parts;
         let mut blame: HashMap<Fingerprint, Blame> = HashMap::new();
         for (_, incident) in self.unexplained(now) {
             for (request, stage) in &incident.requests {
--- /dev/null
+++ b/src/quarantine/evidence/part.rs
@@ -0,0 +1,291 @@
+//! Which part of the prompts is to blame when endpoints crash under requests that differ.
+//!
+//! A part is condemned if endpoint after endpoint crashed under it, each in a run that began after
+//! the crash before, and no request with it completed meanwhile. Of the parts that the crashes have
+//! in common, one that has completed before, or that stands earlier in the prompt, is the less
+//! likely cause: many sound requests share it. docs/design/quarantine.md compares the alternatives.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use super::{CONDEMN_WEIGHT, Crash, Incident, MAX_REQUESTS, Stage};
+use crate::clock::Time;
+use crate::quarantine::Fingerprint;
+
+/// Weight at which requests with the part run one at a time: two crashes.
+const SUSPECT_WEIGHT: u32 = 4;
+/// A part that completed within this time is not blamed for a crash.
+const RECENT_COMPLETION: Duration = Duration::from_secs(2);
+/// How long a completion is remembered, to tell which of several parts has run well before.
+const COMPLETION_TTL: Duration = Duration::from_secs(600);
+/// Minimum interval between reports of a part's completion to other nodes.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Limit on the parts whose last completion is remembered.
+const MAX_COMPLETIONS: usize = 4_096;
+/// A run that had written this many pieces of its answer is not blamed by the parts of its prompt:
+/// such a part crashes an endpoint as it begins to write.
+const MAX_WRITTEN: u32 = 8;
+
+/// How a request was running when its endpoint crashed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ran {
+    /// The stage of the run.
+    pub stage: Stage,
+    /// How long it ran.
+    pub ran: Duration,
+    /// The parts of the prompt that may be to blame, in order.
+    pub parts: Vec<Fingerprint>,
+}
+
+impl Ran {
+    /// Describes a run that lasted `ran` and had written this many pieces of its answer.
+    pub fn new(ran: Duration, written: u32, parts: &[Fingerprint]) -> Self {
+        let parts = if written < MAX_WRITTEN { parts } else { &[] };
+        Self {
+            stage: Stage::of(ran),
+            ran,
+            parts: parts.to_vec(),
+        }
+    }
+}
+
+impl From<Stage> for Ran {
+    /// Describes a run of a request without parts.
+    fn from(stage: Stage) -> Self {
+        Self {
+            stage,
+            ran: Duration::ZERO,
+            parts: Vec::new(),
+        }
+    }
+}
+
+/// The runs of requests with one part at a crash.
+#[derive(Clone, Debug)]
+pub(super) struct Runs {
+    /// When the last of them began.
+    pub(super) began: Time,
+    /// Its place in the prompt.
+    pub(super) position: usize,
+    pub(super) requests: BTreeSet<Fingerprint>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Completion {
+    at: Time,
+    reported: Option<Time>,
+}
+
+/// Blame of a part for the crashes that no verdict on a part explains.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Blame {
+    pub(super) weight: u32,
+    pub(super) newest: Time,
+    last_completion: Option<Time>,
+    position: usize,
+    /// At one of these crashes another part is the more likely cause, or one request was at all of
+    /// them.
+    is_outranked: bool,
+}
+
+impl Blame {
+    /// True when the part is the most likely cause of enough crashes.
+    pub(super) fn is_due(&self) -> bool {
+        self.weight >= CONDEMN_WEIGHT && !self.is_outranked
+    }
+
+    /// True when requests with the part run one at a time.
+    pub(super) fn is_suspect(&self) -> bool {
+        self.weight >= SUSPECT_WEIGHT && !self.is_outranked
+    }
+
+    /// Orders parts by how likely they are the cause.
+    fn rank(&self, part: Fingerprint) -> impl Ord {
+        let last = self.last_completion;
+        (self.weight, Reverse(last), self.position, part)
+    }
+}
+
+/// What is known of the parts of prompts.
+#[derive(Debug, Default)]
+pub(super) struct Parts {
+    pub(super) blame: HashMap<Fingerprint, Blame>,
+    completions: HashMap<Fingerprint, Completion>,
+}
+
+impl Parts {
+    /// Returns those of the parts that have not completed recently, with their places.
+    pub(super) fn blamable<'a>(
+        &'a self,
+        now: Time,
+        parts: &'a [Fingerprint],
+    ) -> impl Iterator<Item = (usize, Fingerprint)> {
+        let is_recent = move |part: &Fingerprint| {
+            let completion = self.completions.get(part);
+            completion.is_some_and(|it| now.since(it.at) < RECENT_COMPLETION)
+        };
+        let parts = parts.iter().copied().enumerate();
+        parts.filter(move |(_, part)| !is_recent(part))
+    }
+
+    /// Returns those of the parts that have completed recently and whose completion is due to be
+    /// reported to other nodes, which may blame them.
+    pub(super) fn take_reports(&mut self, now: Time, parts: &[Fingerprint]) -> Vec<Fingerprint> {
+        let mut due = Vec::new();
+        for part in parts {
+            if let Some(completion) = self.completions.get_mut(part)
+                && now.since(completion.at) < RECENT_COMPLETION
+                && completion
+                    .reported
+                    .is_none_or(|reported| now.since(reported) >= REPORT_INTERVAL)
+            {
+                completion.reported = Some(now);
+                due.push(*part);
+            }
+        }
+        due
+    }
+
+    /// Records that a request with the part completed.
+    pub(super) fn add_completion(&mut self, now: Time, part: Fingerprint) {
+        let is_full = self.completions.len() >= MAX_COMPLETIONS;
+        if is_full && !self.completions.contains_key(&part) {
+            return;
+        }
+        let reported = None;
+        let completion = self.completions.entry(part);
+        completion.or_insert(Completion { at: now, reported }).at = now;
+    }
+
+    pub(super) fn expire(&mut self, now: Time) {
+        self.completions
+            .retain(|_, completion| now.since(completion.at) < COMPLETION_TTL);
+    }
+
+    /// Recomputes the blame of each part from the crashes that no verdict on a part explains.
+    pub(super) fn update_blame<'a, I>(&mut self, incidents: I)
+    where
+        I: Iterator<Item = &'a Incident>,
+    {
+        let mut incidents: Vec<&Incident> = incidents.collect();
+        incidents.sort_by_key(|incident| incident.since);
+        let mut tallies: BTreeMap<Fingerprint, Tally> = BTreeMap::new();
+        for incident in &incidents {
+            for (part, runs) in &incident.parts {
+                tallies.entry(*part).or_default().add(incident, runs);
+            }
+        }
+        self.blame = tallies
+            .iter()
+            .map(|(part, tally)| {
+                let completion = self.completions.get(part);
+                let blame = tally.blame(completion.map(|it| it.at));
+                (*part, blame)
+            })
+            .collect();
+        let mut outranked = BTreeSet::new();
+        for incident in incidents {
+            let rank = |part: &Fingerprint| self.blame[part].rank(*part);
+            let most_likely = incident.parts.keys().max_by_key(|part| rank(part));
+            let others = incident
+                .parts
+                .keys()
+                .filter(|part| Some(*part) != most_likely);
+            outranked.extend(others.copied());
+        }
+        for part in outranked {
+            if let Some(blame) = self.blame.get_mut(&part) {
+                blame.is_outranked = true;
+            }
+        }
+    }
+}
+
+/// The crashes of a part so far, in order of time.
+#[derive(Default)]
+struct Tally {
+    crashes: usize,
+    /// Weight of the crashes whose run began after the crash before.
+    weight: u32,
+    counted: Option<Time>,
+    newest: Time,
+    position: usize,
+    /// The crashes of each request with the part.
+    by_request: BTreeMap<Fingerprint, usize>,
+}
+
+impl Tally {
+    fn add(&mut self, incident: &Incident, runs: &Runs) {
+        self.crashes += 1;
+        // Runs that were under way at the crash before may have ended by the same cause, such as
+        // the loss of a zone.
+        if self.counted.is_none_or(|counted| runs.began > counted) {
+            self.weight += Stage::of(incident.since.since(runs.began)).weight();
+            self.counted = Some(incident.since);
+        }
+        self.newest = self.newest.max(incident.last_observed);
+        self.position = self.position.max(runs.position);
+        for request in &runs.requests {
+            *self.by_request.entry(*request).or_default() += 1;
+        }
+    }
+
+    fn blame(&self, last_completion: Option<Time>) -> Blame {
+        // A request that was at all of these crashes may crash endpoints by itself.
+        let is_request = self.by_request.values().any(|count| *count == self.crashes);
+        Blame {
+            weight: self.weight,
+            newest: self.newest,
+            last_completion,
+            position: self.position,
+            is_outranked: is_request,
+        }
+    }
+}
+
+impl Incident {
+    /// Adds the parts of a request that ran at the crash.
+    pub(super) fn add_parts<P>(&mut self, now: Time, request: Fingerprint, ran: Duration, parts: P)
+    where
+        P: Iterator<Item = (usize, Fingerprint)>,
+    {
+        for (position, part) in parts {
+            if self.parts.len() >= MAX_REQUESTS && !self.parts.contains_key(&part) {
+                continue;
+            }
+            let began = now - ran;
+            let runs = self.parts.entry(part).or_insert_with(|| Runs {
+                began,
+                position,
+                requests: BTreeSet::new(),
+            });
+            runs.began = runs.began.max(began);
+            runs.position = runs.position.max(position);
+            if runs.requests.len() < MAX_REQUESTS {
+                runs.requests.insert(request);
+            }
+        }
+    }
+
+    /// Returns the parts of a request that ran at the crash, in order, and how long it ran.
+    pub(super) fn parts_of(&self, request: Fingerprint) -> (Vec<Fingerprint>, Duration) {
+        let own = self.parts.iter();
+        let mut own: Vec<_> = own
+            .filter(|(_, runs)| runs.requests.contains(&request))
+            .collect();
+        own.sort_by_key(|(_, runs)| runs.position);
+        let began = own.iter().map(|(_, runs)| runs.began).max();
+        let ran = began.map_or(Duration::ZERO, |began| self.since.since(began));
+        (own.into_iter().map(|(part, _)| *part).collect(), ran)
+    }
+}
+
+/// Orders crashes for the log.
+pub(super) fn endpoints<'a, I>(part: Fingerprint, incidents: I) -> Vec<Crash>
+where
+    I: Iterator<Item = (&'a Crash, &'a Incident)>,
+{
+    let involved = incidents.filter(|(_, incident)| incident.parts.contains_key(&part));
+    involved.map(|(crash, _)| crash.clone()).collect()
+}
--- a/src/quarantine/export.rs
+++ b/src/quarantine/export.rs
@@ -34,6 +34,26 @@
     /// The requests, and the stage of each one's run.
     #[serde(rename = "r")]
     pub requests: Vec<(Fingerprint, Stage)>,
+    /// The parts of their prompts that may be to blame.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<Part>,
+}
+
+/// A part of prompts that requests had that ran at a crash.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// The part.
+    #[serde(rename = "p")]
+    pub part: Fingerprint,
+    /// Its place in the prompt.
+    #[serde(rename = "n")]
+    pub position: usize,
+    /// How long before the crash the last of the runs had begun.
+    #[serde(rename = "d")]
+    pub ran: Duration,
+    /// The requests.
+    #[serde(rename = "r")]
+    pub requests: Vec<Fingerprint>,
 }
 
 /// Verdicts and crashes that a node has recorded.
--- a/src/quarantine/record.rs
+++ b/src/quarantine/record.rs
@@ -2,13 +2,15 @@
 
 use std::fmt;
 use std::str::FromStr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use super::Fingerprint;
-use super::evidence::{Crash, Stage};
+use super::evidence::{Crash, Ran, Stage};
+use crate::clock::unix_millis;
 use crate::name::Name;
 use crate::wire;
 use crate::wire::control::Note;
@@ -20,16 +22,22 @@
 /// Marks a completion in a note's key, in place of a crash.
 const COMPLETED: &str = "sound";
 
-/// The value of a note about a run in [`Stage::Late`].
-const LATE: &[u8] = b"l";
+/// Marks the completion of a part of prompts.
+const PART_COMPLETED: &str = "part";
+
+/// First byte of the value of a note about a run, by its stage.
+const LATE: u8 = b'l';
+const EARLY: u8 = b'e';
 
 /// A single observation by one node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Observation {
     /// An endpoint ended while the request ran there.
-    Crashed(Fingerprint, Crash, Stage),
+    Crashed(Fingerprint, Crash, Ran),
     /// The request completed.
     Completed(Fingerprint),
+    /// A request with this part in its prompt completed.
+    PartCompleted(Fingerprint),
 }
 
 impl Observation {
@@ -40,16 +48,29 @@
                 format!("{request}/{:x}/{}", crash.incarnation, crash.endpoint)
             }
             Self::Completed(request) => format!("{request}/{COMPLETED}"),
+            Self::PartCompleted(part) => format!("{part}/{PART_COMPLETED}"),
         };
         let value = match self {
-            Self::Crashed(_, _, Stage::Late) => LATE,
-            Self::Crashed(_, _, Stage::Early) | Self::Completed(_) => &[],
+            Self::Crashed(_, _, ran) => encode_ran(ran),
+            Self::Completed(_) | Self::PartCompleted(_) => Bytes::new(),
         };
         Note {
             topic: TOPIC,
             key: key.into(),
             version,
-            value: Bytes::from_static(value),
+            value,
+        }
+    }
+
+    /// Returns the version of the observation's note. Nodes that report the completion of one part
+    /// at the same time send equal notes, which are passed on once.
+    pub fn version(&self) -> u64 {
+        /// Notes of a part's completion that are sent within this time are equal.
+        const PART_INTERVAL_MS: u64 = 1_000;
+        match self {
+            Self::Crashed(..) => 1,
+            Self::Completed(_) => unix_millis(),
+            Self::PartCompleted(_) => unix_millis() / PART_INTERVAL_MS,
         }
     }
 
@@ -60,21 +81,62 @@
         }
         let (request, what) = note.key.split_once('/')?;
         let request = Fingerprint(u64::from_str_radix(request, 16).ok()?);
-        if what == COMPLETED {
-            return Some(Self::Completed(request));
+        match what {
+            COMPLETED => return Some(Self::Completed(request)),
+            PART_COMPLETED => return Some(Self::PartCompleted(request)),
+            _ => {}
         }
         let (incarnation, endpoint) = what.split_once('/')?;
         let crash = Crash {
             endpoint: endpoint.into(),
             incarnation: u64::from_str_radix(incarnation, 16).ok()?,
         };
-        let stage = if note.value == LATE {
-            Stage::Late
-        } else {
-            Stage::Early
-        };
-        Some(Self::Crashed(request, crash, stage))
+        Some(Self::Crashed(request, crash, decode_ran(&note.value)?))
+    }
+}
+
+/// Encodes a run: nothing for an early one without parts, else its stage and, if it has parts, its
+/// length in milliseconds and the parts.
+fn encode_ran(ran: &Ran) -> Bytes {
+    let stage = match ran.stage {
+        Stage::Late => LATE,
+        Stage::Early if ran.parts.is_empty() => return Bytes::new(),
+        Stage::Early => EARLY,
+    };
+    let mut value = vec![stage];
+    if !ran.parts.is_empty() {
+        let millis = u32::try_from(ran.ran.as_millis()).unwrap_or(u32::MAX);
+        value.extend(millis.to_be_bytes());
+        let parts = ran.parts.iter();
+        value.extend(parts.flat_map(|part| part.0.to_be_bytes()));
+    }
+    value.into()
+}
+
+fn decode_ran(value: &[u8]) -> Option<Ran> {
+    let Some((stage, rest)) = value.split_first() else {
+        return Some(Stage::Early.into());
+    };
+    let stage = if *stage == LATE {
+        Stage::Late
+    } else {
+        Stage::Early
+    };
+    if rest.is_empty() {
+        return Some(stage.into());
     }
+    let (millis, parts) = rest.split_first_chunk()?;
+    let (parts, []) = parts.as_chunks() else {
+        return None;
+    };
+    Some(Ran {
+        stage,
+        ran: Duration::from_millis(u32::from_be_bytes(*millis).into()),
+        parts: parts
+            .iter()
+            .map(|part| Fingerprint(u64::from_be_bytes(*part)))
+            .collect(),
+    })
 }
 
 /// Key of a record in the store.
@@ -146,6 +208,12 @@
     /// The stage of the request's run.
     #[serde(rename = "s")]
     pub stage: Stage,
+    /// How long it ran.
+    #[serde(rename = "d", default, skip_serializing_if = "Duration::is_zero")]
+    pub ran: Duration,
+    /// The parts of its prompt that may be to blame, in order.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<Fingerprint>,
 }
 
 /// A record in the store.
--- a/src/quarantine/statuses.rs
+++ b/src/quarantine/statuses.rs
@@ -12,7 +12,7 @@
 use super::backlog::Backlog;
 use super::evidence::{Added, Evidence, Status};
 use super::record::Observation;
-use crate::clock::{Clock, Time, unix_millis};
+use crate::clock::{Clock, Time};
 use crate::event;
 use crate::member::shell::Handle as Members;
 use crate::snapshot::Cell;
@@ -114,11 +114,7 @@
             Some(Report { observation, done }) = observed.recv() => {
                 waits = done;
                 if apply(&clock, &mut evidence, &observation) {
-                    let version = match observation {
-                        Observation::Crashed(..) => 1,
-                        Observation::Completed(_) => unix_millis(),
-                    };
-                    members.note(observation.note(version));
+                    members.note(observation.note(observation.version()));
                 }
                 evidence.update_blame(clock.now());
             }
@@ -161,10 +157,11 @@
 fn apply(clock: &Clock, evidence: &mut Evidence, observation: &Observation) -> bool {
     let now = clock.now();
     match observation {
-        Observation::Crashed(request, crash, stage) => {
-            evidence.add_crash(now, crash.clone(), *request, *stage) == Added::New
+        Observation::Crashed(request, crash, ran) => {
+            evidence.add_crash(now, crash.clone(), *request, ran.clone()) == Added::New
         }
         Observation::Completed(request) => evidence.add_completion(now, *request),
+        Observation::PartCompleted(part) => evidence.add_part_completion(now, *part),
     }
 }
 
--- a/src/quarantine/storage.rs
+++ b/src/quarantine/storage.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use super::Fingerprint;
-use super::evidence::{CRASH_TTL, Condemnation, Crash, Stage};
+use super::evidence::{CRASH_TTL, Condemnation, Crash, Ran};
 use super::record::{CrashRow, Key, VerdictRow};
 use crate::clock::Time;
 use crate::name::Name;
@@ -31,7 +31,7 @@
 
 enum Value {
     Verdict { times: u32, endpoints: Vec<Name> },
-    Crash(Stage),
+    Crash(Ran),
 }
 
 /// A record that the store is not known to hold.
@@ -93,13 +93,13 @@
         min_crashes: usize,
         rank: R,
     ) where
-        C: ExactSizeIterator<Item = (Crash, Stage)>,
+        C: ExactSizeIterator<Item = (Crash, Ran)>,
         R: Fn(&Key) -> u32,
     {
         if crashes.len() < min_crashes {
             return;
         }
-        for (crash, stage) in crashes {
+        for (crash, ran) in crashes {
             let key = Key::Crash(request, crash);
             let is_known = self.rows.contains_key(&key) || self.unsaved.contains_key(&key);
             let is_full = self.unsaved.len() >= MAX_UNSAVED;
@@ -110,7 +110,7 @@
                 due: now + WRITE_DELAY * rank(&key),
                 ends: now + CRASH_TTL,
                 is_saving: false,
-                value: Value::Crash(stage),
+                value: Value::Crash(ran),
             };
             self.unsaved.insert(key, unsaved);
         }
@@ -134,9 +134,11 @@
                     times: *times,
                     endpoints: endpoints.clone(),
                 }),
-                Value::Crash(stage) => wire::encode(&CrashRow {
+                Value::Crash(ran) => wire::encode(&CrashRow {
                     until,
-                    stage: *stage,
+                    stage: ran.stage,
+                    ran: ran.ran,
+                    parts: ran.parts.clone(),
                 }),
             };
             // Encoding plain data can't fail.
--- a/standin/tests/quarantine_fleet.rs
+++ b/standin/tests/quarantine_fleet.rs
@@ -69,3 +69,22 @@
 fn part_crashes_replicas() {
     play(0, 1, Faults::None, LENGTH * 2);
 }
+
+/// The same beside requests that crash replicas by themselves.
+#[gtest]
+fn part_beside_killers() {
+    play(2, 1, Faults::None, LENGTH * 2);
+}
+
+/// Guards against what is known of a part and forgotten: nodes start again while the store refuses
+/// them.
+#[gtest]
+fn part_after_restarts_without_store() {
+    play(0, 1, Faults::RestartsWithoutStore, LENGTH);
+}
+
+/// Guards against crashes under a part that are forgotten when all nodes end right after them.
+#[gtest]
+fn part_all_nodes_end_after_each_crash() {
+    play(0, 1, Faults::KillsAfterCrashes, LENGTH * 2);
+}
--- a/standin/tests/quarantine_hold.rs
+++ b/standin/tests/quarantine_hold.rs
@@ -56,13 +56,14 @@
         notes: mpsc::channel(8).0,
         count: Count::default(),
     });
+    let subject = Subject {
+        request: REQUEST,
+        parts: [].into(),
+    };
     for endpoint in endpoints {
         let run = Run {
             id: &"a1".into(),
-            subject: &Subject {
-                request: REQUEST,
-                parts: [].into(),
-            },
+            subject: &subject,
             written: 0,
             ran: Duration::ZERO,
             why: "broken_stream",
@@ -70,11 +71,11 @@
         detector.investigate(&Arc::new(endpoint), run).await;
     }
     expect_that!(
-        detector.status(REQUEST),
+        detector.status(&subject),
         matches_pattern!(Status::Held(gt(Duration::ZERO)))
     );
     // Verdicts are reached by a task that does not run here.
     let deadline = clock.now() + WAIT;
-    Rc::clone(&detector).until_decided(REQUEST, deadline).await;
+    Rc::clone(&detector).until_decided(&subject, deadline).await;
     expect_that!(clock.now(), ge(deadline));
 }
--- a/tests/quarantine_evidence.rs
+++ b/tests/quarantine_evidence.rs
@@ -8,7 +8,7 @@
 use auburnspoke::pool::{Action, Key, Pool};
 use auburnspoke::quarantine::Fingerprint;
 use auburnspoke::quarantine::backlog::Backlog;
-use auburnspoke::quarantine::evidence::{Crash, Evidence, Stage, Status};
+use auburnspoke::quarantine::evidence::{Crash, Evidence, Ran, Stage, Status};
 use auburnspoke::quarantine::loss::{
     Entry, Finding, classify, classify_later, probe_after_failure, probe_after_stop,
 };
@@ -305,8 +305,19 @@
 #[gtest]
 fn note_round() {
     for observation in [
-        Observation::Crashed(KILLER, crash(7), Stage::Early),
-        Observation::Crashed(KILLER, crash(7), Stage::Late),
+        Observation::Crashed(KILLER, crash(7), Stage::Early.into()),
+        Observation::Crashed(KILLER, crash(7), Stage::Late.into()),
+        Observation::Crashed(
+            KILLER,
+            crash(7),
+            Ran::new(Duration::from_millis(70), 0, &[OTHER, KILLER]),
+        ),
+        Observation::Crashed(
+            KILLER,
+            crash(7),
+            Ran::new(Duration::from_secs(70), 0, &[OTHER]),
+        ),
+        Observation::PartCompleted(OTHER),
         Observation::Completed(OTHER),
     ] {
         let note = observation.note(1);
--- a/tests/quarantine_explore/fleet.rs
+++ b/tests/quarantine_explore/fleet.rs
@@ -294,12 +294,12 @@
         let now = time(self.now);
         let node = &mut self.nodes[at];
         match observation {
-            Observation::Crashed(request, crash, stage) => {
+            Observation::Crashed(request, crash, ran) => {
                 let crashes = node.naive.entry(request.0).or_default();
                 crashes.insert(crash.clone());
                 let added = node
                     .evidence
-                    .add_crash(now, crash.clone(), *request, *stage);
+                    .add_crash(now, crash.clone(), *request, ran.clone());
                 added == Added::Refuted(true)
             }
             Observation::Completed(request) => {
@@ -307,6 +307,10 @@
                 node.evidence.add_completion(now, *request);
                 false
             }
+            Observation::PartCompleted(part) => {
+                node.evidence.add_part_completion(now, *part);
+                false
+            }
         }
     }
 
@@ -569,7 +573,7 @@
             _ => crash,
         };
         let stage = Stage::of(Duration::from_millis(self.now - run.began));
-        let observation = Observation::Crashed(Fingerprint(run.request), crash, stage);
+        let observation = Observation::Crashed(Fingerprint(run.request), crash, stage.into());
         if !self.apply(run.node, &observation) {
             self.broadcast(run.node, &observation);
         }
--- /dev/null
+++ b/tests/quarantine_part.rs
@@ -0,0 +1,318 @@
+//! Verdicts on parts of prompts that crash endpoints, whatever else the requests hold.
+
+use std::time::Duration;
+
+use auburnspoke::clock::Time;
+use auburnspoke::quarantine::evidence::{Crash, Evidence, Ran, Stage, Status};
+use auburnspoke::quarantine::record::{self, CrashRow, Key, Record};
+use auburnspoke::quarantine::{Fingerprint, Subject};
+use auburnspoke::wire;
+use googletest::prelude::*;
+
+/// The first part of all prompts.
+const FIRST: Fingerprint = Fingerprint(0xf1);
+/// A part that crashes endpoints.
+const BAD: Fingerprint = Fingerprint(0xbad);
+/// How long a request with it runs.
+const RAN: Duration = Duration::from_millis(60);
+/// Time after which verdicts are due.
+const SETTLED_MS: u64 = 900;
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(100_000 + millis)
+}
+
+fn crash(number: u64) -> Crash {
+    Crash {
+        endpoint: format!("e{number}").into(),
+        incarnation: 0,
+    }
+}
+
+fn subject(request: u64, parts: &[Fingerprint]) -> Subject {
+    Subject {
+        request: Fingerprint(request),
+        parts: parts.into(),
+    }
+}
+
+/// Records that a run of a request ended with its endpoint.
+fn crashed(evidence: &mut Evidence, now: Time, number: u64, request: u64, parts: &[Fingerprint]) {
+    let ran = Ran::new(RAN, 0, parts);
+    evidence.add_crash(now, crash(number), Fingerprint(request), ran);
+    evidence.update_blame(now);
+}
+
+fn verdicts(evidence: &mut Evidence, now: Time) -> Vec<Fingerprint> {
+    let reached = evidence.step(now);
+    reached.into_iter().map(|it| it.request).collect()
+}
+
+/// Guards against requests that differ in all but one part and end endpoint after endpoint.
+#[gtest]
+fn step_requests_differ() {
+    let mut evidence = Evidence::default();
+    for number in 0..3 {
+        crashed(
+            &mut evidence,
+            at(number * 200),
+            number,
+            number,
+            &[FIRST, BAD],
+        );
+    }
+    let next = subject(9, &[FIRST, BAD]);
+    expect_that!(
+        evidence.status_of(at(400), &next),
+        matches_pattern!(Status::Held(_))
+    );
+    expect_that!(
+        verdicts(&mut evidence, at(400 + SETTLED_MS)),
+        elements_are![eq(&BAD)]
+    );
+    expect_that!(evidence.status_of(at(1_400), &next), eq(Status::Condemned));
+}
+
+/// Guards against a verdict on the part that sound requests share with those that crash endpoints,
+/// also where none of them has completed yet.
+#[gtest]
+fn step_first_part_clear() {
+    for completes in [false, true] {
+        let mut evidence = Evidence::default();
+        for number in 0..6 {
+            let now = at(number * 200);
+            crashed(&mut evidence, now, number, number, &[FIRST, BAD]);
+            // The part's neighbours on the endpoint share the first part too.
+            crashed(
+                &mut evidence,
+                now,
+                number,
+                100 + number,
+                &[FIRST, Fingerprint(200 + number)],
+            );
+            if completes {
+                evidence.add_part_completion(now, FIRST);
+            }
+            let sound = subject(50, &[FIRST, Fingerprint(7)]);
+            expect_that!(evidence.status_of(now, &sound), eq(Status::Clear));
+        }
+        expect_that!(
+            verdicts(&mut evidence, at(1_000 + SETTLED_MS)),
+            elements_are![eq(&BAD)]
+        );
+        let sound = subject(50, &[FIRST, Fingerprint(7)]);
+        expect_that!(evidence.status_of(at(2_000), &sound), eq(Status::Clear));
+    }
+}
+
+/// Guards against a verdict on the parts of one request that crashes endpoints by itself.
+#[gtest]
+fn step_same_request() {
+    let mut evidence = Evidence::default();
+    for number in 0..4 {
+        crashed(&mut evidence, at(number * 200), number, 1, &[FIRST, BAD]);
+    }
+    expect_that!(
+        verdicts(&mut evidence, at(600 + SETTLED_MS)),
+        elements_are![eq(&Fingerprint(1))]
+    );
+    let other = subject(2, &[FIRST, BAD]);
+    expect_that!(evidence.status_of(at(1_600), &other), eq(Status::Clear));
+}
+
+/// Guards against a part that gets three crashes anew with each request, because a verdict on the
+/// request explains them.
+#[gtest]
+fn step_second_request() {
+    let mut evidence = Evidence::default();
+    for number in 0..3 {
+        crashed(&mut evidence, at(number * 200), number, 1, &[FIRST, BAD]);
+    }
+    verdicts(&mut evidence, at(400 + SETTLED_MS));
+    crashed(&mut evidence, at(2_000), 3, 2, &[FIRST, BAD]);
+    expect_that!(
+        verdicts(&mut evidence, at(2_000 + SETTLED_MS)),
+        elements_are![eq(&BAD)]
+    );
+}
+
+/// Guards against a verdict by chance: many endpoints are lost at once, as with a zone, and nothing
+/// completes for a while.
+#[gtest]
+fn step_zone_lost() {
+    let mut evidence = Evidence::default();
+    for number in 0..12 {
+        // Their loss is noticed one after the other, within less than a run has lasted.
+        let ran = Ran::new(Duration::from_millis(800), 0, &[FIRST, BAD]);
+        evidence.add_crash(at(number * 50), crash(number), Fingerprint(number), ran);
+    }
+    expect_that!(verdicts(&mut evidence, at(5_000)), is_empty());
+    let sound = subject(50, &[FIRST, BAD]);
+    expect_that!(evidence.status_of(at(5_000), &sound), eq(Status::Clear));
+}
+
+/// Guards against a verdict by chance: endpoints crash one after the other for other reasons, and
+/// requests with the part complete in between.
+#[gtest]
+fn step_completed_between() {
+    let mut evidence = Evidence::default();
+    for number in 0..30 {
+        let now = at(number * 10_000);
+        crashed(&mut evidence, now, number, number, &[FIRST]);
+        expect_that!(evidence.add_part_completion(now + RAN, FIRST), eq(true));
+        expect_that!(
+            verdicts(&mut evidence, now + Duration::from_secs(2)),
+            is_empty()
+        );
+    }
+}
+
+/// Guards against a part that crashes endpoints only from some moment on, and stays clear because
+/// requests with it completed before.
+#[gtest]
+fn step_completed_before() {
+    let mut evidence = Evidence::default();
+    evidence.add_part_completion(at(0), BAD);
+    evidence.add_part_completion(at(0), FIRST);
+    let mut reached = Vec::new();
+    for number in 0..20 {
+        let now = at(number * 200);
+        evidence.add_part_completion(now, FIRST);
+        let next = subject(number, &[FIRST, BAD]);
+        if evidence.status_of(now, &next) <= Status::Suspect {
+            crashed(&mut evidence, now, number, number, &[FIRST, BAD]);
+        }
+        reached.extend(verdicts(&mut evidence, now));
+    }
+    expect_that!(reached, elements_are![eq(&BAD)]);
+}
+
+/// Guards against a verdict on a part of requests that ran well until their endpoint crashed.
+#[gtest]
+fn new_has_written() {
+    expect_that!(Ran::new(RAN, 7, &[BAD]).parts, elements_are![eq(&BAD)]);
+    expect_that!(Ran::new(RAN, 8, &[BAD]).parts, is_empty());
+}
+
+/// Guards against a part whose quarantine has ended and that crashes three more endpoints.
+#[gtest]
+fn step_crashes_again() {
+    const TERM_MS: u64 = 900_000;
+    let mut evidence = Evidence::default();
+    for number in 0..3 {
+        crashed(
+            &mut evidence,
+            at(number * 200),
+            number,
+            number,
+            &[FIRST, BAD],
+        );
+    }
+    verdicts(&mut evidence, at(1_400));
+    let later = 1_400 + TERM_MS + 1;
+    let next = subject(9, &[FIRST, BAD]);
+    verdicts(&mut evidence, at(later));
+    expect_that!(evidence.status_of(at(later), &next), eq(Status::Suspect));
+    expect_that!(evidence.admitted_as(at(later), &next), eq(BAD));
+    crashed(&mut evidence, at(later), 9, 9, &[FIRST, BAD]);
+    expect_that!(
+        verdicts(&mut evidence, at(later + SETTLED_MS)),
+        elements_are![eq(&BAD)]
+    );
+}
+
+/// Guards against gossip that grows with traffic: a completion is reported only while the part is
+/// blamed somewhere, and once a second.
+#[gtest]
+fn report_completions() {
+    let mut evidence = Evidence::default();
+    expect_that!(evidence.add_part_completion(at(0), FIRST), eq(false));
+    // Another node blames it.
+    let reported = evidence.take_part_reports(at(500), &[FIRST, BAD]);
+    expect_that!(reported, elements_are![eq(&FIRST)]);
+    expect_that!(evidence.take_part_reports(at(900), &[FIRST]), is_empty());
+    expect_that!(evidence.take_part_reports(at(3_000), &[FIRST]), is_empty());
+    crashed(&mut evidence, at(4_000), 1, 1, &[FIRST]);
+    expect_that!(evidence.add_part_completion(at(4_100), FIRST), eq(true));
+    expect_that!(evidence.add_part_completion(at(4_200), FIRST), eq(false));
+}
+
+/// Guards against memory that grows under a flood of parts that are all new.
+#[gtest]
+fn add_flood() {
+    let mut evidence = Evidence::default();
+    for number in 0..5_000 {
+        let parts: Vec<_> = (0..8).map(|at| Fingerprint(number * 8 + at + 1)).collect();
+        for part in &parts {
+            evidence.add_part_completion(at(number), Fingerprint(part.0 | 1 << 60));
+        }
+        let ran = Ran::new(RAN, 0, &parts);
+        evidence.add_crash(at(number), crash(number % 600), Fingerprint(number), ran);
+    }
+    let export = evidence.export(at(5_000));
+    expect_that!(export.incidents.len(), le(256));
+    for incident in export.incidents {
+        expect_that!(incident.parts.len(), le(64));
+    }
+}
+
+/// Guards against evidence that is lost with a node: another one takes over what it exports.
+#[gtest]
+fn import_parts() {
+    let mut evidence = Evidence::default();
+    for number in 0..2 {
+        crashed(
+            &mut evidence,
+            at(number * 200),
+            number,
+            number,
+            &[FIRST, BAD],
+        );
+    }
+    let mut other = Evidence::default();
+    other.import(at(300), evidence.export(at(300)));
+    crashed(&mut other, at(400), 2, 2, &[FIRST, BAD]);
+    expect_that!(
+        verdicts(&mut other, at(400 + SETTLED_MS)),
+        elements_are![eq(&BAD)]
+    );
+}
+
+/// Guards against evidence that is lost when all nodes end: rows keep the parts.
+#[gtest]
+fn decode_crash_row() {
+    let ran = Ran::new(RAN, 0, &[FIRST, BAD]);
+    let row = CrashRow {
+        until: 5,
+        stage: ran.stage,
+        ran: ran.ran,
+        parts: ran.parts,
+    };
+    let key = Key::Crash(Fingerprint(1), crash(1));
+    let decoded = record::decode(&key.to_string(), &wire::encode(&row).unwrap());
+    expect_that!(
+        decoded,
+        ok(eq(&Record::Crash(Fingerprint(1), crash(1), row)))
+    );
+    expect_that!(Stage::of(RAN), eq(Stage::Early));
+}
+
+/// Guards against an organisation, or a service, whose requests are refused because of another's.
+#[gtest]
+fn new_other_organisation() {
+    let request = Fingerprint(1);
+    let parts = |service, organisation| {
+        let ids = ["a", "b"].into_iter();
+        Subject::new(request, service, organisation, ids).parts
+    };
+    let own = parts("s", Some("kitchens"));
+    expect_that!(own.len(), eq(2));
+    expect_that!(parts("s", Some("kitchens")), eq(&own));
+    for other in [
+        parts("s", Some("payments")),
+        parts("s", None),
+        parts("t", Some("kitchens")),
+    ] {
+        expect_that!(other.iter().any(|part| own.contains(part)), eq(false));
+    }
+}
--- a/tests/quarantine_storage.rs
+++ b/tests/quarantine_storage.rs
@@ -4,7 +4,7 @@
 
 use auburnspoke::clock::Time;
 use auburnspoke::quarantine::Fingerprint;
-use auburnspoke::quarantine::evidence::{Condemnation, Crash, Stage};
+use auburnspoke::quarantine::evidence::{Condemnation, Crash, Ran, Stage};
 use auburnspoke::quarantine::record::{self, Key, Record};
 use auburnspoke::quarantine::storage::Storage;
 use auburnspoke::table::{Transaction, Write};
@@ -25,8 +25,10 @@
     }
 }
 
-fn crashes(count: u64) -> Vec<(Crash, Stage)> {
-    (0..count).map(|it| (crash(it), Stage::Early)).collect()
+fn crashes(count: u64) -> Vec<(Crash, Ran)> {
+    (0..count)
+        .map(|it| (crash(it), Stage::Early.into()))
+        .collect()
 }
 
 fn storage() -> Storage {
