Make room for parts that complete while many new ones do

A flood of parts that each completed once filled the memory of completions for ten minutes; parts of later requests found no room, and crashes were blamed on them although they complete. What is not recent is dropped when there is no room. add_completion_flood failed before.

--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -479,7 +479,7 @@
             is_due && blame.newest + SETTLE_DELAY <= now
         });
         let (part, _) = due.max_by_key(|(part, blame)| (blame.weight, **part))?;
-        let crashes = part::endpoints(*part, self.unexplained_by_parts(now));
+        let crashes = part::crashes(*part, self.unexplained_by_parts(now));
         Some(self.condemnation(*part, crashes))
     }
 
--- a/src/quarantine/evidence/part.rs
+++ b/src/quarantine/evidence/part.rs
@@ -23,6 +23,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Limit on the parts whose last completion is remembered.
 const MAX_COMPLETIONS: usize = 4_096;
+/// Minimum interval between two searches for old completions, when there is no room.
+const PURGE_INTERVAL: Duration = Duration::from_secs(1);
 /// A run that had written this many pieces of its answer is not blamed by the parts of its prompt:
 /// such a part crashes an endpoint as it begins to write.
 const MAX_WRITTEN: u32 = 8;
@@ -112,6 +114,8 @@
 pub(super) struct Parts {
     pub(super) blame: HashMap<Fingerprint, Blame>,
     completions: HashMap<Fingerprint, Completion>,
+    /// When old completions were last dropped for lack of room.
+    purged: Time,
 }
 
 impl Parts {
@@ -149,13 +153,28 @@
 
     /// Records that a request with the part completed.
     pub(super) fn add_completion(&mut self, now: Time, part: Fingerprint) {
-        let is_full = self.completions.len() >= MAX_COMPLETIONS;
-        if is_full && !self.completions.contains_key(&part) {
+        if let Some(completion) = self.completions.get_mut(&part) {
+            completion.at = now;
             return;
         }
-        let reported = None;
-        let completion = self.completions.entry(part);
-        completion.or_insert(Completion { at: now, reported }).at = now;
+        if self.completions.len() >= MAX_COMPLETIONS {
+            self.purge(now);
+        }
+        if self.completions.len() < MAX_COMPLETIONS {
+            let reported = None;
+            self.completions
+                .insert(part, Completion { at: now, reported });
+        }
+    }
+
+    /// Drops what is not recent, so that parts which complete now find room.
+    fn purge(&mut self, now: Time) {
+        if now.since(self.purged) < PURGE_INTERVAL {
+            return;
+        }
+        self.purged = now;
+        self.completions
+            .retain(|_, completion| now.since(completion.at) < RECENT_COMPLETION);
     }
 
     pub(super) fn expire(&mut self, now: Time) {
@@ -281,8 +300,8 @@
     }
 }
 
-/// Orders crashes for the log.
-pub(super) fn endpoints<'a, I>(part: Fingerprint, incidents: I) -> Vec<Crash>
+/// Returns the crashes that involve a part.
+pub(super) fn crashes<'a, I>(part: Fingerprint, incidents: I) -> Vec<Crash>
 where
     I: Iterator<Item = (&'a Crash, &'a Incident)>,
 {
--- a/tests/quarantine_part.rs
+++ b/tests/quarantine_part.rs
@@ -256,6 +256,25 @@
     }
 }
 
+/// Guards against a flood of parts that all complete once, after which those of later requests are
+/// blamed for crashes although they complete.
+#[gtest]
+fn add_completion_flood() {
+    let mut evidence = Evidence::default();
+    for number in 0..20_000 {
+        evidence.add_part_completion(at(number), Fingerprint(1_000 + number));
+    }
+    evidence.add_part_completion(at(25_000), FIRST);
+    crashed(&mut evidence, at(25_100), 1, 1, &[FIRST, BAD]);
+    let incidents = evidence.export(at(25_200)).incidents;
+    let parts = incidents[0]
+        .parts
+        .iter()
+        .map(|it| it.part)
+        .collect::<Vec<_>>();
+    expect_that!(parts, elements_are![eq(&BAD)]);
+}
+
 /// Guards against evidence that is lost with a node: another one takes over what it exports.
 #[gtest]
 fn import_parts() {
