Don't condemn a part that has run well for crashes of other causes

Where endpoints had crashed for another reason under the part that sound requests share, it was at more crashes than the bad one, and was condemned first if nothing completed meanwhile, as when hardly any endpoint is left. step_first_part_other_crash failed before (the first part suspect, then condemned, and the bad one never). Of the parts with enough crashes the one that has never completed, or longest ago, ranks first now, and one that has completed within ten minutes takes five crashes. A completion clears a part of later crashes for 1 s instead of 2, so that one that turns bad is found before the third second.

--- a/src/quarantine/evidence/part.rs
+++ b/src/quarantine/evidence/part.rs
@@ -1,9 +1,9 @@
 //! Which part of the prompts is to blame when endpoints crash under requests that differ.
 //!
 //! A part is condemned if endpoint after endpoint crashed under it, each in a run that began after
-//! the crash before, and no request with it completed meanwhile. Of the parts that the crashes have
-//! in common, one that has completed before, or that stands earlier in the prompt, is the less
-//! likely cause: many sound requests share it. docs/design/quarantine.md compares the alternatives.
+//! the crash before, and no request with it completed meanwhile. Of several such parts, one that has
+//! completed before, was at fewer crashes or stands earlier in the prompt is the less likely cause:
+//! many sound requests share it. docs/design/quarantine.md compares the alternatives.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -13,10 +13,13 @@
 use crate::clock::Time;
 use crate::quarantine::Fingerprint;
 
+/// Weight at which a part is condemned that has completed before: five crashes. Others that sound
+/// requests share may be at as many crashes by chance.
+const PROVEN_CONDEMN_WEIGHT: u32 = 10;
 /// Weight at which requests with the part run one at a time: two crashes.
 const SUSPECT_WEIGHT: u32 = 4;
 /// A part that completed within this time is not blamed for a crash.
-const RECENT_COMPLETION: Duration = Duration::from_secs(2);
+const RECENT_COMPLETION: Duration = Duration::from_secs(1);
 /// How long a completion is remembered, to tell which of several parts has run well before.
 const COMPLETION_TTL: Duration = Duration::from_secs(600);
 /// Minimum interval between reports of a part's completion to other nodes.
@@ -94,7 +97,15 @@
 impl Blame {
     /// True when the part is the most likely cause of enough crashes.
     pub(super) fn is_due(&self) -> bool {
-        self.weight >= CONDEMN_WEIGHT && !self.is_outranked
+        self.has_enough() && !self.is_outranked
+    }
+
+    fn has_enough(&self) -> bool {
+        let needed = match self.last_completion {
+            Some(_) => PROVEN_CONDEMN_WEIGHT,
+            None => CONDEMN_WEIGHT,
+        };
+        self.weight >= needed
     }
 
     /// True when requests with the part run one at a time.
@@ -102,10 +113,11 @@
         self.weight >= SUSPECT_WEIGHT && !self.is_outranked
     }
 
-    /// Orders parts by how likely they are the cause.
+    /// Orders parts by how likely they are the cause. One that has completed, or later than another,
+    /// is less likely even where it was at more crashes.
     fn rank(&self, part: Fingerprint) -> impl Ord {
-        let last = self.last_completion;
-        (self.weight, Reverse(last), self.position, part)
+        let last = Reverse(self.last_completion);
+        (self.has_enough(), last, self.weight, self.position, part)
     }
 }
 
--- a/tests/quarantine_part.rs
+++ b/tests/quarantine_part.rs
@@ -105,6 +105,27 @@
     }
 }
 
+/// Guards against a verdict on the part that sound requests share where it was at crashes of another
+/// cause too, and so at more than the bad one, while hardly any endpoint is left to complete them.
+#[gtest]
+fn step_first_part_other_crash() {
+    let mut evidence = Evidence::default();
+    evidence.add_part_completion(at(0), FIRST);
+    crashed(&mut evidence, at(5_000), 100, 100, &[FIRST]);
+    let mut reached = Vec::new();
+    for number in 0..4 {
+        let now = at(6_000 + number * 1_000);
+        crashed(&mut evidence, now, number, number, &[FIRST, BAD]);
+        reached.extend(verdicts(
+            &mut evidence,
+            now + Duration::from_millis(SETTLED_MS),
+        ));
+        let sound = subject(50, &[FIRST, Fingerprint(7)]);
+        expect_that!(evidence.status_of(now, &sound), eq(Status::Clear));
+    }
+    expect_that!(reached, elements_are![eq(&BAD)]);
+}
+
 /// Guards against a verdict on the parts of one request that crashes endpoints by itself.
 #[gtest]
 fn step_same_request() {
