Don't condemn the part that all prompts share while nothing completes

A part that has completed, or at two or more of whose crashes the same later part was, takes five crashes and, since it is blamed, a completed request without it; where nothing completes, the cause may be any other. Of several parts with enough crashes the later one in the prompt goes first. A request that was at all of a part's crashes is the likelier cause, and a condemned request explains crashes for the parts that it doesn't have. A part's first quarantine lasts two minutes instead of fifteen.

--- a/src/quarantine/detector.rs
+++ b/src/quarantine/detector.rs
@@ -302,9 +302,12 @@
     /// of the parts of its prompt.
     pub fn completed(&self, subject: &Subject, has_written: bool) {
         let now = self.now();
-        for part in subject.parts.iter().filter(|_| has_written) {
-            if self.evidence.borrow_mut().add_part_completion(now, *part) {
-                self.notify_members(&Observation::PartCompleted(*part));
+        if has_written {
+            let mut evidence = self.evidence.borrow_mut();
+            let reported = evidence.add_parts_completion(now, &subject.parts);
+            drop(evidence);
+            for part in reported {
+                self.notify_members(&Observation::PartCompleted(part));
             }
         }
         let request = subject.request;
--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -38,6 +38,8 @@
 pub(super) const CRASH_TTL: Duration = Duration::from_secs(600);
 /// Duration of a first quarantine; each further one of the same request doubles it.
 const FIRST_TERM: Duration = Duration::from_secs(900);
+/// The same of a part. It is shorter, because a verdict on the wrong part refuses many requests.
+const FIRST_PART_TERM: Duration = Duration::from_secs(120);
 /// Limit on these doublings.
 const MAX_DOUBLINGS: u32 = 5;
 /// Limits on the crashes, the requests of one crash, and the verdicts that are remembered.
@@ -346,6 +348,16 @@
         true
     }
 
+    /// Records that a request with these parts completed here. Returns the parts whose completion
+    /// other nodes have to be notified of.
+    pub fn add_parts_completion(&mut self, now: Time, parts: &[Fingerprint]) -> Vec<Fingerprint> {
+        self.parts.add_contrast(parts);
+        let parts = parts.iter().copied();
+        parts
+            .filter(|part| self.add_part_completion(now, *part))
+            .collect()
+    }
+
     /// Records that a request with the part completed: crashes while others with it ran elsewhere
     /// had another cause. Returns true when other nodes have to be notified.
     pub fn add_part_completion(&mut self, now: Time, part: Fingerprint) -> bool {
@@ -469,7 +481,7 @@
         let crashes = self.unexplained(now);
         let crashes = crashes.filter(|(_, incident)| incident.requests.contains_key(request));
         let crashes = crashes.map(|(crash, _)| crash.clone()).collect();
-        Some(self.condemnation(*request, crashes))
+        Some(self.condemnation(*request, crashes, FIRST_TERM))
     }
 
     /// Returns the verdict on the part with the most blame, if one is due.
@@ -480,15 +492,20 @@
         });
         let (part, _) = due.max_by_key(|(part, blame)| (blame.weight, **part))?;
         let crashes = part::crashes(*part, self.unexplained_by_parts(now));
-        Some(self.condemnation(*part, crashes))
+        Some(self.condemnation(*part, crashes, FIRST_PART_TERM))
     }
 
-    fn condemnation(&self, request: Fingerprint, crashes: Vec<Crash>) -> Condemnation {
+    fn condemnation(
+        &self,
+        request: Fingerprint,
+        crashes: Vec<Crash>,
+        first_term: Duration,
+    ) -> Condemnation {
         let before = self.verdicts.get(&request).map_or(0, |it| it.times);
         Condemnation {
             request,
             crashes,
-            term: FIRST_TERM * 2_u32.pow(before.min(MAX_DOUBLINGS)),
+            term: first_term * 2_u32.pow(before.min(MAX_DOUBLINGS)),
             times: before + 1,
         }
     }
@@ -532,7 +549,8 @@
     pub fn update_blame(&mut self, now: Time) {
         self.is_stale = false;
         let mut parts = std::mem::take(&mut self.parts);
-        parts.update_blame(self.unexplained_by_parts(now).map(|(_, incident)| incident));
+        let incidents = self.unexplained_by_parts(now).map(|(_, incident)| incident);
+        parts.update_blame(incidents, |request| self.is_condemned(now, request));
         self.parts = parts;
         let mut blame: HashMap<Fingerprint, Blame> = HashMap::new();
         for (_, incident) in self.unexplained(now) {
--- a/src/quarantine/evidence/part.rs
+++ b/src/quarantine/evidence/part.rs
@@ -13,9 +13,13 @@
 use crate::clock::Time;
 use crate::quarantine::Fingerprint;
 
-/// Weight at which a part is condemned that has completed before: five crashes. Others that sound
-/// requests share may be at as many crashes by chance.
-const PROVEN_CONDEMN_WEIGHT: u32 = 10;
+/// Weight at which a part is condemned that many requests may share: it has completed before, or a
+/// later part of the prompt was at several of its crashes. It takes five crashes, so that the later
+/// one is condemned first if it is the cause, and requests without the part that complete: where
+/// nothing does, as while all endpoints are down, the cause may be any other.
+const SHARED_CONDEMN_WEIGHT: u32 = 10;
+/// Number of its crashes at which the same later part makes a part a shared one.
+const MIN_COMMON_CRASHES: usize = 2;
 /// Weight at which requests with the part run one at a time: two crashes.
 const SUSPECT_WEIGHT: u32 = 4;
 /// A part that completed within this time is not blamed for a crash.
@@ -89,6 +93,10 @@
     pub(super) newest: Time,
     last_completion: Option<Time>,
     position: usize,
+    /// A later part of the prompt was at several of these crashes.
+    is_shared: bool,
+    /// Requests without the part have completed since it is blamed.
+    is_contrasted: bool,
     /// At one of these crashes another part is the more likely cause, or one request was at all of
     /// them.
     is_outranked: bool,
@@ -101,11 +109,12 @@
     }
 
     fn has_enough(&self) -> bool {
-        let needed = match self.last_completion {
-            Some(_) => PROVEN_CONDEMN_WEIGHT,
-            None => CONDEMN_WEIGHT,
-        };
-        self.weight >= needed
+        let is_shared = self.is_shared || self.last_completion.is_some();
+        if is_shared {
+            self.weight >= SHARED_CONDEMN_WEIGHT && self.is_contrasted
+        } else {
+            self.weight >= CONDEMN_WEIGHT
+        }
     }
 
     /// True when requests with the part run one at a time.
@@ -114,10 +123,10 @@
     }
 
     /// Orders parts by how likely they are the cause. One that has completed, or later than another,
-    /// is less likely even where it was at more crashes.
+    /// or that stands earlier in the prompt, is less likely even where it was at more crashes.
     fn rank(&self, part: Fingerprint) -> impl Ord {
         let last = Reverse(self.last_completion);
-        (self.has_enough(), last, self.weight, self.position, part)
+        (self.has_enough(), last, self.position, self.weight, part)
     }
 }
 
@@ -126,6 +135,8 @@
 pub(super) struct Parts {
     pub(super) blame: HashMap<Fingerprint, Blame>,
     completions: HashMap<Fingerprint, Completion>,
+    /// Blamed parts without which requests have completed since.
+    contrasted: BTreeSet<Fingerprint>,
     /// When old completions were last dropped for lack of room.
     purged: Time,
 }
@@ -179,6 +190,16 @@
         }
     }
 
+    /// Records that a request with these parts completed, which shows the others in contrast.
+    pub(super) fn add_contrast(&mut self, parts: &[Fingerprint]) {
+        for (part, blame) in &mut self.blame {
+            if !blame.is_contrasted && !parts.contains(part) {
+                blame.is_contrasted = true;
+                self.contrasted.insert(*part);
+            }
+        }
+    }
+
     /// Drops what is not recent, so that parts which complete now find room.
     fn purge(&mut self, now: Time) {
         if now.since(self.purged) < PURGE_INTERVAL {
@@ -194,35 +215,48 @@
             .retain(|_, completion| now.since(completion.at) < COMPLETION_TTL);
     }
 
-    /// Recomputes the blame of each part from the crashes that no verdict on a part explains.
-    pub(super) fn update_blame<'a, I>(&mut self, incidents: I)
+    /// Recomputes the blame of each part from the crashes that no verdict on a part explains. A
+    /// condemned request explains a crash for the parts that it doesn't have itself.
+    pub(super) fn update_blame<'a, I, C>(&mut self, incidents: I, is_condemned: C)
     where
         I: Iterator<Item = &'a Incident>,
+        C: Fn(Fingerprint) -> bool,
     {
         let mut incidents: Vec<&Incident> = incidents.collect();
         incidents.sort_by_key(|incident| incident.since);
         let mut tallies: BTreeMap<Fingerprint, Tally> = BTreeMap::new();
         for incident in &incidents {
+            let condemned = incident.requests.keys().filter(|it| is_condemned(**it));
+            let condemned: Vec<_> = condemned.collect();
             for (part, runs) in &incident.parts {
-                tallies.entry(*part).or_default().add(incident, runs);
+                let has_part = |request: &&Fingerprint| runs.requests.contains(*request);
+                if condemned.iter().all(has_part) {
+                    tallies.entry(*part).or_default().add(incident, runs);
+                }
             }
         }
+        let candidates = tallies.iter_mut();
+        for (part, tally) in candidates.filter(|(_, tally)| tally.weight >= CONDEMN_WEIGHT) {
+            tally.is_shared = is_shared(*part, tally.position, &incidents);
+        }
         self.blame = tallies
             .iter()
             .map(|(part, tally)| {
                 let completion = self.completions.get(part);
-                let blame = tally.blame(completion.map(|it| it.at));
+                let blame = Blame {
+                    is_contrasted: self.contrasted.contains(part),
+                    ..tally.blame(completion.map(|it| it.at))
+                };
                 (*part, blame)
             })
             .collect();
+        self.contrasted.retain(|part| tallies.contains_key(part));
         let mut outranked = BTreeSet::new();
         for incident in incidents {
-            let rank = |part: &Fingerprint| self.blame[part].rank(*part);
+            let rank = |part: &Fingerprint| self.blame.get(part).map(|it| it.rank(*part));
             let most_likely = incident.parts.keys().max_by_key(|part| rank(part));
-            let others = incident
-                .parts
-                .keys()
-                .filter(|part| Some(*part) != most_likely);
+            let parts = incident.parts.keys();
+            let others = parts.filter(|part| Some(*part) != most_likely);
             outranked.extend(others.copied());
         }
         for part in outranked {
@@ -242,7 +276,8 @@
     counted: Option<Time>,
     newest: Time,
     position: usize,
-    /// The crashes of each request with the part.
+    is_shared: bool,
+    /// The number of these crashes that each request was at, with the part or without.
     by_request: BTreeMap<Fingerprint, usize>,
 }
 
@@ -257,7 +292,7 @@
         }
         self.newest = self.newest.max(incident.last_observed);
         self.position = self.position.max(runs.position);
-        for request in &runs.requests {
+        for request in incident.requests.keys() {
             *self.by_request.entry(*request).or_default() += 1;
         }
     }
@@ -270,11 +305,25 @@
             newest: self.newest,
             last_completion,
             position: self.position,
+            is_shared: self.is_shared,
+            is_contrasted: false,
             is_outranked: is_request,
         }
     }
 }
 
+/// Returns true if one later part of the prompt was at several of a part's crashes.
+fn is_shared(part: Fingerprint, position: usize, incidents: &[&Incident]) -> bool {
+    let mut common: BTreeMap<Fingerprint, usize> = BTreeMap::new();
+    let own = incidents.iter().filter(|it| it.parts.contains_key(&part));
+    for (other, runs) in own.flat_map(|incident| &incident.parts) {
+        if runs.position > position {
+            *common.entry(*other).or_default() += 1;
+        }
+    }
+    common.values().any(|count| *count >= MIN_COMMON_CRASHES)
+}
+
 impl Incident {
     /// Adds the parts of a request that ran at the crash.
     pub(super) fn add_parts<P>(&mut self, now: Time, request: Fingerprint, ran: Duration, parts: P)
