--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -7,7 +7,7 @@
 //! node staying up.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -17,8 +17,10 @@
 use crate::clock::Time;
 use crate::name::Name;
 
+mod blame;
 mod part;
 
+use blame::Blame;
 use part::Parts;
 pub use part::Ran;
 
@@ -156,17 +158,6 @@
     reported: Time,
 }
 
-/// Blame of a request for the crashes that no verdict explains yet.
-#[derive(Clone, Copy, Debug)]
-struct Blame {
-    weight: u32,
-    /// The part of `weight` from crashes at which every other request has less blame.
-    sole_weight: u32,
-    newest: Time,
-    /// At one of these crashes ran another request with as much blame or more.
-    is_outranked: bool,
-}
-
 /// Crashes and verdicts recorded by one node.
 #[derive(Debug, Default)]
 pub struct Evidence {
@@ -552,43 +543,7 @@
         let incidents = self.unexplained_by_parts(now).map(|(_, incident)| incident);
         parts.update_blame(incidents, |request| self.is_condemned(now, request));
         self.parts = parts;
-        let mut blame: HashMap<Fingerprint, Blame> = HashMap::new();
-        for (_, incident) in self.unexplained(now) {
-            for (request, stage) in &incident.requests {
-                let blame = blame.entry(*request).or_insert(Blame {
-                    weight: 0,
-                    sole_weight: 0,
-                    newest: incident.last_observed,
-                    is_outranked: false,
-                });
-                blame.weight += stage.weight();
-                blame.newest = blame.newest.max(incident.last_observed);
-            }
-        }
-        let mut outranked = BTreeSet::new();
-        let mut sole = Vec::new();
-        for (_, incident) in self.unexplained(now) {
-            let weight = |request: &Fingerprint| blame[request].weight;
-            let most = incident.requests.keys().map(weight).max().unwrap_or(0);
-            let at_top = incident.requests.iter().filter(|it| weight(it.0) == most);
-            let at_top: Vec<_> = at_top.collect();
-            if let [(request, stage)] = at_top[..] {
-                sole.push((*request, stage.weight()));
-            }
-            let is_shared = at_top.len() > 1;
-            let below = |it: &&Fingerprint| weight(it) < most || is_shared;
-            outranked.extend(incident.requests.keys().filter(below).copied());
-        }
-        for request in outranked {
-            if let Some(blame) = blame.get_mut(&request) {
-                blame.is_outranked = true;
-            }
-        }
-        for (request, weight) in sole {
-            if let Some(blame) = blame.get_mut(&request) {
-                blame.sole_weight += weight;
-            }
-        }
-        self.blame = blame;
+        let incidents = self.unexplained(now).map(|(_, incident)| incident);
+        self.blame = blame::assign(incidents);
     }
 }
