Don't blame parts of requests that reached an endpoint after its crash

A run without output that lasted less than 5 ms did not begin, and its parts are not blamed. new_not_begun failed before.

--- a/src/quarantine/evidence/part.rs
+++ b/src/quarantine/evidence/part.rs
@@ -35,6 +35,8 @@
 /// A run that had written this many pieces of its answer is not blamed by the parts of its prompt:
 /// such a part crashes an endpoint as it begins to write.
 const MAX_WRITTEN: u32 = 8;
+/// A run that failed sooner without any output did not begin: its endpoint had crashed before.
+const MIN_RAN: Duration = Duration::from_millis(5);
 
 /// How a request was running when its endpoint crashed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -50,7 +52,12 @@
 impl Ran {
     /// Describes a run that lasted `ran` and had written this many pieces of its answer.
     pub fn new(ran: Duration, written: u32, parts: &[Fingerprint]) -> Self {
-        let parts = if written < MAX_WRITTEN { parts } else { &[] };
+        let has_begun = written > 0 || ran >= MIN_RAN;
+        let parts = if has_begun && written < MAX_WRITTEN {
+            parts
+        } else {
+            &[]
+        };
         Self {
             stage: Stage::of(ran),
             ran,
--- a/tests/quarantine_part.rs
+++ b/tests/quarantine_part.rs
@@ -279,6 +279,15 @@
     expect_that!(Ran::new(RAN, 8, &[BAD]).parts, is_empty());
 }
 
+/// Guards against a verdict on a part of requests that reached endpoints which had just crashed.
+#[gtest]
+fn new_not_begun() {
+    let ran = Duration::from_millis(2);
+    expect_that!(Ran::new(ran, 0, &[BAD]).parts, is_empty());
+    expect_that!(Ran::new(ran, 1, &[BAD]).parts, elements_are![eq(&BAD)]);
+    expect_that!(Ran::new(RAN, 0, &[BAD]).parts, elements_are![eq(&BAD)]);
+}
+
 /// Guards against a part whose quarantine has ended and that crashes three more endpoints.
 #[gtest]
 fn step_crashes_again() {
