--- a/src/quarantine/evidence/part.rs
+++ b/src/quarantine/evidence/part.rs
@@ -13,11 +13,13 @@
 use crate::clock::Time;
 use crate::quarantine::Fingerprint;
 
-/// Weight at which a part is condemned that many requests may share: it has completed before, or a
-/// later part of the prompt was at several of its crashes. It takes five crashes, so that the later
-/// one is condemned first if it is the cause, and requests without the part that complete: where
-/// nothing does, as while all endpoints are down, the cause may be any other.
-const SHARED_CONDEMN_WEIGHT: u32 = 10;
+/// Weight at which a part is condemned that many requests may share, or while few complete without
+/// it: five crashes. A part is shared if it has completed before, or a later part of the prompt was
+/// at several of its crashes, which is condemned first if it is the cause.
+const DOUBTFUL_CONDEMN_WEIGHT: u32 = 10;
+/// Number of requests without a part that have to complete since it is blamed, so that it stands
+/// out. Where nothing completes, as while all endpoints are down, the cause may be any other.
+const MIN_CONTRAST: u32 = 16;
 /// Number of its crashes at which the same later part makes a part a shared one.
 const MIN_COMMON_CRASHES: usize = 2;
 /// Weight at which requests with the part run one at a time: two crashes.
@@ -102,8 +104,8 @@
     position: usize,
     /// A later part of the prompt was at several of these crashes.
     is_shared: bool,
-    /// Requests without the part have completed since it is blamed.
-    is_contrasted: bool,
+    /// Number of requests without the part that have completed since it is blamed.
+    contrast: u32,
     /// At one of these crashes another part is the more likely cause, or one request was at all of
     /// them.
     is_outranked: bool,
@@ -117,8 +119,11 @@
 
     fn has_enough(&self) -> bool {
         let is_shared = self.is_shared || self.last_completion.is_some();
-        if is_shared {
-            self.weight >= SHARED_CONDEMN_WEIGHT && self.is_contrasted
+        let stands_out = self.contrast >= MIN_CONTRAST;
+        let is_doubtful = is_shared || !stands_out;
+        if is_doubtful {
+            // Nothing distinguishes a shared part from the cause where nothing completes.
+            self.weight >= DOUBTFUL_CONDEMN_WEIGHT && (stands_out || !is_shared)
         } else {
             self.weight >= CONDEMN_WEIGHT
         }
@@ -142,8 +147,8 @@
 pub(super) struct Parts {
     pub(super) blame: HashMap<Fingerprint, Blame>,
     completions: HashMap<Fingerprint, Completion>,
-    /// Blamed parts without which requests have completed since.
-    contrasted: BTreeSet<Fingerprint>,
+    /// Number of requests without each blamed part that have completed since.
+    contrast: HashMap<Fingerprint, u32>,
     /// When old completions were last dropped for lack of room.
     purged: Time,
 }
@@ -200,9 +205,9 @@
     /// Records that a request with these parts completed, which shows the others in contrast.
     pub(super) fn add_contrast(&mut self, parts: &[Fingerprint]) {
         for (part, blame) in &mut self.blame {
-            if !blame.is_contrasted && !parts.contains(part) {
-                blame.is_contrasted = true;
-                self.contrasted.insert(*part);
+            if !parts.contains(part) {
+                blame.contrast += 1;
+                self.contrast.insert(*part, blame.contrast);
             }
         }
     }
@@ -251,13 +256,13 @@
             .map(|(part, tally)| {
                 let completion = self.completions.get(part);
                 let blame = Blame {
-                    is_contrasted: self.contrasted.contains(part),
+                    contrast: self.contrast.get(part).copied().unwrap_or_default(),
                     ..tally.blame(completion.map(|it| it.at))
                 };
                 (*part, blame)
             })
             .collect();
-        self.contrasted.retain(|part| tallies.contains_key(part));
+        self.contrast.retain(|part, _| tallies.contains_key(part));
         let mut outranked = BTreeSet::new();
         for incident in incidents {
             let rank = |part: &Fingerprint| self.blame.get(part).map(|it| it.rank(*part));
@@ -313,7 +318,7 @@
             last_completion,
             position: self.position,
             is_shared: self.is_shared,
-            is_contrasted: false,
+            contrast: 0,
             is_outranked: is_request,
         }
     }
