--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -75,7 +75,11 @@
         let (replica, address) =
             Replica::start(&id, SLOTS, Framing::Chunks, STEP, EVENT_BYTES, sink).map_err(text)?;
         let zone = rig::ZONES[at % rig::ZONES.len()];
-        store.put("servers", &id, &rig::server_row(rig::SERVICE, address, zone, SLOTS, "ready"));
+        store.put(
+            "servers",
+            &id,
+            &rig::server_row(rig::SERVICE, address, zone, SLOTS, "ready"),
+        );
         replicas.push(replica);
     }
     let mut nodes = Nodes::start(NODES, &[store.address()], 3).map_err(text)?;
@@ -85,7 +89,12 @@
     sleep(Duration::from_secs(5));
 
     let items: Vec<(String, String)> = (0..ITEMS)
-        .map(|number| (format!("e5b2907c14da{number:04x}"), format!("/n/{number}/{EVENTS}")))
+        .map(|number| {
+            (
+                format!("e5b2907c14da{number:04x}"),
+                format!("/n/{number}/{EVENTS}"),
+            )
+        })
         .collect();
     // The node that accepts a batch job runs it.
     if !rig::submit(&record, &nodes, "/n/7c41e0", JOB, &rig::job_body(&items), 0) {
@@ -148,6 +157,10 @@
         ));
         holds &= results.len() as u64 == ITEMS;
     }
-    record.line(if holds { "the rule held" } else { "LOST: accepted items are left lying" });
+    record.line(if holds {
+        "the rule held"
+    } else {
+        "LOST: accepted items are left lying"
+    });
     Ok(holds)
 }
--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -119,7 +119,9 @@
         b'n' => word(bytes, at, "null", Json::Null),
         _ => {
             let from = *at;
-            while *at < bytes.len() && matches!(bytes[*at], b'-' | b'+' | b'.' | b'e' | b'E' | b'0'..=b'9') {
+            while *at < bytes.len()
+                && matches!(bytes[*at], b'-' | b'+' | b'.' | b'e' | b'E' | b'0'..=b'9')
+            {
                 *at += 1;
             }
             let text = std::str::from_utf8(&bytes[from..*at]).ok()?;
@@ -200,7 +202,11 @@
 pub fn encode64(bytes: &[u8]) -> String {
     let mut out = String::with_capacity(bytes.len().div_ceil(3) * 4);
     for chunk in bytes.chunks(3) {
-        let group = [chunk[0], *chunk.get(1).unwrap_or(&0), *chunk.get(2).unwrap_or(&0)];
+        let group = [
+            chunk[0],
+            *chunk.get(1).unwrap_or(&0),
+            *chunk.get(2).unwrap_or(&0),
+        ];
         let bits = u32::from(group[0]) << 16 | u32::from(group[1]) << 8 | u32::from(group[2]);
         for place in 0..4 {
             if place <= chunk.len() {
@@ -227,7 +233,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> &str {
-        let found = self.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name));
         found.map_or("", |(_, value)| value)
     }
 
@@ -246,11 +255,17 @@
     pub fn query(&self) -> HashMap<String, String> {
         let query = self.target().split_once('?').map_or("", |(_, query)| query);
         let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.map(|(key, value)| (key.to_owned(), unescape(value))).collect()
+        pairs
+            .map(|(key, value)| (key.to_owned(), unescape(value)))
+            .collect()
     }
 
     pub fn status(&self) -> u16 {
-        self.start.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0)
+        self.start
+            .split(' ')
+            .nth(1)
+            .and_then(|code| code.parse().ok())
+            .unwrap_or(0)
     }
 }
 
@@ -259,7 +274,7 @@
     let mut out = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let code = (bytes[at] == b'%' && at + 2 < bytes.len() + 0)
+        let code = (bytes[at] == b'%' && at + 2 < bytes.len())
             .then(|| std::str::from_utf8(&bytes[at + 1..at + 3]).ok())
             .flatten()
             .and_then(|hex| u8::from_str_radix(hex, 16).ok());
@@ -285,7 +300,10 @@
 
 impl<S: Read> Reader<S> {
     pub fn new(stream: S) -> Self {
-        Self { stream, buffer: Vec::new() }
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
     }
 
     /// Reads more; false at the end of the stream.
@@ -323,7 +341,10 @@
         let Some(start) = self.line()? else {
             return Ok(None);
         };
-        let mut message = Message { start, ..Message::default() };
+        let mut message = Message {
+            start,
+            ..Message::default()
+        };
         loop {
             let Some(line) = self.line()? else {
                 return Err(io::ErrorKind::UnexpectedEof.into());
@@ -332,7 +353,9 @@
                 return Ok(Some(message));
             }
             if let Some((key, value)) = line.split_once(':') {
-                message.headers.push((key.to_owned(), value.trim().to_owned()));
+                message
+                    .headers
+                    .push((key.to_owned(), value.trim().to_owned()));
             }
         }
     }
@@ -340,7 +363,10 @@
     /// Reads the body of a message; one without a length or chunks ends with the connection if
     /// it is a response. An error means that the body ended early.
     pub fn body(&mut self, message: &mut Message, is_response: bool) -> io::Result<()> {
-        if message.header("transfer-encoding").eq_ignore_ascii_case("chunked") {
+        if message
+            .header("transfer-encoding")
+            .eq_ignore_ascii_case("chunked")
+        {
             loop {
                 let Some(size) = self.line()? else {
                     return Err(io::ErrorKind::UnexpectedEof.into());
@@ -405,7 +431,11 @@
         for (key, value) in headers {
             let _ = write!(head, "{key}: {value}\r\n");
         }
-        let _ = write!(head, "Content-Length: {}\r\nConnection: close\r\n\r\n", body.len());
+        let _ = write!(
+            head,
+            "Content-Length: {}\r\nConnection: close\r\n\r\n",
+            body.len()
+        );
         let mut bytes = head.into_bytes();
         bytes.extend_from_slice(body);
         stream.write_all(&bytes)?;
@@ -434,7 +464,10 @@
 impl Record {
     pub fn create(path: &Path) -> io::Result<Self> {
         let file = Arc::new(Mutex::new(File::create(path)?));
-        Ok(Self { began: Instant::now(), file })
+        Ok(Self {
+            began: Instant::now(),
+            file,
+        })
     }
 
     pub fn line(&self, text: &str) {
@@ -461,7 +494,11 @@
 
 impl Lines {
     pub fn new(record: &Record) -> Self {
-        Self { record: record.clone(), pending: String::new(), whole: Arc::default() }
+        Self {
+            record: record.clone(),
+            pending: String::new(),
+            whole: Arc::default(),
+        }
     }
 }
 
@@ -665,21 +702,32 @@
             }
             return (413, Vec::new());
         }
-        let Some(call) = std::str::from_utf8(&request.body).ok().and_then(Json::parse) else {
+        let Some(call) = std::str::from_utf8(&request.body)
+            .ok()
+            .and_then(Json::parse)
+        else {
             return (400, Vec::new());
         };
         let id = |row: &Json| (row.text("table"), row.text("part"), row.text("key"));
-        let (expect, set, remove) =
-            (call.list("expect_rev"), call.list("set_keys"), call.list("remove"));
+        let (expect, set, remove) = (
+            call.list("expect_rev"),
+            call.list("set_keys"),
+            call.list("remove"),
+        );
         let all: Vec<Id> = expect.iter().chain(set).chain(remove).map(id).collect();
-        let is_too_long = |id: &Id| [&id.0, &id.1, &id.2].iter().any(|it| it.len() > MAX_NAME_BYTES);
+        let is_too_long = |id: &Id| {
+            [&id.0, &id.1, &id.2]
+                .iter()
+                .any(|it| it.len() > MAX_NAME_BYTES)
+        };
         let value_bytes = |row: &Json| row.text("value").len() / 4 * 3;
         if all.len() > MAX_ENTRIES
             || all.iter().any(is_too_long)
             || all.iter().any(|it| it.1 != all[0].1)
             || set.iter().any(|row| value_bytes(row) > MAX_VALUE_BYTES + 2)
         {
-            self.record.line("store: a transaction beyond the limits is refused with 400");
+            self.record
+                .line("store: a transaction beyond the limits is refused with 400");
             return (400, Vec::new());
         }
         if all.iter().any(|it| it.0 == "op" || it.0 == "servers") {
@@ -687,7 +735,10 @@
         }
         let mut rows = self.rows.lock().unwrap();
         let version_of = |rows: &Rows, id: &Id| rows.current.get(id).map_or(0, |row| row.1);
-        if expect.iter().any(|row| version_of(&rows, &id(row)) != row.number("ver")) {
+        if expect
+            .iter()
+            .any(|row| version_of(&rows, &id(row)) != row.number("ver"))
+        {
             let present = expect.iter().map(id).filter_map(|id| {
                 let (value, version) = rows.current.get(&id)?;
                 Some((id, Some(value.clone()), *version))
@@ -742,7 +793,10 @@
         let until = Instant::now() + wait;
         let mut rows = self.rows.lock().unwrap();
         loop {
-            let changes = rows.history.iter().filter(|(version, id, _)| *version > after && id.0 == table);
+            let changes = rows
+                .history
+                .iter()
+                .filter(|(version, id, _)| *version > after && id.0 == table);
             let changes: Vec<_> = changes
                 .map(|(version, id, value)| (id.clone(), value.clone(), *version))
                 .collect();
@@ -758,7 +812,12 @@
         }
     }
 
-    fn rows_body(&self, version: u64, rows: &[(Id, Option<String>, u64)], truncated: bool) -> Vec<u8> {
+    fn rows_body(
+        &self,
+        version: u64,
+        rows: &[(Id, Option<String>, u64)],
+        truncated: bool,
+    ) -> Vec<u8> {
         let mut body = String::from("{\"rows\":[");
         for (at, ((table, part, key), value, ver)) in rows.iter().enumerate() {
             if at > 0 {
@@ -779,7 +838,10 @@
             }
         }
         let now = self.began.elapsed().as_millis();
-        let _ = write!(body, "],\"truncated\":{truncated},\"ver\":{version},\"now_ms\":{now}}}");
+        let _ = write!(
+            body,
+            "],\"truncated\":{truncated},\"ver\":{version},\"now_ms\":{now}}}"
+        );
         body.into_bytes()
     }
 }
@@ -820,12 +882,17 @@
 
 /// Number of events in the answer to `path`.
 pub fn events(path: &str) -> u64 {
-    path.rsplit('/').next().and_then(|last| last.parse().ok()).unwrap_or(1)
+    path.rsplit('/')
+        .next()
+        .and_then(|last| last.parse().ok())
+        .unwrap_or(1)
 }
 
 /// The whole output of an item.
 pub fn output(path: &str, bytes: usize) -> String {
-    let all: Vec<String> = (1..=events(path)).map(|number| data(path, number, bytes)).collect();
+    let all: Vec<String> = (1..=events(path))
+        .map(|number| data(path, number, bytes))
+        .collect();
     all.join("\n")
 }
 
@@ -945,7 +1012,10 @@
             writer.write_all(head.as_bytes())?;
             for number in begin..=total {
                 thread::sleep(self.step);
-                let event = format!("id: {number}\ndata: {}\n\n", data(&path, number, self.event_bytes));
+                let event = format!(
+                    "id: {number}\ndata: {}\n\n",
+                    data(&path, number, self.event_bytes)
+                );
                 // One write for each event, so that a process that is killed leaves whole events.
                 let bytes = match self.framing {
                     Framing::Chunks => format!("{:x}\r\n{event}\r\n", event.len()),
@@ -967,7 +1037,13 @@
 }
 
 /// The row with which a replica registers itself.
-pub fn server_row(service: &str, address: SocketAddr, zone: &str, slots: usize, state: &str) -> String {
+pub fn server_row(
+    service: &str,
+    address: SocketAddr,
+    zone: &str,
+    slots: usize,
+    state: &str,
+) -> String {
     server_row_of(service, address, zone, slots, state, "v1")
 }
 
@@ -1027,8 +1103,9 @@
         fs::create_dir_all(&folder)?;
         let second = (100 + pid % 100) as u8;
         let third = (pid / 100 % 250) as u8;
-        let ips: Vec<Ipv4Addr> =
-            (0..count).map(|at| Ipv4Addr::new(127, second, third, at as u8 + 1)).collect();
+        let ips: Vec<Ipv4Addr> = (0..count)
+            .map(|at| Ipv4Addr::new(127, second, third, at as u8 + 1))
+            .collect();
         let port = free_ports(&ips, 32)?;
         let mut nodes = Self {
             folder,
@@ -1039,7 +1116,10 @@
             root,
         };
         for at in 0..count {
-            fs::write(nodes.settings_path(at), nodes.settings(at, stores[at % stores.len()], true))?;
+            fs::write(
+                nodes.settings_path(at),
+                nodes.settings(at, stores[at % stores.len()], true),
+            )?;
             nodes.launch(at)?;
         }
         Ok(nodes)
@@ -1063,7 +1143,10 @@
 
     /// Starts the process of a node.
     pub fn launch(&mut self, at: usize) -> io::Result<()> {
-        let log = File::options().create(true).append(true).open(self.log_path(at))?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.log_path(at))?;
         let child = Command::new(&self.program)
             .args(["edge", "--metrics", "9464"])
             .current_dir(&self.root)
@@ -1094,7 +1177,9 @@
     pub fn signal(&self, at: usize, name: &str) {
         if let Some(child) = &self.children[at] {
             let pid = child.id().to_string();
-            let _ = Command::new("kill").args([&format!("-{name}"), &pid]).status();
+            let _ = Command::new("kill")
+                .args([&format!("-{name}"), &pid])
+                .status();
         }
     }
 
@@ -1111,7 +1196,14 @@
         for at in 0..self.ips.len() {
             let headers = [("Host", "ready")];
             loop {
-                let reply = call(self.ready(at), "GET", "/-/readyz", &headers, b"", Duration::from_secs(1));
+                let reply = call(
+                    self.ready(at),
+                    "GET",
+                    "/-/readyz",
+                    &headers,
+                    b"",
+                    Duration::from_secs(1),
+                );
                 if reply.status() == 200 {
                     break;
                 }
@@ -1128,8 +1220,12 @@
     fn settings(&self, at: usize, store: SocketAddr, bootstrap: bool) -> String {
         let (ip, port) = (self.ips[at], self.port);
         let zone = ZONES[at % ZONES.len()];
-        let seeds: Vec<String> =
-            self.ips.iter().take(3).map(|ip| format!("\"{ip}:{}\"", port + 2)).collect();
+        let seeds: Vec<String> = self
+            .ips
+            .iter()
+            .take(3)
+            .map(|ip| format!("\"{ip}:{}\"", port + 2))
+            .collect();
         format!(
             r#"node = "edge-{zone}-{number}"
 role = "node"
@@ -1270,7 +1366,14 @@
 /// Reads the results of a batch job from position `after` on; `None` without a 200.
 pub fn read_results(front: SocketAddr, job: &str, after: usize) -> Option<(u64, Vec<Listed>)> {
     let target = format!("/-/lots/{job}?after={after}");
-    let reply = call(front, "GET", &target, &[("Host", HOST)], b"", Duration::from_secs(3));
+    let reply = call(
+        front,
+        "GET",
+        &target,
+        &[("Host", HOST)],
+        b"",
+        Duration::from_secs(3),
+    );
     let Reply::Whole(message) = reply else {
         return None;
     };
@@ -1287,12 +1390,33 @@
 }
 
 /// Submits a batch job until it is accepted, at each node in turn.
-pub fn submit(record: &Record, nodes: &Nodes, path: &str, job: &str, body: &str, at: usize) -> bool {
+pub fn submit(
+    record: &Record,
+    nodes: &Nodes,
+    path: &str,
+    job: &str,
+    body: &str,
+    at: usize,
+) -> bool {
     for attempt in 0..20 {
         let front = nodes.front((at + attempt) % nodes.ips.len());
-        let headers = [("Host", HOST), ("X-Attempt-Id", job), ("Content-Type", "application/json")];
-        let reply = call(front, "POST", path, &headers, body.as_bytes(), Duration::from_secs(4));
-        record.line(&format!("client: batch job {job} sent to {front}: {}", reply.status()));
+        let headers = [
+            ("Host", HOST),
+            ("X-Attempt-Id", job),
+            ("Content-Type", "application/json"),
+        ];
+        let reply = call(
+            front,
+            "POST",
+            path,
+            &headers,
+            body.as_bytes(),
+            Duration::from_secs(4),
+        );
+        record.line(&format!(
+            "client: batch job {job} sent to {front}: {}",
+            reply.status()
+        ));
         if reply.status() == 202 {
             return true;
         }
