Log failed reads of the list of nodes, and when the view is complete

A batch job of a lost VM is taken over only once the view of the members is complete. No line showed whether it is, or that a read of the list failed: an operator saw a job without an owner and no reason. E206 members_unread names the fault and when the list is read again, E207 view_complete the number of members, once a process.

--- a/src/event.rs
+++ b/src/event.rs
@@ -42,6 +42,8 @@
     203 NODE_PAUSED "node_paused";
     204 NAME_TAKEN "name_taken";
     205 DATAGRAM_REFUSED "datagram_refused";
+    206 MEMBERS_UNREAD "members_unread";
+    207 VIEW_COMPLETE "view_complete";
     301 REQUEST_REFUSED "request_refused";
     302 REQUEST_RETRIED "request_retried";
     303 LINK_CLOSED "link_closed";
--- a/src/member/shell.rs
+++ b/src/member/shell.rs
@@ -297,6 +297,7 @@
     let mut known: HashSet<Name> = HashSet::new();
     loop {
         let mut is_growing = false;
+        let mut failure = None;
         match roster.list().await {
             Ok(list) => {
                 for vm in &list {
@@ -306,8 +307,9 @@
                     return;
                 }
             }
-            Err(_) => {
+            Err(fault) => {
                 counts.roster_failed.inc();
+                failure = Some(fault);
             }
         }
         let wait = if known.is_empty() {
@@ -319,6 +321,13 @@
         } else {
             ROSTER_INTERVAL
         };
+        if let Some(fault) = failure {
+            log::info!(
+                "{} retry_ms={} why=\"{fault}\"",
+                event::MEMBERS_UNREAD,
+                wait.as_millis(),
+            );
+        }
         tokio::select! {
             () = sleep(wait) => {}
             () = lists.closed() => return,
@@ -451,6 +460,10 @@
         self.published = now;
         let view = self.view();
         self.alone.set(view.usable().count() <= 1);
+        if view.is_complete && !self.view.read().is_complete {
+            let members = view.members.len();
+            log::info!("{} members={members}", event::VIEW_COMPLETE);
+        }
         self.view.publish(view);
         log_changes(&std::mem::take(&mut self.changes));
     }
