Read the list of nodes again soon after a failed read while it grows

Cause: a node takes the owner of a job that it has not met for gone only if its view of the members is complete, and the view is complete once two reads of the platform's list in a row bring no new node. A failed read was treated like one that brought nothing new: the next one came 60 s later.

Change: member::roster::Schedule decides when the list is read again. Weighed: a constant short interval (a steady fleet would read the list at full rate for as long as the store is away), and complete views told by peers (a further field in each sync for the same second).

--- a/src/member.rs
+++ b/src/member.rs
@@ -16,6 +16,7 @@
 pub mod probe;
 pub mod record;
 pub mod report;
+pub mod roster;
 pub mod shell;
 pub mod tuning;
 
--- a/src/member/shell.rs
+++ b/src/member/shell.rs
@@ -1,7 +1,6 @@
 //! Runs [`Gossip`] on a UDP socket of the control thread.
 
 use std::cell::Cell as StdCell;
-use std::collections::HashSet;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
@@ -17,6 +16,7 @@
 
 use super::gossip::{Action, Gossip, Input};
 use super::report::Reporter;
+use super::roster::Schedule;
 use super::tuning::Tuning;
 use super::{Member, State, View};
 use crate::clock::{Clock, Time};
@@ -26,19 +26,9 @@
 use crate::table::{Roster, Vm};
 use crate::wire::control::{Error, Frame, MAX_DATAGRAM_BYTES, Note, decode, encode};
 
-/// Interval between reads of the platform's list. With 330 nodes of about 250
-/// bytes each, this takes 1.4 KB/s of the 13 KB/s that a node may use for control
-/// traffic.
-const ROSTER_INTERVAL: Duration = Duration::from_secs(60);
-/// Delay before the next read after one that brought new nodes. While a fleet starts, the
-/// platform takes seconds to register all nodes, and two nodes that both stopped reading
-/// before the other was on the list would not find each other.
-const GROWING_ROSTER_DELAY: Duration = Duration::from_millis(1_500);
 /// Minimum interval between two published views. A view is a copy of all members, and while
 /// a fleet starts, almost every datagram brings a new one.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(50);
-/// Interval between reads while this node has no peers.
-const ALONE_ROSTER_INTERVAL: Duration = Duration::from_secs(1);
 /// Largest number of changes between two views that are logged one by one. While a fleet starts,
 /// each node learns of all others, and a line for each would displace all other lines.
 const MAX_LOGGED_CHANGES: usize = 16;
@@ -294,40 +284,26 @@
 ) where
     R: Roster,
 {
-    let mut known: HashSet<Name> = HashSet::new();
+    let mut schedule = Schedule::default();
     loop {
-        let mut is_growing = false;
-        let mut failure = None;
         match roster.list().await {
             Ok(list) => {
-                for vm in &list {
-                    is_growing |= known.insert(vm.control.clone());
-                }
+                schedule.succeeded(&list);
                 if lists.send(list).await.is_err() {
                     return;
                 }
             }
             Err(fault) => {
                 counts.roster_failed.inc();
-                failure = Some(fault);
+                schedule.failed();
+                log::info!(
+                    "{} retry_ms={} why=\"{fault}\"",
+                    event::MEMBERS_UNREAD,
+                    schedule.delay(alone.get()).as_millis(),
+                );
             }
         }
-        let wait = if known.is_empty() {
-            ALONE_ROSTER_INTERVAL
-        } else if is_growing {
-            GROWING_ROSTER_DELAY
-        } else if alone.get() {
-            ALONE_ROSTER_INTERVAL
-        } else {
-            ROSTER_INTERVAL
-        };
-        if let Some(fault) = failure {
-            log::info!(
-                "{} retry_ms={} why=\"{fault}\"",
-                event::MEMBERS_UNREAD,
-                wait.as_millis(),
-            );
-        }
+        let wait = schedule.delay(alone.get());
         tokio::select! {
             () = sleep(wait) => {}
             () = lists.closed() => return,
--- a/tests/member_shell.rs
+++ b/tests/member_shell.rs
@@ -230,6 +230,51 @@
     expect_that!(a.counts.roster_failed.get(), eq(0));
 }
 
+/// A platform's list that is read once, and then unavailable for some reads.
+#[derive(Clone, Default)]
+struct Interrupted {
+    list: List,
+    reads: Rc<std::cell::Cell<usize>>,
+    failures: usize,
+}
+
+impl Roster for Interrupted {
+    async fn list(&self) -> std::result::Result<Vec<Vm>, Fault> {
+        self.reads.set(self.reads.get() + 1);
+        if (2..2 + self.failures).contains(&self.reads.get()) {
+            let retry_after = Duration::from_secs(1);
+            return Err(Fault::Refused { retry_after });
+        }
+        self.list.list().await
+    }
+}
+
+/// Guards against jobs that nobody takes over, because a node whose second read of the list failed
+/// does not know for a minute whether it has met all nodes.
+#[gtest]
+#[actix_rt::test]
+async fn start_list_fails_after_first_read() {
+    let a = node("a", Vec::new(), List::default()).await;
+    let vm = support::member("a").vm();
+    let control = a.control.to_string().into();
+    let list = Interrupted {
+        list: List(Rc::new(RefCell::new(Some(vec![Vm { control, ..vm }])))),
+        failures: 3,
+        ..Interrupted::default()
+    };
+    let b = node("b", Vec::new(), list).await;
+    wait(|| usable(&b) == 2).await;
+    let complete = async {
+        while !b.view.read().is_complete {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    // Five reads at intervals of 1.5 s, and the time for introductions.
+    let is_complete = timeout(Duration::from_secs(20), complete).await.is_ok();
+    expect_that!(is_complete, eq(true));
+    expect_that!(b.counts.roster_failed.get(), eq(3));
+}
+
 /// A frame of `from` with the records of `members`.
 fn gossip(from: &Member, members: &[Member]) -> Vec<u8> {
     let record = |member: &Member| {
