Neither blame items of batch jobs for crashes of endpoints nor hold them back

Callers saw: during a burst of crashes several endpoints die under the same sound item of a batch job. Afterwards endpoints have room, but the item is not run again until its job's lifetime ends, and is listed as errored then. The users say of such items: an item under which servers crashed is still owed, and none crashes servers by itself.

Cause: an item was a subject of the quarantine like an online request. After three crashes that nothing else explains it was condemned for 900 s and put aside until its job expired. In the pool it was a suspect, so that after a burst the items waited for each other.

Change: an item's run gives no evidence, asks for no verdict and clears nothing; in the pool, batch work is never a suspect. A failed run is still looked after, so that the pool ejects the endpoint and suspects the online requests beside the item. After a crash the item runs again after 0.15 s, doubled up to 2.4 s while endpoints crash under it before they write. Weighed: suspected but never condemned (items still wait for each other), condemned and tried again after a while (an item is owed at once); docs/design/quarantine.md.

Why it works: nothing that is learned from crashes can keep an item from running any more, whether it was learned here, told by members or read from the store at a start.

--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -3,7 +3,6 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use http_body_util::BodyExt as _;
@@ -16,17 +15,16 @@
 use super::work::{Slot, Work};
 use crate::answer::{self, Content, Framing, Reader};
 use crate::catalog::Endpoint;
-use crate::connect::{self, Reachability};
+use crate::connect;
 use crate::event;
 use crate::name::Name;
 use crate::origin::Origin;
 use crate::permit::{Claim, Permit};
 use crate::platform::forward::{self, Forward, Verdict};
 use crate::pool::message::{Class, End, Requirements};
-use crate::quarantine::Subject;
-use crate::quarantine::detector::{Detector, Run};
-use crate::quarantine::evidence::Status;
-use crate::quarantine::loss::{self, Finding};
+use crate::quarantine::Fingerprint;
+use crate::quarantine::detector::Run;
+use crate::quarantine::loss::Finding;
 use crate::split::{self, TooLong};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -47,10 +45,15 @@
     Failed,
     /// Any other interruption, which does not count as a failure of the item.
     Interrupted(End, &'static str),
+    /// The endpoint crashed, which does not count as a failure of the item either.
+    Crashed {
+        /// How the run failed.
+        why: &'static str,
+        /// Delay before the next run.
+        delay: Duration,
+    },
     /// The pool reclaimed the slot.
     Stopped,
-    /// The item crashes endpoints.
-    Condemned,
 }
 
 /// Runs an item once; output that it produced is kept in memory for the next run.
@@ -59,15 +62,6 @@
         drop(pending);
         return requeue(&jobs, &work, item, "no_route");
     };
-    let detector = Rc::clone(&jobs.setup.detector);
-    let subject = work.subject(item, &service, &forward.headers);
-    detector.caught_up(work.expires).await;
-    let suspect = match detector.status(&subject) {
-        Status::Condemned => return suspend(&jobs, &work, item),
-        Status::Held(_) => return requeue(&jobs, &work, item, "held"),
-        Status::Suspect => true,
-        Status::Clear => false,
-    };
     let origin = settle_origin(&jobs, &work, item, &service);
     let now = jobs.now();
     let requirements = Requirements {
@@ -78,8 +72,8 @@
         due: work.urgency(now, item, &jobs.estimator).since(now),
         prefix: 0,
         organisation: work.organisation_hash(),
-        request: detector.admitted_as(&subject),
-        suspect,
+        request: Fingerprint(hash(&work.items[item].id)),
+        suspect: false,
         avoid: work.failed_at.borrow()[item].clone(),
         software: origin.as_ref().map(|origin| origin.software.clone()),
     };
@@ -113,7 +107,6 @@
         // Reclaiming the slot has priority.
         biased;
         () = permit.stopped() => Exit::Stopped,
-        () = detector.until_condemned(&subject) => Exit::Condemned,
         exit = exchange(&jobs, &work, item, &forward, &service, &permit, &written) => exit,
     };
     let took = jobs.now().since(began);
@@ -125,59 +118,24 @@
         Exit::Interrupted(End::Error, why) => {
             let run = Run {
                 id: &work.items[item].id,
-                subject: &subject,
+                subject: None,
                 written: written.get(),
                 ran: took,
                 why,
             };
-            match detector.investigate(&permit.endpoint, run).await {
-                Finding::Crashed => Exit::Interrupted(End::Crashed, why),
+            match jobs.setup.detector.investigate(&permit.endpoint, run).await {
+                Finding::Crashed => Exit::Crashed {
+                    why,
+                    delay: work.record_crash(item, written.get() > 0),
+                },
                 Finding::NotCrashed | Finding::Undecided => Exit::Interrupted(End::Error, why),
             }
         }
-        Exit::Done => {
-            detector.completed(&subject, written.get() > 0);
-            Exit::Done
-        }
-        Exit::Stopped => {
-            let endpoint = Arc::clone(&permit.endpoint);
-            let run = Stopped {
-                id: work.items[item].id.clone(),
-                subject,
-                written: written.get(),
-                ran: took,
-            };
-            actix_rt::spawn(investigate_stopped(detector, endpoint, run));
-            Exit::Stopped
-        }
         exit => exit,
     };
     finish(&jobs, &work, item, attempts, permit, &exit);
 }
 
-/// A run that the pool stopped.
-struct Stopped {
-    id: Name,
-    subject: Subject,
-    written: u32,
-    ran: Duration,
-}
-
-/// Investigates a run that the pool stopped, if its endpoint's process ends right afterwards.
-async fn investigate_stopped(detector: Rc<Detector>, endpoint: Arc<Endpoint>, stopped: Stopped) {
-    if loss::probe_after_stop(endpoint.address).await != Reachability::Refused {
-        return;
-    }
-    let run = Run {
-        id: &stopped.id,
-        subject: &stopped.subject,
-        written: stopped.written,
-        ran: stopped.ran,
-        why: "stopped",
-    };
-    detector.investigate(&endpoint, run).await;
-}
-
 /// Returns what began an item's output so far. Output that no endpoint can resume is dropped, so
 /// that the item begins anew: nobody has seen it yet.
 fn settle_origin(jobs: &Jobs, work: &Work, item: usize, service: &Name) -> Option<Origin> {
@@ -375,14 +333,14 @@
                 jobs.commit(work);
             }
         }
+        Exit::Crashed { why, delay } => {
+            permit.finish(End::Crashed);
+            requeue_after(jobs, work, item, *delay, why);
+        }
         Exit::Interrupted(end, why) => {
             permit.finish(*end);
             requeue(jobs, work, item, why);
         }
-        Exit::Condemned => {
-            permit.finish(End::Left);
-            suspend(jobs, work, item);
-        }
         Exit::Stopped => {
             permit.finish(End::Stopped);
             jobs.setup.count.item("stopped");
@@ -415,17 +373,15 @@
     jobs.commit(work);
 }
 
-/// Queues an item to run again after a delay.
+/// Queues an item to run again after the usual delay.
 fn requeue(jobs: &Rc<Jobs>, work: &Rc<Work>, item: usize, why: &'static str) {
-    report_stop(jobs, work, item, why);
-    work.set(item, Slot::Ready(jobs.now() + RETRY_DELAY));
+    requeue_after(jobs, work, item, RETRY_DELAY, why);
 }
 
-/// Suspends an item that crashes endpoints. It is not run again, but listed as failed only when the
-/// job's lifetime ends, since its caller may expect attempts until then.
-fn suspend(jobs: &Rc<Jobs>, work: &Rc<Work>, item: usize) {
-    report_stop(jobs, work, item, "condemned");
-    work.set(item, Slot::Ready(work.expires));
+/// Queues an item to run again after a delay.
+fn requeue_after(jobs: &Jobs, work: &Work, item: usize, delay: Duration, why: &'static str) {
+    report_stop(jobs, work, item, why);
+    work.set(item, Slot::Ready(jobs.now() + delay));
 }
 
 /// Logs and counts a run that ended without an outcome.
--- a/src/batch/shell.rs
+++ b/src/batch/shell.rs
@@ -65,7 +65,7 @@
     pub result_retention: Duration,
     /// Client of the pools, which grants slots at endpoints.
     pub broker: Rc<Broker>,
-    /// Detector of requests that crash endpoints.
+    /// Detector of crashed endpoints.
     pub detector: Rc<Detector>,
     /// Configuration and endpoints.
     pub catalog: Arc<Cell<Catalog>>,
@@ -291,7 +291,7 @@
     /// that already have more than an equal share of the running items come last, as in the pool.
     pub(super) fn schedule(self: &Rc<Self>) {
         let is_serving = matches!(**self.setup.phase.read(), Phase::Serving);
-        if self.is_behind() || !is_serving || !self.setup.detector.is_informed() {
+        if self.is_behind() || !is_serving || self.config().is_none() {
             return;
         }
         while self.pending.get() < MAX_PENDING {
--- a/src/batch/work.rs
+++ b/src/batch/work.rs
@@ -4,10 +4,10 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-use hyper::HeaderMap;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::absence::Absence;
+use super::commit::RETRY_DELAY;
 use super::item::{Item, Outcome, Partial, State};
 use super::record::{Failure, Record};
 use super::registry::Entry;
@@ -15,8 +15,6 @@
 use crate::edge::body::Guard;
 use crate::name::Name;
 use crate::node;
-use crate::platform::call;
-use crate::quarantine::{Fingerprint, Subject};
 
 /// Moving average of item durations, from runs that were not interrupted.
 #[derive(Debug)]
@@ -29,6 +27,10 @@
 const INITIAL_SECONDS_PER_TOKEN: f64 = 0.002_7;
 /// Weight of the newest item in the average.
 const MEAN_WEIGHT: f64 = 0.1;
+/// Number of times that the delay before an item runs again is doubled, while endpoints crash under
+/// it before they write anything. An item is never the cause, but endpoints that crash one after the
+/// other have to come back first.
+const MAX_CRASH_DOUBLINGS: u32 = 4;
 /// An item that is nearly complete still needs a slot and its last events.
 const MIN_REMAINING: Duration = Duration::from_millis(300);
 
@@ -91,6 +93,9 @@
     pub(super) failures: RefCell<Vec<u32>>,
     /// The endpoints that returned these errors, by item.
     pub(super) failed_at: RefCell<Vec<Vec<Name>>>,
+    /// Consecutive runs of each item, at most [`MAX_CRASH_DOUBLINGS`], under which an endpoint
+    /// crashed before it wrote anything.
+    crashes: RefCell<Vec<u32>>,
     /// Outcomes that are not stored yet, by item.
     pub(super) unstored: RefCell<Vec<(usize, Outcome)>>,
     pub(super) committing: Cell<bool>,
@@ -135,6 +140,7 @@
             run_time: RefCell::new(vec![Duration::ZERO; count]),
             failures,
             failed_at: RefCell::new(vec![Vec::new(); count]),
+            crashes: RefCell::new(vec![0; count]),
             unstored: RefCell::default(),
             committing: Cell::new(false),
             due,
@@ -193,14 +199,13 @@
         name.map_or(0, |name| xxh3_64(name.as_bytes()))
     }
 
-    /// Identifies an item's request and its prompt by their content, independent of its id.
-    pub(super) fn subject(&self, item: usize, service: &str, headers: &HeaderMap) -> Subject {
-        let entry = self.entry.borrow();
-        let record = &entry.record;
-        let organisation = record.organisation.as_deref();
-        let Item { path, body, .. } = &self.items[item];
-        let request = Fingerprint::of(&record.host, organisation, path, body);
-        Subject::new(request, service, organisation, call::shared_parts(headers))
+    /// Records a run of an item under which its endpoint crashed, and returns the delay before the
+    /// next one.
+    pub(super) fn record_crash(&self, item: usize, has_written: bool) -> Duration {
+        let mut crashes = self.crashes.borrow_mut();
+        let doublings = if has_written { 0 } else { crashes[item] };
+        crashes[item] = (doublings + 1).min(MAX_CRASH_DOUBLINGS);
+        RETRY_DELAY * 2_u32.pow(doublings)
     }
 
     /// Number of items that wait for a slot or run.
--- a/src/edge/relay/loss.rs
+++ b/src/edge/relay/loss.rs
@@ -40,7 +40,7 @@
     async fn find_cause(&self, endpoint: &Arc<Endpoint>, began: Time, why: &'static str) -> End {
         let run = Run {
             id: &self.call.forward.id,
-            subject: &self.call.subject,
+            subject: Some(&self.call.subject),
             written: self.written,
             ran: self.node.clock.now().since(began),
             why,
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -182,7 +182,7 @@
         actions: &mut Vec<Action>,
     ) {
         self.started.get_or_insert(now);
-        if requirements.suspect {
+        if requirements.suspect && requirements.class.may_crash_endpoints() {
             self.suspects.add(now, requirements.request);
         }
         if let Some(permit) = self.permits.get_mut(&key) {
@@ -228,7 +228,7 @@
     /// Renews a permit that a gateway holds.
     pub fn renew(&mut self, now: Time, key: Key, renewal: &Renewal, actions: &mut Vec<Action>) {
         self.started.get_or_insert(now);
-        if renewal.suspect {
+        if renewal.suspect && renewal.class.may_crash_endpoints() {
             self.suspects.add(now, renewal.request);
         }
         if let Some(permit) = self.permits.get_mut(&key)
@@ -284,7 +284,9 @@
         };
         match end {
             End::Done => {
-                self.suspects.remove(permit.request);
+                if permit.class.may_crash_endpoints() {
+                    self.suspects.remove(permit.request);
+                }
                 if !permit.answering {
                     self.record_answer(&permit.endpoint, permit.class);
                 }
@@ -309,16 +311,25 @@
         }
     }
 
-    /// Marks everything that ran on a crashed endpoint as suspect, since any of it may
+    /// Marks every request that ran on a crashed endpoint as suspect, since any of them may
     /// have caused the crash.
     fn suspect_running(&mut self, now: Time, ended: &Permit) {
-        self.suspects.add_crash(now, ended.request);
-        let permits = self.permits.values();
-        for permit in permits.filter(|permit| permit.endpoint == ended.endpoint) {
-            self.suspects.add(now, permit.request);
+        if ended.class.may_crash_endpoints() {
+            self.suspects.add_crash(now, ended.request);
+        }
+        let beside = |permit: &&Permit| permit.endpoint == ended.endpoint;
+        for permit in self.permits.values().filter(beside) {
+            if permit.class.may_crash_endpoints() {
+                self.suspects.add(now, permit.request);
+            }
         }
     }
 
+    /// True if a request of this class is a suspect.
+    fn is_suspect(&self, class: Class, request: Fingerprint) -> bool {
+        class.may_crash_endpoints() && self.suspects.contains(request)
+    }
+
     /// Records a good answer of an endpoint.
     fn record_answer(&mut self, endpoint: &Name, class: Class) {
         let restored = self
--- a/src/pool/grant.rs
+++ b/src/pool/grant.rs
@@ -208,7 +208,7 @@
         let untried = |id: &Name| !requirements.avoid.contains(id);
         let any_untried =
             requirements.avoid.is_empty() || self.candidates.any(requirements, untried);
-        let is_suspect = self.suspects.contains(requirements.request);
+        let is_suspect = self.is_suspect(requirements.class, requirements.request);
         let with_suspects = self.suspects_running();
         let is_allowed = |id: &Name| {
             (untried(id) || !any_untried) && !(is_suspect && with_suspects.contains(id))
@@ -231,7 +231,7 @@
             return BTreeSet::new();
         }
         let permits = self.permits.values();
-        let suspects = permits.filter(|permit| self.suspects.contains(permit.request));
+        let suspects = permits.filter(|permit| self.is_suspect(permit.class, permit.request));
         suspects.map(|permit| &permit.endpoint).collect()
     }
 
@@ -239,13 +239,15 @@
     /// run of it is in progress. Otherwise retries from several gateways could crash
     /// as many endpoints at once.
     fn must_wait(&self, now: Time, requirements: &Requirements) -> bool {
-        if self.suspects.is_empty() || !self.suspects.contains(requirements.request) {
+        if !self.is_suspect(requirements.class, requirements.request) {
             return false;
         }
         if self.suspects.is_backing_off(now, requirements.request) {
             return true;
         }
-        let same = |permit: &Permit| permit.request == requirements.request;
+        let same = |permit: &Permit| {
+            permit.class == requirements.class && permit.request == requirements.request
+        };
         self.permits.values().any(same)
     }
 
--- a/src/pool/message.rs
+++ b/src/pool/message.rs
@@ -33,6 +33,14 @@
     Batch,
 }
 
+impl Class {
+    /// Returns true if a request of this class may crash the endpoints that run it. An item of a
+    /// batch job never does, so it is not suspected when an endpoint crashes under it.
+    pub fn may_crash_endpoints(self) -> bool {
+        self == Self::Online
+    }
+}
+
 /// What a request requires of a slot.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Requirements {
@@ -57,7 +65,8 @@
     /// Hash of the organisation, or 0 for none.
     #[serde(rename = "o", default, skip_serializing_if = "is_none")]
     pub organisation: u64,
-    /// Fingerprint of the request's content, independent of its id.
+    /// Fingerprint of an online request's content, independent of its id. That of an item has no
+    /// effect.
     #[serde(rename = "f")]
     pub request: Fingerprint,
     /// True when the gateway has observed an endpoint crash while running it.
@@ -106,7 +115,8 @@
     /// Hash of the organisation, or 0 for none.
     #[serde(rename = "o", default, skip_serializing_if = "is_none")]
     pub organisation: u64,
-    /// Fingerprint of the request's content, independent of its id.
+    /// Fingerprint of an online request's content, independent of its id. That of an item has no
+    /// effect.
     #[serde(rename = "f")]
     pub request: Fingerprint,
     /// True when the gateway has observed an endpoint crash while running it.
--- a/src/quarantine/detector.rs
+++ b/src/quarantine/detector.rs
@@ -81,8 +81,9 @@
 pub struct Run<'a> {
     /// The id of its attempt, for the log.
     pub id: &'a Name,
-    /// The request.
-    pub subject: &'a Subject,
+    /// The request to blame if its endpoint has crashed; none for an item of a batch job, which is
+    /// never the cause.
+    pub subject: Option<&'a Subject>,
     /// Pieces of the answer that it had sent, one or more whole events each.
     pub written: u32,
     /// How long it ran.
@@ -204,21 +205,26 @@
     pub async fn investigate(self: &Rc<Self>, endpoint: &Arc<Endpoint>, run: Run<'_>) -> Finding {
         let entry = loss::entry(&self.setup.catalog.read(), endpoint);
         let listener = loss::probe_after_failure(endpoint.address).await;
+        let parts = run.subject.map_or(&[][..], |subject| &subject.parts);
         log::info!(
             "{} id={} print={} endpoint={} incarnation={} ran_ms={} written={} parts={} why={} listener={listener:?} entry={entry:?}",
             event::RUN_LOST,
             run.id,
-            run.subject.request,
+            run.subject
+                .map_or_else(|| "-".to_owned(), |subject| subject.request.to_string()),
             endpoint.id,
             endpoint.incarnation,
             run.ran.as_millis(),
             run.written,
-            Parts(&run.subject.parts),
+            Parts(parts),
             run.why,
         );
-        let request = run.subject.request;
-        let ran = Ran::new(run.ran, run.written, &run.subject.parts);
         let finding = loss::classify(entry, listener);
+        let Some(subject) = run.subject else {
+            return finding;
+        };
+        let request = subject.request;
+        let ran = Ran::new(run.ran, run.written, &subject.parts);
         match finding {
             Finding::Crashed => self.record_crash(endpoint, request, ran),
             Finding::NotCrashed => {}
--- a/src/quarantine/loss.rs
+++ b/src/quarantine/loss.rs
@@ -13,9 +13,6 @@
 /// Delay before the listener is probed again. A process that ends may close its listener
 /// slightly later than its connections.
 const PROBE_RETRY_DELAY: Duration = Duration::from_millis(10);
-/// Delay until the listener is probed after a run was stopped. The engine works on a stopped run
-/// for one or two more steps.
-const STOP_PROBE_DELAY: Duration = Duration::from_millis(100);
 
 /// State of an endpoint's entry in this node's catalog.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,14 +66,6 @@
     }
 }
 
-/// Checks whether anything still listens at an address where a run was stopped. A request may
-/// crash its endpoint although its run was stopped. If nobody looked, it would never be suspected,
-/// and the crash would count against the requests that ran beside it.
-pub async fn probe_after_stop(address: SocketAddr) -> Reachability {
-    sleep(STOP_PROBE_DELAY).await;
-    connect::probe(address, PROBE_TIMEOUT).await
-}
-
 /// Classifies a failed run by the entry and the listener right after the failure. An endpoint
 /// that is leaving, or has left, aborts its unfinished runs; a lost answer, a reset or cut
 /// connection and a corrupt answer leave the process running. None of these is a crash.
--- a/standin/src/site/replica.rs
+++ b/standin/src/site/replica.rs
@@ -32,9 +32,16 @@
 pub const CRASH_MARKER: &str = "kills";
 /// Events after which such a request crashes the replica.
 const CRASH_STEPS: u32 = 4;
+/// A request whose path contains this is sound, but the replicas of its first runs crash as they
+/// begin to work on it.
+pub const UNLUCKY_MARKER: &str = "unlucky";
+/// Number of these runs. It exceeds the crashes after which a request counts as their cause.
+pub const UNLUCKY_RUNS: usize = 6;
 /// A replica crashes as it begins to write an answer to a prompt with a shared part whose id begins
-/// with this, in hexadecimal like every id.
+/// with this, in hexadecimal like every id. Items of jobs never crash replicas.
 pub const CRASH_PART: &str = "dead";
+/// Begins the path of each item of a job.
+pub const ITEM_PREFIX: &str = "/n/";
 /// Tokens in one event.
 pub const EVENT_TOKENS: u64 = 10;
 
@@ -60,7 +67,7 @@
 impl Run {
     /// Returns the shared part of the prompt that crashes replicas, if there is one.
     pub fn crash_part(&self) -> Option<&str> {
-        crash_part(&self.prompt)
+        crash_part(&self.path, &self.prompt)
     }
 
     /// Returns true if the request crashes the replica that runs it.
@@ -70,7 +77,10 @@
 }
 
 /// Returns the id of the part of a prompt that crashes replicas; the last part never does.
-fn crash_part(prompt: &str) -> Option<&str> {
+fn crash_part<'a>(path: &str, prompt: &'a str) -> Option<&'a str> {
+    if path.starts_with(ITEM_PREFIX) {
+        return None;
+    }
     let (shared, _) = prompt.rsplit_once(',')?;
     let mut ids = shared.split(',').filter_map(|part| part.split(':').next());
     ids.find(|id| id.starts_with(CRASH_PART))
@@ -293,9 +303,10 @@
         if path.contains("fails") {
             return Ok(failed(StatusCode::INTERNAL_SERVER_ERROR, &id));
         }
-        let crash_steps = match crash_part(&prompt) {
+        let crash_steps = match crash_part(&path, &prompt) {
             Some(_) => Some(1),
-            None => path.contains(CRASH_MARKER).then_some(CRASH_STEPS),
+            None if path.contains(CRASH_MARKER) => Some(CRASH_STEPS),
+            None => (path.contains(UNLUCKY_MARKER) && running.at < UNLUCKY_RUNS).then_some(0),
         };
         if let Some(steps) = crash_steps {
             let replica = Rc::clone(self);
