--- a/tests/drill_quarantine.rs
+++ b/tests/drill_quarantine.rs
@@ -74,3 +74,50 @@
     let answer = fleet.caller(0, "Ask", &prompt_request("good", 100));
     expect_that!(answer, ok(anything()));
 }
+
+/// Submits a job with one item and returns its name.
+fn submit_item(fleet: &env::Fleet) -> Value {
+    let items = [json!({"key": "i", "prompt": KILLER, "maxTokens": 20})];
+    let job = json!({"service": "recipes", "organisation": "trust", "key": "j", "items": items});
+    let accepted = fleet.caller(0, "SubmitJob", &job).unwrap();
+    json!({"job": accepted["job"]})
+}
+
+/// Waits until a job of one item has ended, and returns true if the item is done.
+fn is_done(fleet: &env::Fleet, job: &Value) -> bool {
+    let status = || fleet.caller(1, "JobStatus", job).unwrap();
+    env::until("the job has ended", || {
+        status()["state"] == json!("JOB_STATE_ENDED")
+    });
+    status()["done"] == json!(1)
+}
+
+/// Makes the engines that are left sound.
+fn mend(fleet: &env::Fleet) {
+    let is_up =
+        |engine: &usize| TcpStream::connect(fleet.engines[*engine].address("listening")).is_ok();
+    for engine in (0..ENGINES).filter(is_up) {
+        fleet.engine_fault(engine, &json!({"die_on": ""}));
+    }
+}
+
+/// Returns a request like the item of [`submit_item`].
+fn request_like_item(n: usize) -> Value {
+    let mut request = prompt_request(KILLER, n);
+    request["organisation"] = json!("trust");
+    request
+}
+
+/// Guards against an item of a batch job that a verdict holds back, because an online request for
+/// the same prompt has crashed engines.
+#[gtest]
+fn item_like_condemned_request() {
+    let fleet = fleet();
+    for n in 0..6 {
+        let answer = fleet.caller(n % 3, "Ask", &request_like_item(n));
+        expect_that!(answer, err(anything()));
+    }
+    mend(&fleet);
+    let job = submit_item(&fleet);
+    expect_that!(is_done(&fleet, &job), eq(true));
+}
