Take an answer that ends with its process for cut off, also at a leaving endpoint

Cause: whether an answer is whole was decided by loss::classify, which tells who is to blame for a crash. For an endpoint that is draining or gone it answers that none has crashed, whatever its listener says.

Change: loss::has_ended decides it by the listener, for each state of the entry; blame is decided as before.

Why it works: a process that has ended has no listener, so its end is seen whether it was planned or not.

Tests: edge_answers answer_leaving_process_ended failed before (short bodies as complete) and passes; quarantine_evidence has_ended_each_entry.

--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -259,7 +259,7 @@
     match end {
         answer::End::Whole
             if reader.framing() == Framing::Connection
-                && jobs.setup.detector.has_crashed(endpoint).await =>
+                && jobs.setup.detector.has_ended(endpoint).await =>
         {
             Exit::Interrupted(End::Error, "process_ended")
         }
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -127,7 +127,7 @@
         match end {
             answer::End::Whole
                 if reader.framing() == Framing::Connection
-                    && self.node.detector.has_crashed(&permit.endpoint).await =>
+                    && self.node.detector.has_ended(&permit.endpoint).await =>
             {
                 return Ended::Failed(Failure::Lost, End::Error, "process_ended");
             }
--- a/src/quarantine/detector.rs
+++ b/src/quarantine/detector.rs
@@ -233,12 +233,12 @@
         finding
     }
 
-    /// Returns true if the endpoint's process has ended unexpectedly, as far as its entry and its
-    /// listener show at once. An answer that ends with its connection is whole only if it has not.
-    pub async fn has_crashed(&self, endpoint: &Endpoint) -> bool {
+    /// Returns true if the endpoint's process has ended, as far as its entry and its listener show
+    /// at once. An answer that ends with its connection is whole only if it has not.
+    pub async fn has_ended(&self, endpoint: &Endpoint) -> bool {
         let entry = loss::entry(&self.setup.catalog.read(), endpoint);
         let listener = loss::probe_after_failure(endpoint.address).await;
-        loss::classify(entry, listener) == Finding::Crashed
+        loss::has_ended(entry, listener)
     }
 
     /// Watches an endpoint whose process may have ended unnoticed: behind a partition, or
--- a/src/quarantine/loss.rs
+++ b/src/quarantine/loss.rs
@@ -77,6 +77,18 @@
     }
 }
 
+/// Returns true if the process at which an answer ended with its connection has ended as well, so
+/// that the answer may have been cut off. Unlike in [`classify`], a planned end counts too: a leaving
+/// endpoint cuts off what it has not finished.
+pub fn has_ended(entry: Entry, listener: Reachability) -> bool {
+    match (entry, listener) {
+        (Entry::Replaced, _)
+        | (_, Reachability::Refused)
+        | (Entry::Draining | Entry::Gone, Reachability::Silent) => true,
+        (Entry::Ready, Reachability::Silent) | (_, Reachability::Open) => false,
+    }
+}
+
 /// Classifies a failed run while its endpoint is watched. An endpoint that leaves without
 /// announcing it keeps serving after its entry is removed, so it is no crash.
 pub fn classify_later(entry: Entry, listener: Reachability) -> Finding {
--- a/standin/tests/edge_answers.rs
+++ b/standin/tests/edge_answers.rs
@@ -136,21 +136,45 @@
 /// between two events: its connection closes as at the end of a whole stream.
 #[gtest]
 fn answer_process_ended() {
+    play_ended(None);
+}
+
+/// Guards against the same at an endpoint that leaves: its process ends before its work does, and
+/// nobody is to blame for that.
+#[gtest]
+fn answer_leaving_process_ended() {
+    play_ended(Some("draining"));
+}
+
+/// Ends all replicas but one while they answer, some time after they have reported this state.
+fn play_ended(state: Option<&'static str>) {
     run(plan(44), async |harness| {
         let style = Style {
             framing: Some(Framing::Connection),
             cut: Some(Cut::BetweenEvents),
         };
-        let crash_all_but_one = async {
+        let end_all_but_one = async {
             // A stream takes 0.16 s.
             sleep(Duration::from_millis(80)).await;
+            if let Some(state) = state {
+                for upstream in harness.replicas.borrow().values().skip(1) {
+                    harness.write_replica(upstream, state);
+                }
+                // All nodes see the state, and streams run on.
+                sleep(Duration::from_millis(400)).await;
+            }
             for upstream in harness.replicas.borrow().values().skip(1) {
                 upstream.proxy.stop_listening();
                 upstream.replica.crash();
             }
         };
-        let answers = play(harness, style, Fault::default());
-        let ((), [resumable, others]) = tokio::join!(crash_all_but_one, answers);
+        let slowdown = if state.is_some() { 8 } else { 1 };
+        let fault = Fault {
+            slowdown,
+            ..Fault::default()
+        };
+        let answers = play(harness, style, fault);
+        let ((), [resumable, others]) = tokio::join!(end_all_but_one, answers);
         expect_that!(resumable, contains(eq(&End::Whole)));
         expect_that!(others, contains(eq(&End::Broken)));
     });
--- a/tests/quarantine_evidence.rs
+++ b/tests/quarantine_evidence.rs
@@ -10,7 +10,7 @@
 use auburnspoke::quarantine::backlog::Backlog;
 use auburnspoke::quarantine::evidence::{Crash, Evidence, Ran, Stage, Status};
 use auburnspoke::quarantine::loss::{
-    Entry, Finding, classify, classify_later, probe_after_failure,
+    Entry, Finding, classify, classify_later, has_ended, probe_after_failure,
 };
 use auburnspoke::quarantine::record::Observation;
 use googletest::prelude::*;
@@ -266,6 +266,29 @@
     expect_that!(evidence.is_known(Fingerprint(100 + 1_999)), eq(true));
 }
 
+/// Guards against an answer that counts as whole, although a leaving endpoint has cut it off: its
+/// connection closes as at the end of a whole one.
+#[gtest]
+fn has_ended_each_entry() {
+    for entry in [Entry::Ready, Entry::Draining, Entry::Gone, Entry::Replaced] {
+        expect_that!(
+            has_ended(entry, Reachability::Refused),
+            eq(true),
+            "{entry:?}"
+        );
+        let is_other = entry == Entry::Replaced;
+        expect_that!(
+            has_ended(entry, Reachability::Open),
+            eq(is_other),
+            "{entry:?}"
+        );
+    }
+    // A listener that is merely overloaded is silent, too.
+    expect_that!(has_ended(Entry::Ready, Reachability::Silent), eq(false));
+    expect_that!(has_ended(Entry::Draining, Reachability::Silent), eq(true));
+    expect_that!(has_ended(Entry::Gone, Reachability::Silent), eq(true));
+}
+
 /// A lost answer, a reset or cut connection, and an endpoint that leaves as planned are no
 /// crash.
 #[gtest]
