Bound the results in one transaction by the store's limit of bytes

Cause: batch::commit bounds them by their number only. The store refuses the transaction with 413, and the same one is built again, for ever.

Change: table::size knows the limits of a transaction and the size of an encoded entry; a commit takes results while there is room, and leaves the rest to the next one. The stand-in's store holds both limits.

Why it works: a single result, at most a row, and the job's row fit into a transaction together, so each commit makes progress.

--- a/src/batch/commit.rs
+++ b/src/batch/commit.rs
@@ -13,10 +13,9 @@
 use super::shell::Jobs;
 use super::work::{Slot, Work};
 use crate::event;
-use crate::table::{Expect, Fault, Store as _, Table as _, Transaction};
+use crate::table::{Expect, Fault, Store as _, Table as _, Transaction, size};
 
-/// Outcomes in one transaction. Each takes some 15 KB, so the transaction stays well below the
-/// store's limit of 1 MB.
+/// Most outcomes in one transaction, so that a long one does not delay other writes.
 const MAX_OUTCOMES: usize = 24;
 /// Bytes that the encoding of a row may add to an output.
 const ROW_OVERHEAD_BYTES: usize = 1_024;
@@ -62,8 +61,13 @@
     let mut next = record.clone();
     let key = record::key(&work.id);
     let mut transaction = Transaction::default().check(key.clone(), Expect::Version(version));
+    let job_bytes = size::entry_bytes(&key, jobs.setup.row_bytes);
     for (item, outcome) in &unstored {
         let row = record::result(&work.id, next.done.len());
+        let bytes = size::entry_bytes(&row, value_bytes(jobs, outcome));
+        if !transaction.has_room(2, bytes + job_bytes) {
+            break;
+        }
         next.done.push(u16::try_from(*item).unwrap_or(u16::MAX));
         let value = encode_outcome(jobs, work, *item, outcome, record.epoch).await?;
         transaction = transaction.put(row, value);
@@ -75,6 +79,19 @@
     Ok(())
 }
 
+/// Returns true if an output is too long for a row.
+fn needs_object(jobs: &Jobs, outcome: &Outcome) -> bool {
+    outcome.output.len() + ROW_OVERHEAD_BYTES > jobs.setup.row_bytes
+}
+
+/// Returns an upper bound of the length of an outcome's row.
+fn value_bytes(jobs: &Jobs, outcome: &Outcome) -> usize {
+    if needs_object(jobs, outcome) {
+        return ROW_OVERHEAD_BYTES;
+    }
+    outcome.output.len() + ROW_OVERHEAD_BYTES
+}
+
 /// Encodes an outcome as a row. An output too long for a row goes into an object of its own.
 async fn encode_outcome(
     jobs: &Jobs,
@@ -83,7 +100,7 @@
     outcome: &Outcome,
     epoch: u64,
 ) -> Result<Vec<u8>, Fault> {
-    if outcome.output.len() + ROW_OVERHEAD_BYTES <= jobs.setup.row_bytes {
+    if !needs_object(jobs, outcome) {
         return Ok(record::encode(outcome));
     }
     let name = format!("result-{}-{item}-{epoch}", work.id);
--- a/src/table.rs
+++ b/src/table.rs
@@ -19,6 +19,7 @@
 pub mod http;
 pub mod memory;
 pub mod protocol;
+pub mod size;
 
 /// A row of the table. Keys sort by their bytes and have parts separated by `/`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/standin/src/site/store.rs
+++ b/standin/src/site/store.rs
@@ -28,6 +28,10 @@
 /// Time that a transaction takes.
 const TRANSACTION_TIME: Duration = Duration::from_millis(4);
 
+/// Most bytes and entries of a transaction; a larger one has no effect.
+const MAX_TRANSACTION_BYTES: usize = 1_000_000;
+const MAX_TRANSACTION_ENTRIES: usize = 100;
+
 /// The faults that the store shows to one node.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Degradation {
@@ -228,6 +232,9 @@
         let body = body.to_bytes();
         let object = |prefix: &str| path.strip_prefix(prefix).map(ToOwned::to_owned);
         match (&parts.method, path.as_str()) {
+            (&Method::POST, "/-/rows-tx") if body.len() > MAX_TRANSACTION_BYTES => {
+                empty_response(StatusCode::PAYLOAD_TOO_LARGE)
+            }
             (&Method::POST, "/-/rows-tx") => self.transact(&body),
             (&Method::GET, "/-/rows-get") => self.get(&query),
             (&Method::GET, "/-/rows-feed") => self.feed(&query).await,
@@ -258,6 +265,9 @@
         let Ok(tx) = serde_json::from_slice::<Tx>(body) else {
             return empty_response(StatusCode::BAD_REQUEST);
         };
+        if tx.expect_rev.len() + tx.set_keys.len() + tx.remove.len() > MAX_TRANSACTION_ENTRIES {
+            return empty_response(StatusCode::PAYLOAD_TOO_LARGE);
+        }
         let transaction = Transaction {
             expect: tx
                 .expect_rev
--- a/standin/tests/batch_owners.rs
+++ b/standin/tests/batch_owners.rs
@@ -10,7 +10,7 @@
 use googletest::prelude::*;
 use hyper::StatusCode;
 use standin::site::store::Degradation;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Runs that may fail before an item is given up.
 const ATTEMPTS: u32 = 4;
@@ -210,6 +210,45 @@
     });
 }
 
+/// Guards against results that are never listed: those that ended while the store was away are
+/// written in one transaction, which is larger than the store accepts, again and again.
+#[gtest]
+fn commit_more_than_store_accepts() {
+    // Two events each, which fit into a row. All of them take 1.4 MB.
+    const ITEMS: usize = 24;
+    let path = format!("/n/{}", "x".repeat(22_000));
+    let ids: Vec<String> = (0..ITEMS).map(|at| format!("item-{at}")).collect();
+    let (before, after) = actix_rt::System::new().block_on(async {
+        let fleet = Fleet::start(ATTEMPTS).await;
+        fleet.serve(0);
+        let status = fleet.submit_items(&ids, &path).await;
+        assert_eq!(status, StatusCode::ACCEPTED);
+        let refuse = Degradation {
+            refuse: true,
+            ..Degradation::default()
+        };
+        fleet.store.degradations.borrow_mut().insert(0, refuse);
+        let all_ended = async {
+            while fleet.ended_items() < ITEMS {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(Duration::from_secs(20), all_ended).await.unwrap();
+        let before = fleet.stored_results();
+        fleet.store.degradations.borrow_mut().remove(&0);
+        let all_stored = async {
+            while fleet.stored_results() < ITEMS {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        // Each attempt takes 0.2 s.
+        let _ = timeout(Duration::from_secs(10), all_stored).await;
+        (before, fleet.stored_results())
+    });
+    expect_that!(before, lt(ITEMS));
+    expect_that!(after, eq(ITEMS));
+}
+
 /// Guards against a result that is listed with a part of its output: the store sends the object that
 /// holds it without a length, and its connection closes midway.
 #[gtest]
--- a/standin/tests/support/fleet.rs
+++ b/standin/tests/support/fleet.rs
@@ -26,9 +26,11 @@
 use auburnspoke::quarantine::{Detector, Fingerprint, Subject, detector};
 use auburnspoke::snapshot::Cell;
 use auburnspoke::table::{self, Changes, Feed, FeedError, Snapshot};
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use hyper::{Response, StatusCode};
-use standin::site::replica::{Fault, History, Replica};
+use standin::site::replica::{Fault, History, Replica, Run};
 use standin::site::store::Store;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
@@ -290,10 +292,20 @@
 
     /// Does the same in whatever phase the node is.
     pub async fn submit_anyway(&self, path: &str) -> StatusCode {
-        let body = format!(
-            "{{\"requests\":[{{\"id\":\"{ITEM}\",\"path\":\"{path}\",\
-             \"headers\":{{\"X-Token-Count\":\"10,20\"}},\"tokens\":30}}]}}"
-        );
+        self.submit_items(&[ITEM.to_owned()], path).await
+    }
+
+    /// Submits a job of items with these ids and the same path to the first node, and returns the
+    /// status of the response.
+    pub async fn submit_items(&self, ids: &[String], path: &str) -> StatusCode {
+        let item = |id: &String| {
+            format!(
+                "{{\"id\":\"{id}\",\"path\":\"{path}\",\
+                 \"headers\":{{\"X-Token-Count\":\"10,20\"}},\"tokens\":30}}"
+            )
+        };
+        let items: Vec<String> = ids.iter().map(item).collect();
+        let body = format!("{{\"requests\":[{}]}}", items.join(","));
         let answer = self.nodes[0]
             .jobs
             .submit(&self.route, None, &JOB.into(), Bytes::from(body))
@@ -374,6 +386,26 @@
             .await
     }
 
+    /// Returns the number of items that have ended at the endpoint.
+    #[allow(dead_code, reason = "each test file uses a part of it")]
+    pub fn ended_items(&self) -> usize {
+        let history = self.history.borrow();
+        let has_ended = |runs: &&Vec<Run>| runs.iter().any(|run| run.ended.is_some());
+        history.values().filter(has_ended).count()
+    }
+
+    /// Returns the number of results in the job's row.
+    #[allow(dead_code, reason = "each test file uses a part of it")]
+    pub fn stored_results(&self) -> usize {
+        let rows = self.store.rows.borrow();
+        let (rows, _) = rows.get((record::TABLE, ""), JOB, "", 1);
+        let value = rows.first().and_then(|row| row.value.as_ref());
+        value.map_or(0, |value| {
+            let row = STANDARD.decode(value).unwrap();
+            Record::decode(&row).unwrap().done.len()
+        })
+    }
+
     /// Returns the number of runs of the item.
     pub fn runs(&self) -> usize {
         self.history.borrow().get(ITEM).map_or(0, Vec::len)
