Store each crash with its own time

Cause: the crashes of a request are stored together from the second one on, and each row's end was counted from that moment. A node that reads the rows takes them for crashes of one time, which count as one crash of a part.

Change: a row's end is counted from the crash.

--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -299,12 +299,12 @@
         self.parts.take_reports(now, parts)
     }
 
-    /// Returns the recorded crashes that involve the request.
-    pub fn crashes_of(&self, request: Fingerprint) -> Vec<(Crash, Ran)> {
+    /// Returns the recorded crashes that involve the request, with their times.
+    pub fn crashes_of(&self, request: Fingerprint) -> Vec<(Crash, Time, Ran)> {
         let ran = |(crash, incident): (&Crash, &Incident)| {
             let stage = *incident.requests.get(&request)?;
             let (parts, ran) = incident.parts_of(request);
-            Some((crash.clone(), Ran { stage, ran, parts }))
+            Some((crash.clone(), incident.since, Ran { stage, ran, parts }))
         };
         self.incidents.iter().filter_map(ran).collect()
     }
--- a/src/quarantine/storage.rs
+++ b/src/quarantine/storage.rs
@@ -83,7 +83,9 @@
             .insert(Key::Verdict(condemnation.request), unsaved);
     }
 
-    /// Adds the crashes of a request to write, unless there are fewer than `min_crashes`. `rank`
+    /// Adds the crashes of a request to write, with the time of each, unless there are fewer than
+    /// `min_crashes`. A node that reads a row takes the crash's age from it: crashes of one time
+    /// count as one of a part of prompts. `rank`
     /// returns this member's rank for a record; it is 0 at the node that observed the last crash.
     pub fn add_crashes<C, R>(
         &mut self,
@@ -93,13 +95,13 @@
         min_crashes: usize,
         rank: R,
     ) where
-        C: ExactSizeIterator<Item = (Crash, Ran)>,
+        C: ExactSizeIterator<Item = (Crash, Time, Ran)>,
         R: Fn(&Key) -> u32,
     {
         if crashes.len() < min_crashes {
             return;
         }
-        for (crash, ran) in crashes {
+        for (crash, at, ran) in crashes {
             let key = Key::Crash(request, crash);
             let is_known = self.rows.contains_key(&key) || self.unsaved.contains_key(&key);
             let is_full = self.unsaved.len() >= MAX_UNSAVED;
@@ -108,7 +110,7 @@
             }
             let unsaved = Unsaved {
                 due: now + WRITE_DELAY * rank(&key),
-                ends: now + CRASH_TTL,
+                ends: at + CRASH_TTL,
                 is_saving: false,
                 value: Value::Crash(ran),
             };
--- a/tests/quarantine_storage.rs
+++ b/tests/quarantine_storage.rs
@@ -25,9 +25,9 @@
     }
 }
 
-fn crashes(count: u64) -> Vec<(Crash, Ran)> {
+fn crashes(count: u64) -> Vec<(Crash, Time, Ran)> {
     (0..count)
-        .map(|it| (crash(it), Stage::Early.into()))
+        .map(|it| (crash(it), at(0), Stage::Early.into()))
         .collect()
 }
 
@@ -86,6 +86,24 @@
     expect_that!(keys, elements_are![eq(&Key::Crash(KILLER, crash(0)))]);
 }
 
+/// Guards against crashes that all get the time at which they are stored: after a restart of all nodes
+/// they count as one of a part of prompts.
+#[gtest]
+fn add_crashes_at_their_times() {
+    let mut storage = storage();
+    let crashes = [0, 2_000].map(|millis| (crash(millis), at(millis), Stage::Early.into()));
+    storage.add_crashes(at(2_000), KILLER, crashes.into_iter(), 2, |_| 0);
+    let (_, transaction) = storage.take_due(at(2_500)).unwrap();
+    let until = |record: &Record| match record {
+        Record::Crash(_, crash, row) => Some((crash.incarnation, row.until)),
+        Record::Verdict(..) => None,
+    };
+    let mut ends: Vec<_> = records(&transaction).iter().filter_map(until).collect();
+    ends.sort_unstable();
+    expect_that!(ends, len(eq(2)));
+    expect_that!(ends[1].1 - ends[0].1, eq(2_000));
+}
+
 /// A record that the store refused is written again, and by the next member if this one ends.
 #[gtest]
 fn take_due_failed() {
@@ -102,7 +120,7 @@
 fn take_due_row_seen() {
     let mut storage = storage();
     add(&mut storage, 2, 1);
-    for (crash, _) in crashes(2) {
+    for (crash, _, _) in crashes(2) {
         storage.add_row(Key::Crash(KILLER, crash), CLOCK + 600_000);
     }
     expect_that!(storage.take_due(at(1_000)), none());
