--- a/standin/src/soak/fault.rs
+++ b/standin/src/soak/fault.rs
@@ -19,6 +19,8 @@
 const PAUSES_MS: std::ops::Range<u64> = 100..900;
 /// How long a fault lasts. The longest exceeds the time in which a lost node is detected.
 const LENGTHS_MS: std::ops::Range<u64> = 300..4_000;
+/// Factor by which a leaving replica is slow, so that items it runs take longer than it stays.
+const LEAVING_SLOWDOWN: u32 = 8;
 /// Time that a terminated process has to exit before it is killed.
 const GRACE_PERIOD: Duration = Duration::from_secs(10);
 
@@ -226,7 +228,7 @@
         Kind::ReplicaSlow => set_replica_fault(harness, length, |it| it.slowdown = 5).await,
         Kind::ReplicaBreaks => set_replica_fault(harness, length, |it| it.break_rate = 0.2).await,
         Kind::ReplicaLoses => set_replica_fault(harness, length, |it| it.loss_rate = 0.1).await,
-        Kind::ReplicaLeaves => drain(harness, length).await?,
+        Kind::ReplicaLeaves => drain(harness, length, LEAVING_SLOWDOWN).await?,
     }
     Ok(())
 }
@@ -371,12 +373,19 @@
     }
 }
 
-/// Marks a replica as draining, lets it serve for a while, and removes it.
-pub(super) async fn drain(harness: &Harness, length: Duration) -> Result<()> {
+/// Marks a replica as draining, lets it serve for a while, and removes it. What it begins in the last
+/// moment before is slower by this factor, so that it may not have ended by the exit.
+pub(super) async fn drain(harness: &Harness, length: Duration, slowdown: u32) -> Result<()> {
+    const SLOW_TIME: Duration = Duration::from_millis(500);
     harness.add_replica().await?;
     let Some(id) = random_replica(harness) else {
         return Ok(());
     };
+    if let Some(upstream) = harness.replicas.borrow().get(&id) {
+        let fault = upstream.replica.fault.get();
+        upstream.replica.fault.set(Fault { slowdown, ..fault });
+    }
+    sleep(SLOW_TIME).await;
     let Some(upstream) = harness.replicas.borrow_mut().remove(&id) else {
         return Ok(());
     };
--- a/standin/src/soak/stop.rs
+++ b/standin/src/soak/stop.rs
@@ -196,11 +196,11 @@
         Kind::StopAndReplica => {
             node.signal(Signal::TERM);
             sleep(gap / 3).await;
-            fault::drain(harness, REPLICA_DRAIN).await?;
+            fault::drain(harness, REPLICA_DRAIN, 1).await?;
         }
         Kind::Reload => node.signal(Signal::HUP),
         Kind::Config => harness.write_config(),
-        Kind::ReplicaLeaves => fault::drain(harness, REPLICA_DRAIN).await?,
+        Kind::ReplicaLeaves => fault::drain(harness, REPLICA_DRAIN, 1).await?,
     }
     Ok(())
 }
