Tests: kill the node of resumed streams once these have begun

Now three quarters of the callers leave after two events, the node is killed once they have, and cuts off the others; the same count is asked for.

--- a/standin/src/soak/resume.rs
+++ b/standin/src/soak/resume.rs
@@ -62,6 +62,12 @@
     if first.await == Some(End::Whole) || stream.origin.is_none() {
         return None;
     }
+    Some(resume(harness, stream, until).await)
+}
+
+/// Resumes a stream at random nodes until it is whole or `until` has passed. Returns how the last
+/// request ended.
+pub async fn resume(harness: &Harness, mut stream: Stream, until: Instant) -> End {
     let mut end = End::Broken;
     while end != End::Whole && Instant::now() < until {
         let Some(target) = open(harness).await else {
@@ -75,7 +81,7 @@
         }
     }
     harness.resumed.borrow_mut().push(end);
-    Some(end)
+    end
 }
 
 /// Sends one request for the rest of the stream, and reads until the stream has `leave_after`
--- a/standin/tests/edge_streams.rs
+++ b/standin/tests/edge_streams.rs
@@ -12,8 +12,9 @@
 use standin::soak::caller::{Question, ask, submit_jobs};
 use standin::soak::check::{End, Job, Report};
 use standin::soak::fleet::Harness;
-use standin::soak::resume::{Stream, leave_and_resume, read};
+use standin::soak::resume::{Stream, leave_and_resume, read, resume};
 use standin::soak::{Faults, Plan};
+use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
 use play::run;
@@ -78,10 +79,10 @@
     });
 }
 
-/// Sends requests to the first `nodes` nodes, whose callers leave and resume.
-async fn leave_and_resume_all(harness: &Harness, nodes: usize) -> Vec<End> {
+/// Sends requests to all nodes, whose callers leave and resume.
+async fn leave_and_resume_all(harness: &Harness) -> Vec<End> {
     let ends = (0..STREAMS).map(async |at| {
-        let node = at % nodes;
+        let node = at % NODES;
         let address = harness.caller_address(node);
         let conn = connect::open(address, CONNECT_TIMEOUT).await.unwrap();
         leave_and_resume(harness, node, conn, question(harness)).await
@@ -96,7 +97,7 @@
 #[gtest]
 fn resume_by_caller() {
     run(plan(52), async |harness| {
-        let ends = leave_and_resume_all(harness, NODES).await;
+        let ends = leave_and_resume_all(harness).await;
         expect_that!(ends, not(is_empty()));
         expect_that!(ends, each(eq(&End::Whole)));
     });
@@ -106,13 +107,33 @@
 /// what it knew.
 #[gtest]
 fn resume_node_killed() {
+    /// Streams whose callers leave after some events. The others are cut off by the kill.
+    const LEFT: usize = STREAMS * 3 / 4;
+    const EVENTS: usize = 2;
     run(plan(53), async |harness| {
+        let until = Instant::now() + Duration::from_secs(20);
+        let has_left = Semaphore::new(0);
+        let begin = (0..STREAMS).map(async |at| {
+            let address = harness.caller_address(0);
+            let conn = connect::open(address, CONNECT_TIMEOUT).await.unwrap();
+            let mut stream = Stream::new(question(harness));
+            let id = stream.question.id.clone();
+            let leave_after = if at < LEFT { EVENTS } else { usize::MAX };
+            let _ = read(harness, (0, conn), &mut stream, &id, until, leave_after).await;
+            if at < LEFT {
+                has_left.add_permits(1);
+            }
+            stream
+        });
         let kill = async {
-            // A stream takes 0.16 s, and callers leave within 0.1 s.
-            sleep(Duration::from_millis(40)).await;
+            let all = u32::try_from(LEFT).unwrap();
+            has_left.acquire_many(all).await.unwrap().forget();
             harness.nodes[0].signal(Signal::KILL);
         };
-        let (ends, ()) = tokio::join!(leave_and_resume_all(harness, 1), kill);
+        let (streams, ()) = tokio::join!(join_all(begin), kill);
+        let begun = streams.into_iter().filter(|it| it.origin.is_some());
+        let ends = join_all(begun.map(|stream| resume(harness, stream, until))).await;
+        println!("{ends:?}");
         expect_that!(ends.len(), gt(STREAMS / 2));
         expect_that!(ends, each(eq(&End::Whole)));
     });
