--- a/src/table/size.rs
+++ b/src/table/size.rs
@@ -1,7 +1,7 @@
 //! The size of a transaction as the store receives it, which the store limits.
 //!
-//! The store refuses a larger transaction however often it is repeated, so whoever collects rows for
-//! one asks [`Transaction::has_room`] before each.
+//! The store refuses a larger transaction however often it is repeated. Code that collects rows for
+//! one calls [`Transaction::has_room`] before it adds each.
 
 use super::{Transaction, Write};
 
