Log which verdict and status a refused request gets, and count rejections

E301 now has the request's fingerprint, the status and the verdict that it rests on, E526 the number of endpoint processes that ended beside those of a verdict, and auburnspoke_rejected_total the requests that a node ended with a 3xx or 4xx of its own, by reason and status. So the hypotheses of docs/incidents/proper-requests-rejected.md can be told apart.

--- a/src/edge/count.rs
+++ b/src/edge/count.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::StatusCode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -22,6 +23,13 @@
     reason: &'static str,
 }
 
+/// Labels of a request that the node ended as wrong.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Rejection {
+    reason: &'static str,
+    status: u16,
+}
+
 /// Labels of an answer that an endpoint ended.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Ending {
@@ -41,6 +49,7 @@
 pub struct Count {
     registry: Arc<Registry>,
     refused: Family<Cause, Counter>,
+    rejected: Family<Rejection, Counter>,
     retried: Family<Cause, Counter>,
     answers: Family<Ending, Counter>,
     resumed: Family<Resumption, Counter>,
@@ -67,6 +76,7 @@
         F: FnOnce(&mut Registry),
     {
         let refused = Family::<Cause, Counter>::default();
+        let rejected = Family::<Rejection, Counter>::default();
         let retried = Family::<Cause, Counter>::default();
         let answers = Family::<Ending, Counter>::default();
         let resumed = Family::<Resumption, Counter>::default();
@@ -77,6 +87,11 @@
         let request = Histogram::new(exponential_buckets(0.01, 1.5, 20));
         let mut registry = Registry::with_prefix("auburnspoke");
         registry.register("refused", "Requests refused, by reason", refused.clone());
+        registry.register(
+            "rejected",
+            "Requests that this node ended with a 3xx or 4xx status of its own, by reason and status",
+            rejected.clone(),
+        );
         registry.register("retried", "Requests retried, by reason", retried.clone());
         registry.register(
             "answers",
@@ -131,6 +146,7 @@
         Self {
             registry: Arc::new(registry),
             refused,
+            rejected,
             retried,
             answers,
             resumed,
@@ -160,6 +176,23 @@
         self.refused.get_or_create(&Cause { reason }).inc();
     }
 
+    /// Counts a request that this node ended with `status`, if that says that the request is wrong.
+    /// 408, 421 and 429 say that it was not run, and that it may be sent again.
+    pub fn reject(&self, reason: &'static str, status: StatusCode) {
+        let is_not_run = matches!(
+            status,
+            StatusCode::REQUEST_TIMEOUT
+                | StatusCode::MISDIRECTED_REQUEST
+                | StatusCode::TOO_MANY_REQUESTS
+        );
+        if (status.is_redirection() || status.is_client_error()) && !is_not_run {
+            let status = status.as_u16();
+            self.rejected
+                .get_or_create(&Rejection { reason, status })
+                .inc();
+        }
+    }
+
     /// Counts a request that was over its organisation's limit.
     pub fn over_limit(&self, organisation: &Name) {
         self.over_limit.add(organisation);
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -310,7 +310,7 @@
 ) -> Response<Body> {
     let id = call::request_id(&parts.headers);
     let credential = organisation::credential(&parts.headers);
-    let reject = |why: &str, response: Response<Bytes>| {
+    let reject = |why: &'static str, response: Response<Bytes>| {
         log_rejected(node, arrived, id.as_ref(), &parts, why, response.status());
         response.map(Body::from)
     };
@@ -383,9 +383,10 @@
     arrived: Time,
     id: Option<&Name>,
     parts: &Parts,
-    why: &str,
+    why: &'static str,
     status: StatusCode,
 ) {
+    node.count.reject(why, status);
     let catalog = node.catalog.read();
     log::info!(
         "{} id={} path={} why={why} status={} waited_ms={} phase={:?} config={:?}",
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -380,14 +380,6 @@
 
     async fn give_up(&mut self, next: Next, why: &'static str, retry_after: Duration) {
         let now = self.node.clock.now();
-        log::info!(
-            "{} id={} route={} why={why} answer={next:?} waited_ms={} retry_after_ms={}",
-            event::REQUEST_REFUSED,
-            self.call.forward.id,
-            self.call.route.name,
-            now.since(self.call.arrived).as_millis(),
-            retry_after.as_millis(),
-        );
         self.node.count.refuse(why);
         let mut response = match (next, self.error.take()) {
             (Next::Pass, Some(error)) => error,
@@ -397,6 +389,7 @@
                 retry_after,
             ),
             (Next::Break, _) => {
+                self.log_refused(next, why, None, retry_after);
                 // The body reports the error, which closes the connection.
                 self.pieces.send(Err(Broken)).await;
                 return;
@@ -410,6 +403,7 @@
                 call::error(status, "it may have run; an endpoint failed")
             }
         };
+        self.log_refused(next, why, Some(response.status()), retry_after);
         self.finish_head(response.headers_mut());
         if let Some(head) = self.head.take() {
             // An error means that the caller has disconnected.
@@ -417,6 +411,33 @@
         }
     }
 
+    /// Logs and counts a request that ends without a whole answer. `status` is none for a stream that
+    /// has begun. The status may be an endpoint's, which is no rejection of this node.
+    fn log_refused(
+        &self,
+        next: Next,
+        why: &'static str,
+        status: Option<StatusCode>,
+        retry_after: Duration,
+    ) {
+        let now = self.node.clock.now();
+        let verdict = self.node.detector.condemned_by(&self.call.subject);
+        log::info!(
+            "{} id={} route={} print={} why={why} answer={next:?} status={} verdict={} waited_ms={} retry_after_ms={}",
+            event::REQUEST_REFUSED,
+            self.call.forward.id,
+            self.call.route.name,
+            self.call.subject.request,
+            status.map_or(0, |it| it.as_u16()),
+            verdict.map_or_else(|| "-".to_owned(), |it| it.to_string()),
+            now.since(self.call.arrived).as_millis(),
+            retry_after.as_millis(),
+        );
+        if let Some(status) = status.filter(|_| next != Next::Pass || verdict.is_some()) {
+            self.node.count.reject(why, status);
+        }
+    }
+
     fn log_granted(&self, endpoint: &Endpoint) {
         let now = self.node.clock.now();
         let catalog = self.node.catalog.read();
--- a/src/quarantine/detector.rs
+++ b/src/quarantine/detector.rs
@@ -158,6 +158,11 @@
         self.evidence.borrow().status_of(self.now(), subject)
     }
 
+    /// Returns the request, or the part of its prompt, that is condemned.
+    pub fn condemned_by(&self, subject: &Subject) -> Option<Fingerprint> {
+        self.evidence.borrow().condemned_by(self.now(), subject)
+    }
+
     /// Returns what a request is admitted as at a pool: a suspect part of its prompt, or itself.
     pub fn admitted_as(&self, subject: &Subject) -> Fingerprint {
         self.evidence.borrow().admitted_as(self.now(), subject)
@@ -418,11 +423,12 @@
                 .map(|it| &*it.endpoint)
                 .collect();
             log::warn!(
-                "{} print={} source=evidence times={} term_s={} endpoints={}",
+                "{} print={} source=evidence times={} term_s={} others={} endpoints={}",
                 event::REQUEST_CONDEMNED,
                 condemnation.request,
                 condemnation.times,
                 condemnation.term.as_secs(),
+                condemnation.others,
                 endpoints.join(","),
             );
             self.setup.count.record_verdict();
--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -18,9 +18,11 @@
 use crate::name::Name;
 
 mod blame;
+mod ends;
 mod part;
 
 use blame::Blame;
+use ends::Ends;
 use part::Parts;
 pub use part::Ran;
 
@@ -124,6 +126,8 @@
     pub request: Fingerprint,
     /// The endpoint processes that ended while running it.
     pub crashes: Vec<Crash>,
+    /// Number of endpoint processes that ended at about the same times without running it.
+    pub others: usize,
     /// Duration of the quarantine.
     pub term: Duration,
     /// Number of verdicts on the request, including this one.
@@ -162,6 +166,8 @@
 #[derive(Debug, Default)]
 pub struct Evidence {
     incidents: BTreeMap<Crash, Incident>,
+    /// Endpoint processes that ended, whatever ran there.
+    ends: Ends,
     verdicts: HashMap<Fingerprint, Verdict>,
     blame: HashMap<Fingerprint, Blame>,
     /// Last completion of each request.
@@ -182,6 +188,13 @@
         parts.fold(request, Status::max)
     }
 
+    /// Returns the request, or the part of its prompt, that is condemned.
+    pub fn condemned_by(&self, now: Time, subject: &Subject) -> Option<Fingerprint> {
+        let request = std::iter::once(subject.request);
+        let mut all = request.chain(subject.parts.iter().copied());
+        all.find(|it| self.is_condemned(now, *it))
+    }
+
     /// Returns what a request is admitted as at a pool, which runs one suspect of a kind at a time:
     /// a suspect part of its prompt, or else the request itself.
     pub fn admitted_as(&self, now: Time, subject: &Subject) -> Fingerprint {
@@ -246,6 +259,7 @@
         R: Into<Ran>,
     {
         let Ran { stage, ran, parts } = ran.into();
+        self.ends.add(now, &crash);
         if let Some(completion) = self.completions.get_mut(&request)
             && now.since(completion.at) < COMPLETION_TTL
         {
@@ -495,6 +509,7 @@
         let before = self.verdicts.get(&request).map_or(0, |it| it.times);
         Condemnation {
             request,
+            others: self.ends.beside(&crashes),
             crashes,
             term: first_term * 2_u32.pow(before.min(MAX_DOUBLINGS)),
             times: before + 1,
--- /dev/null
+++ b/src/quarantine/evidence/ends.rs
@@ -0,0 +1,48 @@
+//! Which endpoint processes ended, whatever ran there: what ends beside others is less likely to have
+//! been ended by its own requests.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::{Crash, MAX_CRASHES};
+use crate::clock::Time;
+
+/// Crashes that are observed within this time count as simultaneous. Nodes hear of one up to 0.6 s
+/// after another does.
+const SIMULTANEOUS: Duration = Duration::from_secs(1);
+
+/// Endpoint processes that ended, with the time when this node first learned of each.
+#[derive(Debug, Default)]
+pub(super) struct Ends(BTreeMap<Crash, Time>);
+
+impl Ends {
+    /// Records the end of a process. The oldest one is dropped when there is no room.
+    pub(super) fn add(&mut self, now: Time, crash: &Crash) {
+        if self.0.contains_key(crash) {
+            return;
+        }
+        self.0.insert(crash.clone(), now);
+        if self.0.len() > MAX_CRASHES {
+            let oldest = self.0.iter().min_by_key(|(_, at)| **at);
+            if let Some(crash) = oldest.map(|(crash, _)| crash.clone()) {
+                self.0.remove(&crash);
+            }
+        }
+    }
+
+    /// Returns the number of other processes that ended at about the same time as one of these.
+    pub(super) fn beside(&self, crashes: &[Crash]) -> usize {
+        let times: Vec<Time> = crashes
+            .iter()
+            .filter_map(|crash| self.0.get(crash).copied())
+            .collect();
+        let is_near = |at: Time| times.iter().any(|own| is_simultaneous(*own, at));
+        let others = self.0.iter().filter(|(crash, _)| !crashes.contains(crash));
+        others.filter(|(_, at)| is_near(**at)).count()
+    }
+}
+
+fn is_simultaneous(one: Time, other: Time) -> bool {
+    // One of the two differences is zero.
+    one.since(other).max(other.since(one)) <= SIMULTANEOUS
+}
