Refuse requests under which endpoints crashed in place of rejecting them, and doubt verdicts from bursts

Cause: the quarantine takes coincidence for cause. In a burst an endpoint ends under nearly any request, three times for a request and five for a part are enough for a verdict, the many processes that ended without it are no evidence for it, no completion ends a verdict, and its callers are told that their request is wrong. Change: a verdict never ends a request as wrong, but refuses it (503 with the time until its end, 502 if it may have run), in serve too. A verdict with fewer than two crashes beside no others lasts 2 s, doubled by each further one. A completed run ends a verdict, at all nodes and in the store. Why it works: a request that crashes endpoints is refused as soon as before; what was at crashes by chance runs again a moment after the burst, and its completion clears it everywhere.

--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -219,7 +219,7 @@
             let claim = self.claim(now, left, max_wait);
             let admitted = tokio::select! {
                 biased;
-                () = detector.until_condemned(&subject) => return self.reject_condemned().await,
+                () = detector.until_condemned(&subject) => return self.refuse_condemned().await,
                 admitted = timeout(left, self.admit(claim)) => admitted,
             };
             let permit = match admitted {
@@ -244,7 +244,7 @@
             let began = self.node.clock.now();
             let ended = tokio::select! {
                 biased;
-                () = detector.until_condemned(&subject) => return self.reject_condemned().await,
+                () = detector.until_condemned(&subject) => return self.refuse_condemned().await,
                 ended = self.exchange(&permit) => ended,
             };
             let (next, why) = match ended {
@@ -367,15 +367,11 @@
         self.give_up(next, why, retry_after).await;
     }
 
-    /// Rejects a request that crashed endpoints, and advises the caller not to resend it.
-    async fn reject_condemned(&mut self) {
-        const WHY: &str = "condemned";
-        self.error = Some(call::error(
-            StatusCode::BAD_REQUEST,
-            "endpoints that run this request, or others with a part of its prompt, crash; it is not run any more, so don't send it again",
-        ));
-        let next = self.attempt.give_up(true);
-        self.give_up(next, WHY, Duration::ZERO).await;
+    /// Refuses a request under which endpoints crashed, for as long as the verdict lasts. The crashes
+    /// may have had another cause, so nothing says that the request is wrong.
+    async fn refuse_condemned(&mut self) {
+        let left = self.node.detector.condemned_for(&self.call.subject);
+        self.end("condemned", left).await;
     }
 
     async fn give_up(&mut self, next: Next, why: &'static str, retry_after: Duration) {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -44,6 +44,8 @@
 /// Maximum number of requests in flight per traffic thread. Without the limit, memory use would
 /// grow with the load; the required peak is about 13 requests per second per node.
 const MAX_IN_FLIGHT: u32 = 4_096;
+/// Retry delay of a request under which endpoints crashed.
+const CONDEMNED_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Retry delay sent by a node that is not ready.
 const NOT_READY_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Interval at which a pending quarantine verdict is polled.
@@ -487,10 +489,12 @@
     }
 }
 
+/// Refuses a request under which endpoints crashed. The crashes may have had another cause, so
+/// nothing says that the request is wrong.
 fn condemned() -> Refusal {
-    Refusal::new(Reason::Invalid).with_message(
-        "endpoints that run this request crash; it is not run any more, so don't send it again",
-    )
+    Refusal::new(Reason::EndpointFailed)
+        .after(CONDEMNED_RETRY_DELAY)
+        .with_message("endpoints crashed while they ran this request; it is not run for now")
 }
 
 /// Never reports `NotRun` if an earlier attempt may have run.
--- a/src/quarantine/detector.rs
+++ b/src/quarantine/detector.rs
@@ -163,6 +163,11 @@
         self.evidence.borrow().condemned_by(self.now(), subject)
     }
 
+    /// Returns how long the request, or all requests with a part of its prompt, stay condemned.
+    pub fn condemned_for(&self, subject: &Subject) -> Duration {
+        self.evidence.borrow().condemned_for(self.now(), subject)
+    }
+
     /// Returns what a request is admitted as at a pool: a suspect part of its prompt, or itself.
     pub fn admitted_as(&self, subject: &Subject) -> Fingerprint {
         self.evidence.borrow().admitted_as(self.now(), subject)
@@ -291,7 +296,7 @@
         let ran = evidence.without_completed(now, ran);
         match evidence.add_crash(now, crash.clone(), request, ran.clone()) {
             Added::New => {
-                evidence.update_blame(now);
+                evidence.update_blame();
                 drop(evidence);
                 self.setup.count.record_lost_run();
                 self.notify_members(&Observation::Crashed(request, crash, ran));
@@ -318,6 +323,7 @@
             let reported = evidence.add_parts_completion(now, &subject.parts);
             drop(evidence);
             for part in reported {
+                self.storage.borrow_mut().withdraw(part);
                 self.notify_members(&Observation::PartCompleted(part));
             }
         }
@@ -325,7 +331,7 @@
         if self.evidence.borrow_mut().add_completion(now, request) {
             log::info!("{} print={request}", event::REQUEST_CLEARED);
             self.notify_completion(request);
-            self.storage.borrow_mut().withdraw_crashes(request);
+            self.storage.borrow_mut().withdraw(request);
         }
     }
 
@@ -361,10 +367,11 @@
             // Its sender has notified all other nodes.
             Some(Observation::Completed(request)) => {
                 self.evidence.borrow_mut().add_completion(now, request);
-                self.storage.borrow_mut().withdraw_crashes(request);
+                self.storage.borrow_mut().withdraw(request);
             }
             Some(Observation::PartCompleted(part)) => {
                 self.evidence.borrow_mut().add_part_completion(now, part);
+                self.storage.borrow_mut().withdraw(part);
             }
             None => {}
         }
--- a/src/quarantine/detector/sync.rs
+++ b/src/quarantine/detector/sync.rs
@@ -97,7 +97,7 @@
         for (key, value) in rows {
             self.apply_row(clock, &key, value.as_deref());
         }
-        self.evidence.borrow_mut().update_blame(self.now());
+        self.evidence.borrow_mut().update_blame();
         if is_whole {
             self.mark_informed("store");
         }
@@ -133,9 +133,11 @@
                 row.endpoints.join(","),
             );
         }
+        // Crashes after its end are evidence anew, so an end that has passed matters too.
+        let ended = Duration::from_millis(clock.saturating_sub(row.until));
         self.evidence
             .borrow_mut()
-            .condemn(now, request, now + left, row.times);
+            .condemn(request, now + left - ended, row.times);
         self.changed.notify_waiters();
     }
 
@@ -154,7 +156,7 @@
         };
         let mut evidence = self.evidence.borrow_mut();
         if let Added::Refuted(_) = evidence.add_crash(observed, crash, request, ran) {
-            storage.withdraw_crashes(request);
+            storage.withdraw(request);
         }
     }
 
--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -44,6 +44,12 @@
 const FIRST_TERM: Duration = Duration::from_secs(900);
 /// The same of a part. It is shorter, because a verdict on the wrong part refuses many requests.
 const FIRST_PART_TERM: Duration = Duration::from_secs(120);
+/// Duration of a first quarantine that rests on crashes beside others, which may have had another
+/// cause: each further one doubles it. Between two of them one run shows whether the cause is gone.
+const FIRST_DOUBTFUL_TERM: Duration = Duration::from_secs(2);
+/// Number of crashes beside no others that a quarantine of the full length takes. Where fewer are
+/// known, as after a quarantine that outlasted what it rests on, all of them.
+const MIN_LONE_CRASHES: usize = 2;
 /// Limit on these doublings.
 const MAX_DOUBLINGS: u32 = 5;
 /// Limits on the crashes, the requests of one crash, and the verdicts that are remembered.
@@ -195,6 +201,15 @@
         all.find(|it| self.is_condemned(now, *it))
     }
 
+    /// Returns how long the request, or all requests with a part of its prompt, stay condemned.
+    pub fn condemned_for(&self, now: Time, subject: &Subject) -> Duration {
+        let request = std::iter::once(&subject.request);
+        let verdicts = request.chain(subject.parts.iter());
+        let verdicts = verdicts.filter_map(|it| self.verdicts.get(it));
+        let left = verdicts.map(|verdict| verdict.until.since(now));
+        left.max().unwrap_or_default()
+    }
+
     /// Returns what a request is admitted as at a pool, which runs one suspect of a kind at a time:
     /// a suspect part of its prompt, or else the request itself.
     pub fn admitted_as(&self, now: Time, subject: &Subject) -> Fingerprint {
@@ -329,10 +344,11 @@
         self.incidents.values().any(ran)
     }
 
-    /// Records that the request completed: crashes while it ran elsewhere had another cause.
-    /// Returns true when other nodes have to be notified.
+    /// Records that the request completed: crashes while it ran elsewhere had another cause, and a
+    /// verdict was wrong. Returns true when other nodes have to be notified.
     pub fn add_completion(&mut self, now: Time, request: Fingerprint) -> bool {
-        let known = self.is_known(request);
+        let is_lifted = self.verdicts.remove(&request).is_some();
+        let known = self.is_known(request) || is_lifted;
         let reported = match self.completions.get(&request) {
             Some(completion) if !known => completion.reported,
             _ => now,
@@ -349,7 +365,7 @@
         }
         self.incidents
             .retain(|_, incident| !incident.requests.is_empty());
-        self.update_blame(now);
+        self.update_blame();
         true
     }
 
@@ -364,22 +380,22 @@
     }
 
     /// Records that a request with the part completed: crashes while others with it ran elsewhere
-    /// had another cause. Returns true when other nodes have to be notified.
+    /// had another cause, and a verdict was wrong. Returns true when other nodes have to be notified.
     pub fn add_part_completion(&mut self, now: Time, part: Fingerprint) -> bool {
         self.parts.add_completion(now, part);
-        let mut is_known = false;
+        let mut is_known = self.verdicts.remove(&part).is_some();
         for incident in self.incidents.values_mut() {
             is_known |= incident.parts.remove(&part).is_some();
         }
         if is_known {
-            self.update_blame(now);
+            self.update_blame();
         }
         is_known
     }
 
     /// Applies a verdict that lasts until `until`, such as one from the store. An expired
     /// verdict is recorded too, since it doubles the term of the next one.
-    pub fn condemn(&mut self, now: Time, request: Fingerprint, until: Time, times: u32) {
+    pub fn condemn(&mut self, request: Fingerprint, until: Time, times: u32) {
         let verdict = Verdict { until, times };
         let known = self.verdicts.entry(request).or_insert(verdict);
         if known.until < until {
@@ -392,7 +408,7 @@
             };
             self.verdicts.remove(&request);
         }
-        self.update_blame(now);
+        self.update_blame();
     }
 
     /// Returns the newest verdicts, up to [`MAX_EXPORTED_VERDICTS`], and all crashes, for a node
@@ -406,6 +422,7 @@
             .map(|(request, verdict)| export::Verdict {
                 request: *request,
                 left: verdict.until.since(now),
+                ended: now.since(verdict.until),
                 times: verdict.times,
             });
         let incidents = self
@@ -439,7 +456,8 @@
     /// Adds what another node has exported.
     pub fn import(&mut self, now: Time, export: Export) {
         for verdict in export.verdicts {
-            self.condemn(now, verdict.request, now + verdict.left, verdict.times);
+            let until = now + verdict.left - verdict.ended;
+            self.condemn(verdict.request, until, verdict.times);
         }
         for incident in export.incidents {
             let observed = now - incident.age;
@@ -455,21 +473,21 @@
                 }
             }
         }
-        self.update_blame(now);
+        self.update_blame();
     }
 
     /// Returns the verdicts that are due, and drops expired records.
     pub fn step(&mut self, now: Time) -> Vec<Condemnation> {
         self.expire(now);
         if self.is_stale {
-            self.update_blame(now);
+            self.update_blame();
         }
         let mut reached = Vec::new();
         // A part explains the crashes of all requests with it, so it goes first.
         while let Some(condemnation) = self.next_part(now).or_else(|| self.next(now)) {
             let Condemnation { term, times, .. } = condemnation;
             self.verdicts.remove(&condemnation.request);
-            self.condemn(now, condemnation.request, now + term, times);
+            self.condemn(condemnation.request, now + term, times);
             reached.push(condemnation);
         }
         reached
@@ -483,7 +501,7 @@
             self.is_due(**request, blame) && blame.newest + SETTLE_DELAY <= now
         });
         let (request, _) = due.max_by_key(|(request, blame)| (blame.weight, **request))?;
-        let crashes = self.unexplained(now);
+        let crashes = self.unexplained();
         let crashes = crashes.filter(|(_, incident)| incident.requests.contains_key(request));
         let crashes = crashes.map(|(crash, _)| crash.clone()).collect();
         Some(self.condemnation(*request, crashes, FIRST_TERM))
@@ -496,7 +514,7 @@
             is_due && blame.newest + SETTLE_DELAY <= now
         });
         let (part, _) = due.max_by_key(|(part, blame)| (blame.weight, **part))?;
-        let crashes = part::crashes(*part, self.unexplained_by_parts(now));
+        let crashes = part::crashes(*part, self.unexplained_by_parts());
         Some(self.condemnation(*part, crashes, FIRST_PART_TERM))
     }
 
@@ -507,6 +525,25 @@
         first_term: Duration,
     ) -> Condemnation {
         let before = self.verdicts.get(&request).map_or(0, |it| it.times);
+        // A repeated verdict counts the crashes of those before as well.
+        let is_involved = |incident: &Incident| {
+            incident.requests.contains_key(&request) || incident.parts.contains_key(&request)
+        };
+        let involved = self.incidents.iter();
+        let involved = involved.filter(|(_, incident)| is_involved(incident));
+        let involved: Vec<_> = involved.map(|(crash, _)| crash.clone()).collect();
+        let is_explained = |crash: &Crash| {
+            let incident = self.incidents.get(crash);
+            incident.is_some_and(|incident| {
+                self.is_explained_by_parts(incident) || self.is_explained_by_requests(incident)
+            })
+        };
+        let lone = self.ends.lone(&involved, is_explained);
+        let first_term = if lone < MIN_LONE_CRASHES.min(involved.len()) {
+            FIRST_DOUBTFUL_TERM
+        } else {
+            first_term
+        };
         Condemnation {
             request,
             others: self.ends.beside(&crashes),
@@ -526,7 +563,7 @@
         self.verdicts
             .retain(|_, verdict| now < verdict.until + FIRST_TERM);
         if before != (self.incidents.len(), self.verdicts.len()) {
-            self.update_blame(now);
+            self.update_blame();
         }
     }
 
@@ -535,30 +572,43 @@
         verdict.is_some_and(|verdict| verdict.is_active(now))
     }
 
-    /// Returns the crashes that no condemned part explains.
-    fn unexplained_by_parts(&self, now: Time) -> impl Iterator<Item = (&Crash, &Incident)> {
-        self.incidents.iter().filter(move |(_, incident)| {
-            let mut parts = incident.parts.keys();
-            !parts.any(|part| self.is_condemned(now, *part))
-        })
+    /// True if a verdict on the request or part explains a crash at this time: it was reached after
+    /// the crash, or still lasted.
+    fn explains(&self, subject: Fingerprint, crash: Time) -> bool {
+        let verdict = self.verdicts.get(&subject);
+        verdict.is_some_and(|verdict| verdict.is_active(crash))
+    }
+
+    fn is_explained_by_parts(&self, incident: &Incident) -> bool {
+        let mut parts = incident.parts.keys();
+        parts.any(|part| self.explains(*part, incident.since))
+    }
+
+    fn is_explained_by_requests(&self, incident: &Incident) -> bool {
+        let mut requests = incident.requests.keys();
+        requests.any(|request| self.explains(*request, incident.since))
+    }
+
+    /// Returns the crashes that no verdict on a part explains.
+    fn unexplained_by_parts(&self) -> impl Iterator<Item = (&Crash, &Incident)> {
+        let all = self.incidents.iter();
+        all.filter(|(_, incident)| !self.is_explained_by_parts(incident))
     }
 
-    /// Returns the crashes that no condemned part or request explains.
-    fn unexplained(&self, now: Time) -> impl Iterator<Item = (&Crash, &Incident)> {
-        self.unexplained_by_parts(now).filter(move |(_, incident)| {
-            let mut requests = incident.requests.keys();
-            !requests.any(|request| self.is_condemned(now, *request))
-        })
+    /// Returns the crashes that no verdict on a part or a request explains.
+    fn unexplained(&self) -> impl Iterator<Item = (&Crash, &Incident)> {
+        let crashes = self.unexplained_by_parts();
+        crashes.filter(|(_, incident)| !self.is_explained_by_requests(incident))
     }
 
     /// Recomputes the blame of each request.
-    pub fn update_blame(&mut self, now: Time) {
+    pub fn update_blame(&mut self) {
         self.is_stale = false;
         let mut parts = std::mem::take(&mut self.parts);
-        let incidents = self.unexplained_by_parts(now).map(|(_, incident)| incident);
-        parts.update_blame(incidents, |request| self.is_condemned(now, request));
+        let incidents = self.unexplained_by_parts().map(|(_, incident)| incident);
+        parts.update_blame(incidents, |request, crash| self.explains(request, crash));
         self.parts = parts;
-        let incidents = self.unexplained(now).map(|(_, incident)| incident);
+        let incidents = self.unexplained().map(|(_, incident)| incident);
         self.blame = blame::assign(incidents);
     }
 }
--- a/src/quarantine/evidence/ends.rs
+++ b/src/quarantine/evidence/ends.rs
@@ -40,6 +40,20 @@
         let others = self.0.iter().filter(|(crash, _)| !crashes.contains(crash));
         others.filter(|(_, at)| is_near(**at)).count()
     }
+
+    /// Returns how many of these processes ended beside no other one, leaving out others whose end is
+    /// explained.
+    pub(super) fn lone<E>(&self, crashes: &[Crash], is_explained: E) -> usize
+    where
+        E: Fn(&Crash) -> bool,
+    {
+        let others = self.0.iter().filter(|(crash, _)| !crashes.contains(crash));
+        let others = others.filter(|(crash, _)| !is_explained(crash));
+        let others: Vec<Time> = others.map(|(_, at)| *at).collect();
+        let own = crashes.iter().filter_map(|crash| self.0.get(crash));
+        own.filter(|at| !others.iter().any(|other| is_simultaneous(**at, *other)))
+            .count()
+    }
 }
 
 fn is_simultaneous(one: Time, other: Time) -> bool {
--- a/src/quarantine/evidence/part.rs
+++ b/src/quarantine/evidence/part.rs
@@ -229,17 +229,19 @@
 
     /// Recomputes the blame of each part from the crashes that no verdict on a part explains. A
     /// condemned request explains a crash for the parts that it doesn't have itself.
-    pub(super) fn update_blame<'a, I, C>(&mut self, incidents: I, is_condemned: C)
+    pub(super) fn update_blame<'a, I, C>(&mut self, incidents: I, explains: C)
     where
         I: Iterator<Item = &'a Incident>,
-        C: Fn(Fingerprint) -> bool,
+        C: Fn(Fingerprint, Time) -> bool,
     {
         let mut incidents: Vec<&Incident> = incidents.collect();
         incidents.sort_by_key(|incident| incident.since);
         let mut tallies: BTreeMap<Fingerprint, Tally> = BTreeMap::new();
         for incident in &incidents {
-            let condemned = incident.requests.keys().filter(|it| is_condemned(**it));
-            let condemned: Vec<_> = condemned.collect();
+            let requests = incident.requests.keys();
+            let condemned: Vec<_> = requests
+                .filter(|it| explains(**it, incident.since))
+                .collect();
             for (part, runs) in &incident.parts {
                 let has_part = |request: &&Fingerprint| runs.requests.contains(*request);
                 if condemned.iter().all(has_part) {
--- a/src/quarantine/export.rs
+++ b/src/quarantine/export.rs
@@ -17,6 +17,9 @@
     /// Time until it ends; zero for one that has ended and doubles the term of the next one.
     #[serde(rename = "l")]
     pub left: Duration,
+    /// Time since it has ended.
+    #[serde(rename = "e", default, skip_serializing_if = "Duration::is_zero")]
+    pub ended: Duration,
     /// Number of verdicts on the request so far.
     #[serde(rename = "n")]
     pub times: u32,
--- a/src/quarantine/statuses.rs
+++ b/src/quarantine/statuses.rs
@@ -116,7 +116,7 @@
                 if apply(&clock, &mut evidence, &observation) {
                     members.note(observation.note(observation.version()));
                 }
-                evidence.update_blame(clock.now());
+                evidence.update_blame();
             }
             Some(note) = notes.recv() => {
                 if let Some(observation) = Observation::read(&note) {
--- a/src/quarantine/storage.rs
+++ b/src/quarantine/storage.rs
@@ -186,9 +186,12 @@
         self.rows.remove(key);
     }
 
-    /// Withdraws the crashes of a request that has completed: they had another cause.
-    pub fn withdraw_crashes(&mut self, request: Fingerprint) {
-        let is_withdrawn = |key: &Key| matches!(key, Key::Crash(of, _) if *of == request);
+    /// Withdraws the crashes of a request that has completed, which had another cause, and a verdict
+    /// on it or on a part of prompts.
+    pub fn withdraw(&mut self, request: Fingerprint) {
+        let is_withdrawn = |key: &Key| match key {
+            Key::Verdict(of) | Key::Crash(of, _) => *of == request,
+        };
         self.unsaved.retain(|key, _| !is_withdrawn(key));
         for (key, until) in &mut self.rows {
             if is_withdrawn(key) {
--- a/tests/quarantine_evidence.rs
+++ b/tests/quarantine_evidence.rs
@@ -36,7 +36,7 @@
     for request in requests {
         evidence.add_crash(now, crash(number), *request, Stage::Early);
     }
-    evidence.update_blame(now);
+    evidence.update_blame();
 }
 
 fn verdicts(evidence: &mut Evidence, now: Time) -> Vec<Fingerprint> {
@@ -196,7 +196,7 @@
 #[gtest]
 fn condemn_from_store() {
     let mut evidence = Evidence::default();
-    evidence.condemn(at(0), KILLER, at(5_000), 1);
+    evidence.condemn(KILLER, at(5_000), 1);
     expect_that!(evidence.status(at(0), KILLER), eq(Status::Condemned));
     expect_that!(evidence.status(at(5_000), KILLER), eq(Status::Suspect));
 }
@@ -564,3 +564,76 @@
     });
     expect_that!(found, eq(Reachability::Refused));
 }
+
+/// Records that endpoints which ran nothing in common crashed at this time.
+fn crash_others(evidence: &mut Evidence, now: Time, burst: u64) {
+    for other in 0..4 {
+        let number = 1_000 + burst * 10 + other;
+        evidence.add_crash(now, crash(number), Fingerprint(number), Stage::Early);
+    }
+}
+
+/// Guards against a request that is refused for a quarter of an hour, because endpoints crashed in
+/// bursts while it ran; and against one that its completion doesn't free.
+#[gtest]
+fn step_bursts() {
+    let mut evidence = Evidence::default();
+    for burst in 0..3 {
+        let now = at(burst * 400);
+        crash_others(&mut evidence, now, burst);
+        evidence.add_crash(now, crash(burst), KILLER, Stage::Early);
+    }
+    let reached = evidence.step(at(2_000));
+    expect_that!(reached.len(), eq(1));
+    expect_that!(reached[0].request, eq(KILLER));
+    expect_that!(reached[0].term, le(Duration::from_secs(2)));
+    expect_that!(evidence.status(at(2_100), KILLER), eq(Status::Condemned));
+    // No crash has followed, so it may run, and is not condemned again for the same crashes.
+    expect_that!(evidence.step(at(4_100)), is_empty());
+    expect_that!(evidence.status(at(4_100), KILLER), eq(Status::Suspect));
+    expect_that!(evidence.add_completion(at(4_500), KILLER), eq(true));
+    expect_that!(evidence.status(at(4_600), KILLER), eq(Status::Clear));
+}
+
+/// Guards against a request that crashes endpoints again and again, because others crashed beside the
+/// first ones: it is refused for long after two that it crashed alone.
+#[gtest]
+fn step_bursts_then_alone() {
+    let mut evidence = Evidence::default();
+    let mut now = at(0);
+    let mut ended = 0;
+    let mut term = Duration::ZERO;
+    while term < Duration::from_secs(900) {
+        if ended < 3 {
+            crash_others(&mut evidence, now, ended);
+        }
+        evidence.add_crash(now, crash(ended), KILLER, Stage::Early);
+        ended += 1;
+        expect_that!(ended, le(5));
+        let settled = now + Duration::from_millis(900);
+        let reached = evidence.step(settled);
+        term = reached.first().map_or(Duration::ZERO, |it| it.term);
+        now = settled + term + Duration::from_millis(200);
+    }
+    expect_that!(ended, eq(5));
+}
+
+/// Guards against a request that crashes endpoint after endpoint, because a node that has just started
+/// takes the end of an earlier verdict for the time of its start, and the crashes since for explained.
+#[gtest]
+fn import_ended_verdict() {
+    let mut evidence = Evidence::default();
+    for number in 0..3 {
+        crash_others(&mut evidence, at(number), number);
+        evidence.add_crash(at(number), crash(number), KILLER, Stage::Early);
+    }
+    expect_that!(evidence.step(at(1_000)).len(), eq(1));
+    evidence.add_crash(at(4_000), crash(3), KILLER, Stage::Early);
+    let mut other = Evidence::default();
+    other.import(at(4_100), evidence.export(at(4_100)));
+    expect_that!(
+        other.status(at(4_100), KILLER),
+        matches_pattern!(Status::Held(_))
+    );
+    expect_that!(other.step(at(5_000)).len(), eq(1));
+}
--- a/tests/quarantine_explore/fleet.rs
+++ b/tests/quarantine_explore/fleet.rs
@@ -577,7 +577,7 @@
         if !self.apply(run.node, &observation) {
             self.broadcast(run.node, &observation);
         }
-        self.nodes[run.node].evidence.update_blame(time(self.now));
+        self.nodes[run.node].evidence.update_blame();
     }
 
     fn crash(&mut self, host: usize, by_killer: Option<u64>) {
@@ -655,7 +655,7 @@
                 continue;
             }
             for (request, until) in &self.store {
-                node.evidence.condemn(time(now), *request, time(*until), 1);
+                node.evidence.condemn(*request, time(*until), 1);
             }
         }
     }
--- a/tests/quarantine_part.rs
+++ b/tests/quarantine_part.rs
@@ -40,7 +40,7 @@
 fn crashed(evidence: &mut Evidence, now: Time, number: u64, request: u64, parts: &[Fingerprint]) {
     let ran = Ran::new(RAN, 0, parts);
     evidence.add_crash(now, crash(number), Fingerprint(request), ran);
-    evidence.update_blame(now);
+    evidence.update_blame();
 }
 
 /// Records that requests completed that share the first part only.
--- a/tests/quarantine_storage.rs
+++ b/tests/quarantine_storage.rs
@@ -139,7 +139,7 @@
     let mut storage = storage();
     add(&mut storage, 2, 0);
     storage.add_row(Key::Crash(KILLER, crash(0)), CLOCK + 600_000);
-    storage.withdraw_crashes(KILLER);
+    storage.withdraw(KILLER);
     expect_that!(storage.take_due(at(0)), none());
     expect_that!(storage.take_expired(at(0), |_| false), none());
     let delete = storage.take_expired(at(0), |_| true).unwrap();
@@ -167,6 +167,7 @@
 fn add_verdict_round() {
     let mut storage = storage();
     let condemnation = Condemnation {
+        others: 0,
         request: KILLER,
         crashes: vec![crash(1)],
         term: Duration::from_secs(900),
