--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -68,18 +68,7 @@
         // When the last event came. Bytes without end that complete none are no progress.
         let mut last_event = self.node.clock.now();
         loop {
-            let left = self.attempt.deadline().since(self.node.clock.now());
-            let usual = if began.is_none() {
-                FIRST_EVENT_TIMEOUT
-            } else {
-                EVENT_TIMEOUT
-            };
-            let silent = self.node.clock.now().since(last_event);
-            let limit = if content == Content::Resumable {
-                self.silence_limit(usual.saturating_sub(silent), left)
-            } else {
-                left
-            };
+            let limit = self.event_limit(content, began.is_some(), last_event);
             let frame = match timeout(limit, body.frame()).await {
                 Err(_) => return self.timed_out("silent"),
                 Ok(None) => break,
@@ -155,6 +144,22 @@
         Ended::Complete
     }
 
+    /// How long the endpoint may take until the next event.
+    fn event_limit(&self, content: Content, has_begun: bool, last_event: Time) -> Duration {
+        let now = self.node.clock.now();
+        let left = self.attempt.deadline().since(now);
+        let usual = if has_begun {
+            EVENT_TIMEOUT
+        } else {
+            FIRST_EVENT_TIMEOUT
+        };
+        if content == Content::Resumable {
+            self.silence_limit(usual.saturating_sub(now.since(last_event)), left)
+        } else {
+            left
+        }
+    }
+
     fn is_resumable(&self) -> bool {
         matches!(
             self.call.route.kind,
