--- a/src/quarantine/evidence/ends.rs
+++ b/src/quarantine/evidence/ends.rs
@@ -1,5 +1,5 @@
-//! Which endpoint processes ended, whatever ran there: what ends beside others is less likely to have
-//! been ended by its own requests.
+//! All endpoint processes that ended, whatever ran there. When several end at the same time, their
+//! requests are less likely to be the cause.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -7,8 +7,7 @@
 use super::{Crash, MAX_CRASHES};
 use crate::clock::Time;
 
-/// Crashes that are observed within this time count as simultaneous. Nodes hear of one up to 0.6 s
-/// after another does.
+/// Crashes observed within this time count as simultaneous. It covers the delay of gossip.
 const SIMULTANEOUS: Duration = Duration::from_secs(1);
 
 /// Endpoint processes that ended, with the time when this node first learned of each.
