--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -525,21 +525,7 @@
         first_term: Duration,
     ) -> Condemnation {
         let before = self.verdicts.get(&request).map_or(0, |it| it.times);
-        // A repeated verdict counts the crashes of those before as well.
-        let is_involved = |incident: &Incident| {
-            incident.requests.contains_key(&request) || incident.parts.contains_key(&request)
-        };
-        let involved = self.incidents.iter();
-        let involved = involved.filter(|(_, incident)| is_involved(incident));
-        let involved: Vec<_> = involved.map(|(crash, _)| crash.clone()).collect();
-        let is_explained = |crash: &Crash| {
-            let incident = self.incidents.get(crash);
-            incident.is_some_and(|incident| {
-                self.is_explained_by_parts(incident) || self.is_explained_by_requests(incident)
-            })
-        };
-        let lone = self.ends.lone(&involved, is_explained);
-        let first_term = if lone < MIN_LONE_CRASHES.min(involved.len()) {
+        let first_term = if self.is_doubtful(request) {
             FIRST_DOUBTFUL_TERM
         } else {
             first_term
@@ -567,6 +553,24 @@
         }
     }
 
+    /// True if too few of the crashes under a request or part happened by themselves. Crashes that an
+    /// earlier verdict on it rested on count as well.
+    fn is_doubtful(&self, request: Fingerprint) -> bool {
+        let is_involved = |incident: &Incident| {
+            incident.requests.contains_key(&request) || incident.parts.contains_key(&request)
+        };
+        let involved = self.incidents.iter();
+        let involved = involved.filter(|(_, incident)| is_involved(incident));
+        let involved: Vec<_> = involved.map(|(crash, _)| crash.clone()).collect();
+        let is_explained = |crash: &Crash| {
+            let incident = self.incidents.get(crash);
+            incident.is_some_and(|incident| {
+                self.is_explained_by_parts(incident) || self.is_explained_by_requests(incident)
+            })
+        };
+        self.ends.lone(&involved, is_explained) < MIN_LONE_CRASHES.min(involved.len())
+    }
+
     fn is_condemned(&self, now: Time, request: Fingerprint) -> bool {
         let verdict = self.verdicts.get(&request);
         verdict.is_some_and(|verdict| verdict.is_active(now))
