--- a/src/edge/count.rs
+++ b/src/edge/count.rs
@@ -61,6 +61,7 @@
     over_limit: Largest,
     blamed: Counter,
     condemned: Counter,
+    trials: Counter,
 }
 
 impl Default for Count {
@@ -140,6 +141,12 @@
             "Verdicts reached here on requests that crash endpoints",
             condemned.clone(),
         );
+        let trials = Counter::default();
+        registry.register(
+            "trials",
+            "Runs of requests after the end of a verdict on them",
+            trials.clone(),
+        );
         let over_limit = Largest::default();
         registry.register_collector(Box::new(over_limit.clone()));
         more(&mut registry);
@@ -158,6 +165,7 @@
             over_limit,
             blamed,
             condemned,
+            trials,
         }
     }
 
@@ -171,6 +179,11 @@
         self.condemned.inc();
     }
 
+    /// Counts a run after the end of a verdict.
+    pub fn record_trial(&self) {
+        self.trials.inc();
+    }
+
     /// Counts a refusal.
     pub fn refuse(&self, reason: &'static str) {
         self.refused.get_or_create(&Cause { reason }).inc();
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -239,6 +239,7 @@
             }
             let endpoint = permit.endpoint.id.clone();
             self.log_granted(&permit.endpoint);
+            detector.record_trial(&self.call.forward.id, &endpoint, &subject);
             self.count_resumption(&permit.endpoint);
             self.call.open.run(&endpoint);
             let began = self.node.clock.now();
--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -140,6 +140,17 @@
     pub times: u32,
 }
 
+/// A verdict that has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ended {
+    /// The request or the part of prompts.
+    pub subject: Fingerprint,
+    /// Time since its end.
+    pub ago: Duration,
+    /// Number of verdicts on it so far.
+    pub times: u32,
+}
+
 #[derive(Clone, Debug)]
 struct Incident {
     since: Time,
@@ -210,6 +221,22 @@
         left.max().unwrap_or_default()
     }
 
+    /// Returns the verdicts on the request and on the parts of its prompt that have ended: for each
+    /// the time since its end, and the number of verdicts so far.
+    pub fn ended_verdicts(&self, now: Time, subject: &Subject) -> Vec<Ended> {
+        let request = std::iter::once(&subject.request);
+        let subjects = request.chain(subject.parts.iter());
+        let ended = subjects.filter_map(|subject| {
+            let verdict = self.verdicts.get(subject)?;
+            (!verdict.is_active(now)).then(|| Ended {
+                subject: *subject,
+                ago: now.since(verdict.until),
+                times: verdict.times,
+            })
+        });
+        ended.collect()
+    }
+
     /// Returns what a request is admitted as at a pool, which runs one suspect of a kind at a time:
     /// a suspect part of its prompt, or else the request itself.
     pub fn admitted_as(&self, now: Time, subject: &Subject) -> Fingerprint {
