--- a/src/quarantine/detector/trial.rs
+++ b/src/quarantine/detector/trial.rs
@@ -20,11 +20,11 @@
 /// Whether a request may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Clearance {
-    /// No verdict on it has ended a while ago.
+    /// No verdict on it has ended.
     Free,
     /// It runs as a trial. The next verdict on it lasts already, and does not apply to this run.
     Trial,
-    /// Another node makes the trial, or the store can't tell.
+    /// Another node makes the trial, or the store can not tell which one does.
     Denied,
 }
 
