--- a/standin/tests/edge_endless.rs
+++ b/standin/tests/edge_endless.rs
@@ -1,25 +1,25 @@
 //! What callers get beside an endpoint whose answers never end and hold nothing.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use auburnspoke::connect;
 use futures_util::future::join_all;
 use googletest::prelude::*;
-use serde_json::json;
+use standin::soak::Plan;
 use standin::soak::caller::{Question, ask};
 use standin::soak::check::End;
 use standin::soak::fleet::Harness;
-use standin::soak::{Faults, Plan};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 
 use play::run;
 
 #[path = "support/play.rs"]
 mod play;
+#[path = "support/raw.rs"]
+mod raw;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest time of an answer that takes 160 ms at a sound endpoint. One that waits for the endless
@@ -27,16 +27,7 @@
 const MAX_TIME: Duration = Duration::from_secs(2);
 const REQUESTS: usize = 12;
 
-const PLAN: Plan = Plan {
-    seed: 71,
-    length: Duration::ZERO,
-    nodes: 1,
-    replicas: 2,
-    versions: 1,
-    killers: 0,
-    crash_parts: 0,
-    faults: Faults::None,
-};
+const PLAN: Plan = raw::plan(71);
 
 /// What comes without end, after the head or in place of it.
 #[derive(Clone, Copy, Debug)]
@@ -93,12 +84,7 @@
 
 /// Registers an endpoint that answers each request with these bytes, and counts its requests.
 async fn add_endless(harness: &Harness, endless: Endless) -> Rc<Cell<usize>> {
-    let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))
-        .await
-        .unwrap();
-    let row = json!({"service": "llm", "address": listener.local_addr().unwrap(), "zone": "z0",
-                     "version": "v1", "slots": 4, "state": "ready", "cold_left_ms": 0, "seq": 1});
-    harness.store.put("servers", "i-endless", &row);
+    let listener = raw::listen(harness, "i-endless").await;
     let asked = Rc::new(Cell::new(0));
     let count = Rc::clone(&asked);
     actix_rt::spawn(async move {
--- a/standin/tests/edge_heads.rs
+++ b/standin/tests/edge_heads.rs
@@ -1,39 +1,30 @@
 //! What callers get beside an endpoint that stops in the middle of its answer's head.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use auburnspoke::connect;
 use futures_util::future::join_all;
 use googletest::prelude::*;
-use serde_json::json;
+use standin::soak::Plan;
 use standin::soak::caller::{Question, ask};
 use standin::soak::check::End;
 use standin::soak::fleet::Harness;
-use standin::soak::{Faults, Plan};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 
 use play::run;
 
 #[path = "support/play.rs"]
 mod play;
+#[path = "support/raw.rs"]
+mod raw;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const REQUESTS: usize = 16;
 
-const PLAN: Plan = Plan {
-    seed: 72,
-    length: Duration::ZERO,
-    nodes: 1,
-    replicas: 2,
-    versions: 1,
-    killers: 0,
-    crash_parts: 0,
-    faults: Faults::None,
-};
+const PLAN: Plan = raw::plan(72);
 
 /// What arrives of the head; `ID` stands for the request's id.
 const HEADS: [&str; 9] = [
@@ -77,12 +68,7 @@
 
 /// Registers an endpoint that stops so, and counts the requests at which it did.
 async fn add_stopping(harness: &Harness, stop: Stop) -> Rc<Cell<usize>> {
-    let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))
-        .await
-        .unwrap();
-    let row = json!({"service": "llm", "address": listener.local_addr().unwrap(), "zone": "z0",
-                     "version": "v1", "slots": 4, "state": "ready", "cold_left_ms": 0, "seq": 1});
-    harness.store.put("servers", "i-stops", &row);
+    let listener = raw::listen(harness, "i-stops").await;
     let stopped = Rc::new(Cell::new(0));
     let count = Rc::clone(&stopped);
     actix_rt::spawn(async move {
