Name E539 after what it tells: a claim, made or denied

A reader of the log met trial_started with claimed=false. Names only; event_catalogue passes (3 tests).

--- a/src/event.rs
+++ b/src/event.rs
@@ -102,5 +102,5 @@
     536 ITEM_STOPPED "item_stopped";
     537 ITEM_DONE "item_done";
     538 ITEM_FAILED "item_failed";
-    539 TRIAL_STARTED "trial_started";
+    539 TRIAL_CLAIMED "trial_claimed";
 }
--- a/src/quarantine/detector/trial.rs
+++ b/src/quarantine/detector/trial.rs
@@ -41,7 +41,7 @@
             let is_claimed = matches!(claimed, Ok(Ok(true)));
             log::info!(
                 "{} id={id} print={} times={} ended_ms={} term_s={} claimed={is_claimed} why={}",
-                event::TRIAL_STARTED,
+                event::TRIAL_CLAIMED,
                 trial.subject,
                 trial.times,
                 trial.ended.as_millis(),
