--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -248,21 +248,30 @@
     }
 }
 
-/// Five of nine replicas spoil 3 in 100 of their answers.
+/// Three times in 30 s, five of nine replicas spoil 3 in 100 of their answers for 5 s.
 fn spoil(rig: &Rig, is_apart: bool) {
     const SPOILERS: usize = 5;
     const ONE_IN: u64 = 34;
-    if !rig.has_trouble {
-        return;
-    }
-    for replica in &rig.replicas[..SPOILERS] {
-        replica.set_flood(Some(Flood {
-            trouble: Trouble::Spoiled {
-                one_in: ONE_IN,
-                is_apart,
-            },
-            bytes_per_s: 0,
-        }));
+    const TIMES: usize = 3;
+    const LENGTH: Duration = Duration::from_secs(5);
+    for _ in 0..TIMES {
+        for flood in [
+            Some(Flood {
+                trouble: Trouble::Spoiled {
+                    one_in: ONE_IN,
+                    is_apart,
+                },
+                bytes_per_s: 0,
+            }),
+            None,
+        ] {
+            if rig.has_trouble {
+                for replica in &rig.replicas[..SPOILERS] {
+                    replica.set_flood(flood);
+                }
+            }
+            thread::sleep(LENGTH);
+        }
     }
 }
 
@@ -329,13 +338,10 @@
         Ok(rig) => rig,
         Err(ended) => return ended,
     };
-    spoil(&rig, true);
-    let end = Instant::now() + Duration::from_secs(20);
+    let end = Instant::now() + Duration::from_secs(30);
     let (submitting, jobs) = submit_until(&rig, end, 10, Duration::from_millis(500));
+    spoil(&rig, true);
     let _ = submitting.join();
-    for replica in &rig.replicas {
-        replica.set_flood(None);
-    }
     read_until(
         &rig,
         &jobs,
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -51,6 +51,7 @@
         let scratch = std::env::var("SCRATCH").expect("SCRATCH is not set");
         let store = Store::start();
         let arrivals: Arc<Mutex<Vec<Arrival>>> = Arc::default();
+        let answers = Arc::default();
         let zones = ["ruwi-hall", "seeb-hall", "qurum-hall"];
         let replicas: Vec<Arc<Replica>> = services
             .iter()
@@ -64,6 +65,7 @@
                     pace.clone(),
                     &arrivals,
                     &record,
+                    &answers,
                 )
             })
             .collect();
--- a/review/rig-2/replica.rs
+++ b/review/rig-2/replica.rs
@@ -106,8 +106,8 @@
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
     record: Arc<Record>,
     seq: AtomicU64,
-    /// Number of answers begun while in trouble.
-    answers: AtomicU64,
+    /// Number of answers that spoiling replicas have begun, all together.
+    answers: Arc<AtomicU64>,
 }
 
 /// The whole output of an item: the data of all events in order, separated by line feeds.
@@ -148,6 +148,7 @@
         pace: Pace,
         arrivals: &Arc<Mutex<Vec<Arrival>>>,
         record: &Arc<Record>,
+        answers: &Arc<AtomicU64>,
     ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("no free port");
         let replica = Arc::new(Self {
@@ -162,7 +163,7 @@
             arrivals: Arc::clone(arrivals),
             record: Arc::clone(record),
             seq: AtomicU64::new(0),
-            answers: AtomicU64::new(0),
+            answers: Arc::clone(answers),
         });
         let serving = Arc::clone(&replica);
         thread::spawn(move || {
@@ -265,7 +266,7 @@
         ));
         let spoils = match flood.map(|flood| flood.trouble) {
             Some(Trouble::Spoiled { one_in, is_apart })
-                if self.answers.fetch_add(1, Ordering::Relaxed) % one_in == 0 =>
+                if self.answers.fetch_add(1, Ordering::Relaxed) % one_in == one_in - 1 =>
             {
                 Some(is_apart)
             }
