Review case 4: results of a batch job are cut short, too

The node now stands still for 0.6 and 1.6 s by turns, and runs a batch job besides the streams: after the short pause it lists items as complete with a part of their text, for good.

--- a/review/rig-3/rig.rs
+++ b/review/rig-3/rig.rs
@@ -1543,38 +1543,35 @@
 // The cases
 // ---------------------------------------------------------------------------------------------
 
-/// A node stands still for 2 s. Meanwhile a replica crashes and is back. Its streams have no length
-/// and end with their connections.
+/// A node stands still, for 0.6 s and for 1.6 s by turns. Meanwhile a replica crashes and is back. Its
+/// streams have no length and end with their connections.
 fn cut_short(log: &Log, trouble: bool) -> Res<Vec<String>> {
-    let options: Vec<String> = ["--step-ms", "20", "--unframed", "1"]
-        .iter()
-        .map(ToString::to_string)
-        .collect();
-    let replicas = vec![options; 6];
-    let fleet = Fleet::start(log, 3, &replicas, &routes(5_000))?;
+    let options = ["--step-ms", "20", "--unframed", "1"].map(ToOwned::to_owned);
+    let fleet = Fleet::start(log, 3, &vec![options.to_vec(); 6], &routes(5_000))?;
     let result = cut_short_in(log, trouble, &fleet);
     fleet.stop();
     result
 }
 
 fn cut_short_in(log: &Log, trouble: bool, fleet: &Arc<Fleet>) -> Res<Vec<String>> {
-    const ROUNDS: usize = 8;
+    const ROUNDS: usize = 10;
     let mut broken = Vec::new();
     let mut whole = 0;
     for round in 0..ROUNDS {
         whole += cut_short_round(log, trouble, fleet, round, &mut broken)?;
         log.say(&format!("{} broken", broken.len()));
         // Calm, so that each disruption stands for itself.
-        sleep(ms(if trouble { 5_000 } else { 500 }));
+        sleep(ms(if trouble { 3_000 } else { 200 }));
     }
-    log.say(&format!("{whole} streams are whole"));
-    if whole < 6 {
-        return Err("too few streams were served".into());
+    log.say(&format!("{whole} streams and results are whole"));
+    if whole < ROUNDS * 18 {
+        return Err("too few streams and items were served".into());
     }
     Ok(broken)
 }
 
-/// Returns the number of streams that are whole.
+/// Plays a job and some streams at node 0, and the disruption while they run. Returns the number of
+/// streams and results that are whole.
 fn cut_short_round(
     log: &Log,
     trouble: bool,
@@ -1582,9 +1579,11 @@
     round: usize,
     broken: &mut Vec<String>,
 ) -> Res<usize> {
-    const EVENTS: u64 = 60;
+    const EVENTS: u64 = 100;
     let replica = round % fleet.replicas.len();
-    let id = &fleet.replicas[replica].id;
+    let job = Job::new(&format!("7c41e09b53{round:02x}"), 24, 150);
+    job.submit(log, fleet.front(0))?;
+    sleep(ms(1_000));
     let streams: Vec<_> = (0..12)
         .map(|number| {
             let (fleet, log) = (Arc::clone(fleet), log.clone());
@@ -1602,19 +1601,20 @@
             })
         })
         .collect();
-    sleep(ms(400));
+    sleep(ms(500));
     if trouble {
+        let id = &fleet.replicas[replica].id;
         log.say("node 0 stands still (SIGSTOP)");
         fleet.signal_node(0, SIGSTOP);
-        sleep(ms(50));
+        sleep(ms(30));
         log.say(&format!("replica {id} crashes (SIGKILL)"));
         fleet.crash_replica(replica);
-        sleep(ms(1_500));
+        sleep(ms(if round % 2 == 0 { 570 } else { 1_500 }));
         fleet.start_replica(replica)?;
         log.say(&format!(
             "replica {id} is back, under its id, and has told the store"
         ));
-        sleep(ms(50 * (round as u64 % 6)));
+        sleep(ms(20 * (round as u64 / 2)));
         log.say("node 0 goes on (SIGCONT)");
         fleet.signal_node(0, SIGCONT);
     }
@@ -1630,6 +1630,11 @@
             ));
         }
     }
+    let results = job.read_all(fleet, &[1, 2], Instant::now() + ms(15_000));
+    log.say(&format!("{} of 24 items are listed", results.len()));
+    let wrong = check_results(log, &job, &results);
+    whole += results.len().saturating_sub(wrong.len());
+    broken.extend(wrong);
     Ok(whole)
 }
 
