Limit the body of an endpoint's error answer

Cause: the relay kept the whole body of an error answer, to pass it on if no retry succeeds, with no limit but the caller's deadline. A faulty endpoint sends it without end.

Change: an error answer may have 64 KiB, and the time of a first event where the request can go on elsewhere. Beyond these the run is lost (`error_size`, `endless_error`), and the request is sent elsewhere.

Test: edge_endless ask_flood, floods behind a 500, a 502 and a 200.

--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http_body_util::BodyExt as _;
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::Response;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::CONTENT_LENGTH;
@@ -18,9 +18,13 @@
 use crate::platform::forward;
 use crate::pool::message::End;
 
+/// Largest body of an error answer, in bytes. A longer one is no message for the caller, and each
+/// request that waits for its retry keeps one.
+const MAX_ERROR_BYTES: usize = 64 * 1024;
+
 impl Relay {
     /// Buffers an error answer, which is passed on if no retry succeeds. Borrowing the
-    /// connection keeps it open meanwhile.
+    /// connection keeps it open meanwhile. A faulty endpoint may send its body without end.
     pub(super) async fn buffer_error(
         &mut self,
         response: Response<Incoming>,
@@ -28,10 +32,15 @@
     ) -> Ended {
         let head = forward::head(&response);
         let left = self.attempt.deadline().since(self.node.clock.now());
-        match timeout(left, response.into_body().collect()).await {
+        let limit = self.silence_limit(FIRST_EVENT_TIMEOUT, left);
+        let body = Limited::new(response.into_body(), MAX_ERROR_BYTES);
+        match timeout(limit, body.collect()).await {
             Ok(Ok(body)) => Ended::Error(head.map(|()| body.to_bytes())),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                Ended::Failed(Failure::Lost, End::Error, "error_size")
+            }
             Ok(Err(_)) => Ended::Failed(Failure::Lost, End::Error, "broken_error"),
-            Err(_) => Ended::Expired,
+            Err(_) => self.timed_out("endless_error"),
         }
     }
 
--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use eyre::{Result, WrapErr as _, ensure};
+use eyre::{Result, WrapErr as _, ensure, eyre};
 use hyper::StatusCode;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
@@ -317,6 +317,23 @@
         self.stopped.get()
     }
 
+    /// Returns the largest amount of memory that the process has had, in bytes.
+    ///
+    /// # Errors
+    /// Fails if the process does not run.
+    pub fn peak_memory(&self) -> Result<u64> {
+        let child = self.child.borrow();
+        let child = child
+            .as_ref()
+            .ok_or_else(|| eyre!("the node does not run"))?;
+        let path = format!("/proc/{}/status", child.id());
+        let text = std::fs::read_to_string(&path)?;
+        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = line.and_then(|line| line.trim().strip_suffix(" kB")?.parse::<u64>().ok());
+        let kib = peak.ok_or_else(|| eyre!("{path} has no readable VmHWM line"))?;
+        Ok(kib * 1024)
+    }
+
     /// Returns true while the process runs.
     pub fn is_running(&self) -> bool {
         match self.child.borrow_mut().as_mut() {
--- a/standin/tests/edge_endless.rs
+++ b/standin/tests/edge_endless.rs
@@ -36,6 +36,39 @@
     bytes: &'static [u8],
 }
 
+/// Memory of a VM of the users' first site, in bytes.
+const MAX_MEMORY: u64 = 290_000_000;
+/// Bytes in one write of a flood, and most bytes on one connection: so many that four of them exceed
+/// [`MAX_MEMORY`], and few enough for the machine that runs the test.
+const BLOCK_BYTES: usize = 64 * 1024;
+const MAX_FLOOD_BYTES: usize = 128 * 1024 * 1024;
+
+/// A flood: bytes without end as fast as they are read, behind a head with this status and type.
+#[derive(Clone, Copy, Debug)]
+struct Flood {
+    status: &'static str,
+    media: &'static str,
+    bytes: &'static [u8],
+}
+
+const FLOODS: [Flood; 3] = [
+    Flood {
+        status: "500 Internal Server Error",
+        media: "text/plain",
+        bytes: b"core dump: 00 00 00 00\n",
+    },
+    Flood {
+        status: "502 Bad Gateway",
+        media: "text/event-stream",
+        bytes: b"data: core dump\n\n",
+    },
+    Flood {
+        status: "200 OK",
+        media: "text/event-stream",
+        bytes: b"core dump: 00 00 00 00\n",
+    },
+];
+
 const ENDLESS: [Endless; 5] = [
     Endless {
         has_head: false,
@@ -59,20 +92,25 @@
     },
 ];
 
-async fn answer(mut stream: TcpStream, endless: Endless) {
+/// Reads a request and returns the head of its answer.
+async fn head(stream: &mut TcpStream, status: &str, media: &str) -> Option<String> {
     let mut request = vec![0; 4_096];
-    let Ok(length) = stream.read(&mut request).await else {
-        return;
-    };
+    let length = stream.read(&mut request).await.ok()?;
     let request = String::from_utf8_lossy(&request[..length]).to_lowercase();
     let id = request
         .lines()
         .find_map(|it| it.strip_prefix("x-attempt-id: "));
-    let head = format!(
-        "HTTP/1.1 200 OK\r\nx-attempt-id: {}\r\nx-response-stamp: s\r\n\
-         content-type: text/event-stream\r\n\r\n",
+    Some(format!(
+        "HTTP/1.1 {status}\r\nx-attempt-id: {}\r\nx-response-stamp: s\r\n\
+         content-type: {media}\r\n\r\n",
         id.unwrap_or_default()
-    );
+    ))
+}
+
+async fn answer(mut stream: TcpStream, endless: Endless) {
+    let Some(head) = head(&mut stream, "200 OK", "text/event-stream").await else {
+        return;
+    };
     if endless.has_head && stream.write_all(head.as_bytes()).await.is_err() {
         return;
     }
@@ -82,44 +120,67 @@
     }
 }
 
-/// Registers an endpoint that answers each request with these bytes, and counts its requests.
-async fn add_endless(harness: &Harness, endless: Endless) -> Rc<Cell<usize>> {
+async fn answer_flood(mut stream: TcpStream, flood: Flood) {
+    let Some(head) = head(&mut stream, flood.status, flood.media).await else {
+        return;
+    };
+    let block = flood.bytes.repeat(BLOCK_BYTES / flood.bytes.len());
+    let mut sent = stream.write_all(head.as_bytes()).await;
+    for _ in 0..MAX_FLOOD_BYTES / BLOCK_BYTES {
+        if sent.is_err() {
+            return;
+        }
+        sent = stream.write_all(&block).await;
+    }
+    // Returns when the node closes the connection.
+    let _ = stream.read_u8().await;
+}
+
+/// Registers an endpoint that answers each connection with `answer`, and counts its requests.
+async fn add_endless<F>(harness: &Harness, answer: F) -> Rc<Cell<usize>>
+where
+    F: AsyncFn(TcpStream) + Copy + 'static,
+{
     let listener = raw::listen(harness, "i-endless").await;
     let asked = Rc::new(Cell::new(0));
     let count = Rc::clone(&asked);
     actix_rt::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             count.set(count.get() + 1);
-            actix_rt::spawn(answer(stream, endless));
+            actix_rt::spawn(async move { answer(stream).await });
         }
     });
     tokio::time::sleep(Duration::from_millis(500)).await;
     asked
 }
 
+/// Sends more requests than the sound replicas have slots. Returns how each ended and how long it took.
+async fn ask_all(harness: &Harness) -> Vec<(End, Duration)> {
+    let asking = (0..REQUESTS).map(async |_| {
+        let address = harness.caller_address(0);
+        let mut conn = connect::open(address, CONNECT_TIMEOUT).await.unwrap();
+        let number = harness.next_number();
+        let question = Question {
+            path: format!("/q/{number}"),
+            id: format!("a{number:x}"),
+            tokens: 200,
+            repeatable: true,
+        };
+        let began = Instant::now();
+        let end = ask(harness, 0, &mut conn, question).await;
+        (end, began.elapsed())
+    });
+    join_all(asking).await
+}
+
 /// Guards against callers that wait until their deadline for an endpoint whose bytes never end, while
 /// others could answer.
 #[gtest]
 fn ask_endless_bytes() {
     for endless in ENDLESS {
         run(PLAN, async |harness| {
-            let asked = add_endless(harness, endless).await;
-            // More than the sound replicas have slots.
-            let asking = (0..REQUESTS).map(async |_| {
-                let address = harness.caller_address(0);
-                let mut conn = connect::open(address, CONNECT_TIMEOUT).await.unwrap();
-                let number = harness.next_number();
-                let question = Question {
-                    path: format!("/q/{number}"),
-                    id: format!("a{number:x}"),
-                    tokens: 200,
-                    repeatable: true,
-                };
-                let began = Instant::now();
-                let end = ask(harness, 0, &mut conn, question).await;
-                (end, began.elapsed())
-            });
-            for (end, took) in join_all(asking).await {
+            let asked = add_endless(harness, async move |it| answer(it, endless).await).await;
+            for (end, took) in ask_all(harness).await {
                 // A caller that can't be served in time is refused at once.
                 expect_that!(end, any![eq(End::Whole), eq(End::Refused)], "{endless:?}");
                 expect_that!(took, le(MAX_TIME), "{endless:?}");
@@ -128,3 +189,21 @@
         });
     }
 }
+
+/// Guards against a node that keeps all bytes of an endless answer: it is killed for its memory, and
+/// the requests of other callers end with it.
+#[gtest]
+fn ask_flood() {
+    for flood in FLOODS {
+        run(PLAN, async |harness| {
+            let asked = add_endless(harness, async move |it| answer_flood(it, flood).await).await;
+            for (end, took) in ask_all(harness).await {
+                expect_that!(end, any![eq(End::Whole), eq(End::Refused)], "{flood:?}");
+                expect_that!(took, le(MAX_TIME), "{flood:?}");
+            }
+            let memory = harness.nodes[0].peak_memory().unwrap();
+            expect_that!(memory, le(MAX_MEMORY), "{flood:?}");
+            expect_that!(asked.get(), gt(0), "{flood:?}");
+        });
+    }
+}
