Limit an event of an engine's stream

What operators saw: none yet; the same class as the error answers without end, on the path of `serve`. A faulty engine that sends bytes without the end of an event fills the memory of its caller's node, and keeps a core busy.

Cause: the library that splits the stream keeps what it has read until an event ends; only ten seconds without an event bounded it.

Change: a stream with more than 1 MiB since its last event is broken off.

Test: endpoint_completion run_endless_event, bytes without a line's end, lines without an event's end, comments.

--- a/src/endpoint/completion.rs
+++ b/src/endpoint/completion.rs
@@ -3,9 +3,11 @@
 //! docs/design/engine.md specifies it: one POST, answered by an event stream whose events carry
 //! the offset of their tokens.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use actix_http::StatusCode;
+use actix_http::error::PayloadError;
 use eventsource_stream::Eventsource as _;
 use futures_util::StreamExt as _;
 use serde::{Deserialize, Serialize};
@@ -17,6 +19,8 @@
 const DONE: &str = "[DONE]";
 /// Largest error body that is read.
 const MAX_ERROR_BYTES: usize = 4 * 1024;
+/// Most bytes without the end of an event. A faulty engine may send bytes without end.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// A completion request.
 #[derive(Clone, Debug, Serialize)]
@@ -93,7 +97,17 @@
             Failure::Broken(text)
         });
     }
-    let mut events = response.eventsource();
+    // Bytes since the last event ended.
+    let unread = Cell::new(0);
+    let body = response.map(|bytes| {
+        let bytes = bytes?;
+        unread.set(unread.get() + bytes.len());
+        if unread.get() > MAX_EVENT_BYTES {
+            return Err(PayloadError::Overflow);
+        }
+        Ok(bytes)
+    });
+    let mut events = body.eventsource();
     let mut wait = first_wait;
     let mut finished = false;
     loop {
@@ -104,6 +118,7 @@
             Ok(Some(Err(error))) => return Err(Failure::Broken(error.to_string())),
             Ok(Some(Ok(event))) => event,
         };
+        unread.set(0);
         wait = STALL_TIMEOUT;
         if event.data == DONE {
             // A crashing engine can close a stream cleanly; only the finish reason proves that
