Hold back the end of a connection while the request is being written

An endpoint answers a long upload at once, without a length, ends its direction in the middle of the body, and resets the connection while the upload is still being written.

Cause: without a length the answer ends with its connection, and the HTTP client reports that end although the request could not be written. The reset that follows is seen by nobody.

Ruled out: a plain reset, and a close with bytes unread.

Change: the stream of a connection reports its end only once no write is blocked. The write fails if the connection was reset, and ends if the other side reads on.

--- a/src/connect.rs
+++ b/src/connect.rs
@@ -19,6 +19,10 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use stream::Stream;
+
+mod stream;
+
 /// Why a request got no response head.
 #[derive(Debug)]
 pub enum Failure {
@@ -87,7 +91,7 @@
         .map_err(|error| unsent(&error))?;
     // Requests are written in one piece; Nagle's algorithm would only delay them.
     stream.set_nodelay(true).map_err(|error| unsent(&error))?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::handshake(TokioIo::new(Stream::new(stream)))
         .await
         .map_err(|error| unsent(&error))?;
     let driver = actix_rt::spawn(async move {
--- a/standin/src/site/script.rs
+++ b/standin/src/site/script.rs
@@ -157,7 +157,7 @@
 
 /// Breaks a stream off before, inside or after `event`.
 async fn break_off(chunks: &Chunks, event: &str, cut: Cut, reset: &Reset) {
-    let (rest, is_reset) = match cut {
+    let (last, is_reset) = match cut {
         Cut::Reset => (String::new(), true),
         Cut::ResetInsideEvent => (half(event).to_owned(), true),
         Cut::InsideEvent => (half(event).to_owned(), false),
@@ -165,9 +165,9 @@
         Cut::ForeignEventInPiece => (event.to_owned() + FOREIGN_EVENT, true),
         Cut::NoEvent | Cut::BetweenEvents => return,
     };
-    if !rest.is_empty() {
+    if !last.is_empty() {
         // An error means that the client has disconnected.
-        let _ = chunks.send(Ok(Bytes::from(rest))).await;
+        let _ = chunks.send(Ok(Bytes::from(last))).await;
     }
     if is_reset {
         // What was sent may be lost on the way if the reset follows at once.
--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -172,6 +172,8 @@
         let routes = [
             route("q", "streaming", true),
             route("v", "streaming", false),
+            route("i", "idempotent", false),
+            route("o", "non_idempotent", false),
             route("n", "batch", true),
         ];
         let config = json!({"version": version, "routes": routes, "services": [],
--- /dev/null
+++ b/standin/tests/edge_early.rs
@@ -0,0 +1,168 @@
+//! What callers get of answers that come while their request is being sent.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use auburnspoke::connect;
+use bytes::Bytes;
+use futures_util::future::join_all;
+use googletest::prelude::*;
+use http_body_util::{BodyExt as _, Full};
+use hyper::{Request, StatusCode};
+use standin::site::replica::{split_software, text};
+use standin::soak::Plan;
+use standin::soak::check::expected_stream;
+use standin::soak::fleet::{HOST, Harness, KEY};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::sleep;
+
+use play::run;
+
+#[path = "support/play.rs"]
+mod play;
+#[path = "support/raw.rs"]
+mod raw;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const REQUESTS: usize = 4;
+const TOKENS: u64 = 200;
+/// The routes of a run: streams that may be resumed and that may not, other answers that may be
+/// repeated and that may not.
+const ROUTES: [&str; 4] = ["q", "v", "i", "o"];
+/// Bytes of a long request's body, below the configured limit.
+const LONG: usize = 4_000_000;
+/// Bytes that the endpoint's system holds for it.
+const RECEIVE_BYTES: u32 = 16 * 1024;
+
+const PLAN: Plan = raw::plan(74);
+
+/// What the endpoint sends, and how it ends the connection.
+#[derive(Clone, Copy, Debug)]
+struct Early {
+    status: &'static str,
+    finish: Finish,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Finish {
+    /// It resets the connection.
+    Reset,
+    /// It closes the connection with bytes unread.
+    CloseUnread,
+    /// It ends its own direction, and resets the connection later.
+    HalfCloseThenReset,
+}
+
+/// The beginning of an answer to the request at `path`: an event where it is a stream.
+fn part(path: &str) -> (&'static str, String) {
+    if path.starts_with("/q/") || path.starts_with("/v/") {
+        let event = format!("id: 1\ndata: {}@v1\n\n", text(path, 1));
+        return ("text/event-stream", event);
+    }
+    ("text/plain", "half of it".to_owned())
+}
+
+async fn answer(mut stream: TcpStream, early: Early) -> std::io::Result<()> {
+    let mut request = vec![0; 4_096];
+    let length = stream.read(&mut request).await?;
+    let request = String::from_utf8_lossy(&request[..length]).to_lowercase();
+    let mut lines = request.lines();
+    let path = lines.next().and_then(|it| it.split(' ').nth(1));
+    let id = lines.find_map(|it| it.strip_prefix("x-attempt-id: "));
+    let (media, body) = part(path.unwrap_or_default());
+    let answer = format!(
+        "HTTP/1.1 {}\r\nx-attempt-id: {}\r\nx-response-stamp: s\r\ncontent-type: {media}\r\n\r\n{body}",
+        early.status,
+        id.unwrap_or_default(),
+    );
+    stream.write_all(answer.as_bytes()).await?;
+    sleep(Duration::from_millis(2)).await;
+    match early.finish {
+        Finish::Reset => stream.set_zero_linger()?,
+        Finish::CloseUnread => {}
+        Finish::HalfCloseThenReset => {
+            stream.shutdown().await?;
+            sleep(Duration::from_millis(5)).await;
+            stream.set_zero_linger()?;
+        }
+    }
+    Ok(())
+}
+
+/// Registers an endpoint that answers so, and counts its requests.
+async fn add_early(harness: &Harness, early: Early) -> Rc<Cell<usize>> {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(RECEIVE_BYTES).unwrap();
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let listener = socket.listen(64).unwrap();
+    raw::register(harness, "i-early", listener.local_addr().unwrap());
+    let asked = Rc::new(Cell::new(0));
+    let count = Rc::clone(&asked);
+    actix_rt::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            count.set(count.get() + 1);
+            actix_rt::spawn(answer(stream, early));
+        }
+    });
+    sleep(Duration::from_millis(500)).await;
+    asked
+}
+
+/// Sends a request of this length, and returns the status of its answer and whether it is the replicas'
+/// whole answer; none if it broke off.
+async fn upload(harness: &Harness, route: &str, length: usize) -> Option<(StatusCode, bool)> {
+    let number = harness.next_number();
+    let path = format!("/{route}/{number}");
+    let request = Request::post(&path)
+        .header("host", HOST)
+        .header("x-attempt-id", format!("a{number:x}"))
+        .header("authorization", format!("Token {KEY}"))
+        .header("x-token-count", format!("300,{TOKENS}"))
+        .header("x-prompt-prefix", format!("c{number:x}:100"))
+        .header("x-timeout-ms", "5000")
+        .body(Full::new(Bytes::from(vec![b'x'; length])))
+        .unwrap();
+    let address = harness.caller_address(0);
+    let mut conn = connect::open(address, CONNECT_TIMEOUT).await.ok()?;
+    let response = conn.send(request).await.ok()?;
+    let status = response.status();
+    let body = response.into_body().collect().await.ok()?.to_bytes();
+    let text = String::from_utf8_lossy(&body);
+    let is_whole = split_software(&text).0 == expected_stream(&path, TOKENS);
+    Some((status, is_whole))
+}
+
+/// Asks on all routes beside an endpoint that answers so. No caller may get its answer.
+fn play(early: Early, length: usize) {
+    run(PLAN, async |harness| {
+        let asked = add_early(harness, early).await;
+        let mut whole = 0;
+        for route in ROUTES {
+            let answers = (0..REQUESTS).map(|_| upload(harness, route, length));
+            for (status, is_whole) in join_all(answers).await.into_iter().flatten() {
+                let is_own = matches!(status.as_u16(), 502..=504);
+                expect_that!(is_own || is_whole, eq(true), "{route} {status} {early:?}");
+                whole += usize::from(is_whole);
+            }
+        }
+        expect_that!(whole, gt(0), "{early:?}");
+        expect_that!(asked.get(), gt(0), "{early:?}");
+    });
+}
+
+/// Guards against the part of an answer that a caller gets as all of it, because its connection was
+/// reset while the request was still being sent.
+#[gtest]
+fn ask_answer_cut_during_upload() {
+    for finish in [
+        Finish::Reset,
+        Finish::CloseUnread,
+        Finish::HalfCloseThenReset,
+    ] {
+        let status = "200 OK";
+        play(Early { status, finish }, LONG);
+    }
+}
--- a/standin/tests/support/raw.rs
+++ b/standin/tests/support/raw.rs
@@ -23,12 +23,18 @@
 }
 
 /// Registers an endpoint that a test answers for.
+#[allow(dead_code, reason = "each test file uses a part of it")]
 pub async fn listen(harness: &Harness, id: &str) -> TcpListener {
     let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))
         .await
         .unwrap();
-    let row = json!({"service": "llm", "address": listener.local_addr().unwrap(), "zone": "z0",
+    register(harness, id, listener.local_addr().unwrap());
+    listener
+}
+
+/// Writes the entry of an endpoint that a test answers for.
+pub fn register(harness: &Harness, id: &str, address: SocketAddr) {
+    let row = json!({"service": "llm", "address": address, "zone": "z0",
                      "version": "v1", "slots": 4, "state": "ready", "cold_left_ms": 0, "seq": 1});
     harness.store.put("servers", id, &row);
-    listener
 }
