Pass on no answer whose status is outside the protocol

Cause: each signed status that is no server error counted as an answer. 000 can't reach a caller here: the HTTP client rejects statuses below 100.

Change: a status outside 200 to 599 is unverified, like an answer without a signature.

Test: edge_early ask_status_invalid, statuses 000, 101, 600 and 999 on four kinds of route. Before the change all but 000 reached callers on each of them.

--- a/src/platform/forward.rs
+++ b/src/platform/forward.rs
@@ -140,7 +140,8 @@
     /// The endpoint did not run the request because it was meant for another instance or because
     /// the endpoint is leaving.
     Misdirected,
-    /// The response belongs to another request, or the endpoint did not sign it.
+    /// The response belongs to another request, its status is none of a final response, or the
+    /// endpoint did not sign it.
     Unverified,
     /// The endpoint ran the request and failed.
     Failed,
@@ -170,6 +171,10 @@
         // Unsigned: a faulty endpoint or an intermediary produced it, so it must not be passed on.
         return Verdict::Unverified;
     }
+    // A faulty endpoint may send a status outside the protocol, or one that ends no exchange.
+    if !(200..600).contains(&status.as_u16()) {
+        return Verdict::Unverified;
+    }
     if status == StatusCode::UNPROCESSABLE_ENTITY {
         return Verdict::Unprocessable;
     }
--- a/standin/tests/edge_early.rs
+++ b/standin/tests/edge_early.rs
@@ -1,4 +1,5 @@
-//! What callers get of answers that come while their request is being sent.
+//! What callers get of answers that come while their request is being sent, and of answers whose
+//! status is none.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -54,6 +55,8 @@
     CloseUnread,
     /// It ends its own direction, and resets the connection later.
     HalfCloseThenReset,
+    /// It closes the connection with all of a short request read.
+    Close,
 }
 
 /// The beginning of an answer to the request at `path`: an event where it is a stream.
@@ -82,7 +85,7 @@
     sleep(Duration::from_millis(2)).await;
     match early.finish {
         Finish::Reset => stream.set_zero_linger()?,
-        Finish::CloseUnread => {}
+        Finish::CloseUnread | Finish::Close => {}
         Finish::HalfCloseThenReset => {
             stream.shutdown().await?;
             sleep(Duration::from_millis(5)).await;
@@ -166,3 +169,17 @@
         play(Early { status, finish }, LONG);
     }
 }
+
+/// Guards against a caller that gets an answer whose status is none, such as 000.
+#[gtest]
+fn ask_status_invalid() {
+    for status in [
+        "000 Nothing",
+        "101 Switching Protocols",
+        "600 Nothing",
+        "999 Nothing",
+    ] {
+        let finish = Finish::Close;
+        play(Early { status, finish }, 1);
+    }
+}
