Show that a planned stop answers late requests on each kind of route

A report from other systems: requests that came late in the grace period of a planned stop were cut with no answer (LOST). edge_stop had streams only.

Test: edge_stop stop_late_on_each_route, requests 4.2 to 6.3 s after SIGTERM on four kinds of route at eight nodes.

--- a/standin/tests/edge_stop.rs
+++ b/standin/tests/edge_stop.rs
@@ -142,6 +142,46 @@
     }
 }
 
+/// Guards against requests that a leaving node takes late, on any kind of route, and cuts without an
+/// answer at the end of its grace period.
+#[gtest]
+fn stop_late_on_each_route() {
+    /// Tokens of a response that takes 1.2 s.
+    const MEDIUM: u64 = 1_500;
+    /// Streams that may be resumed and that may not, other answers that may be repeated and that may
+    /// not.
+    const ROUTES: [&str; 4] = ["q", "v", "i", "o"];
+    let answered = run(9, async |harness| {
+        let late = (0..NODES).map(async |node| {
+            let mut conns = Vec::new();
+            for _ in ROUTES {
+                conns.push(open(harness, node).await);
+            }
+            let stopped = Instant::now();
+            harness.nodes[node].signal(Signal::TERM);
+            let sent = Duration::from_millis(4_200 + 300 * node as u64);
+            sleep(sent.saturating_sub(stopped.elapsed())).await;
+            let asked = conns
+                .into_iter()
+                .zip(ROUTES)
+                .map(async |(mut conn, route)| {
+                    let any = question(harness, MEDIUM);
+                    let late = Question {
+                        path: format!("/{route}/{}", any.id),
+                        repeatable: matches!(route, "q" | "i"),
+                        ..any
+                    };
+                    ask(harness, node, &mut conn, late).await
+                });
+            join_all(asked).await
+        });
+        join_all(late).await;
+        let attempts = harness.attempts.borrow();
+        attempts.iter().map(|it| (it.is_answered, it.end)).collect()
+    });
+    expect_that!(answered, each((eq(&true), anything())));
+}
+
 /// Guards against a leaving node that refuses requests although they can end in time.
 #[gtest]
 fn stop_short_request() {
