Resume an unnamed stream only by a recent list of endpoints

What callers see: streams with events of two software versions (ORDER; a report from other systems). Endpoints of a new version join while a node is cut off from the store; streams that began at them through other nodes are taken up at that node by callers that name no request, and go on at the version that it knows.

Cause: the only version that the known endpoints have was taken for the one that began the stream, however old the list of endpoints is.

Change: the list has to be confirmed within the last 0.7 s. The stream waits up to 2 s for that, and is refused as not run after it (`endpoints_unconfirmed`).

Test: edge_streams resume_node_out_of_step.

--- a/src/edge/relay/origin.rs
+++ b/src/edge/relay/origin.rs
@@ -1,6 +1,8 @@
 //! Where a stream that its caller resumes may go on.
 
-use tokio::time::timeout;
+use std::time::Duration;
+
+use tokio::time::{sleep, timeout};
 
 use super::{RETRY_DELAY, Relay};
 use crate::catalog::{Endpoint, Kind};
@@ -9,6 +11,15 @@
 use crate::platform::call;
 use crate::quarantine::Subject;
 
+/// Age up to which the list of endpoints shows that only one version serves. While the store answers,
+/// the list is confirmed at least every 500 ms.
+const MAX_LIST_AGE: Duration = Duration::from_millis(700);
+/// How long a stream waits for the list to be confirmed. A node that the store does not answer asks
+/// other members after 1.5 s.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(2);
+/// Interval between checks of the age.
+const CONFIRMATION_POLL: Duration = Duration::from_millis(20);
+
 impl Relay {
     /// Finds out at which software version a stream goes on that the caller resumes. Returns false
     /// if that is unknown; the request has then been refused.
@@ -43,6 +54,9 @@
 
     async fn find_origin(&self) -> Result<Origin, &'static str> {
         let Some(resumed) = &self.call.resumes else {
+            if !self.has_recent_list().await {
+                return Err("endpoints_unconfirmed");
+            }
             return self.only_origin().ok_or("origin_unnamed");
         };
         let left = self.attempt.deadline().since(self.node.clock.now());
@@ -57,6 +71,22 @@
         is_allowed.then_some(origin).ok_or("origin_moved")
     }
 
+    /// Waits until the list of endpoints is recent, and returns false if it is not in time. A node that is
+    /// cut off or was paused does not know the endpoints of versions that joined meanwhile.
+    async fn has_recent_list(&self) -> bool {
+        let is_recent = || {
+            let now = self.node.clock.now();
+            now.since(self.node.catalog.read().confirmed) <= MAX_LIST_AGE
+        };
+        let left = self.attempt.deadline().since(self.node.clock.now());
+        let wait = async {
+            while !is_recent() {
+                sleep(CONFIRMATION_POLL).await;
+            }
+        };
+        timeout(left.min(CONFIRMATION_TIMEOUT), wait).await.is_ok()
+    }
+
     /// Returns the only origin that a stream can have whose caller doesn't name the request that
     /// began it.
     fn only_origin(&self) -> Option<Origin> {
--- a/standin/tests/edge_streams.rs
+++ b/standin/tests/edge_streams.rs
@@ -7,6 +7,7 @@
 use futures_util::future::join_all;
 use googletest::prelude::*;
 use rustix::process::Signal;
+use standin::site::proxy::Mode;
 use standin::site::replica::Fault;
 use standin::site::script::{Cut, Style};
 use standin::soak::caller::{Question, ask, submit_jobs};
@@ -247,3 +248,68 @@
         }
     });
 }
+
+/// How a node gets out of step with the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Lapse {
+    /// It stands still.
+    Paused,
+    /// The store does not answer it.
+    CutOff,
+}
+
+/// Guards against a node that was out of step while endpoints of a new software version joined: a
+/// stream that began at one of them through another node goes on at the version that the node knows.
+#[gtest]
+fn resume_node_out_of_step() {
+    const EVENTS: usize = 2;
+    let plan = Plan {
+        replicas: 2,
+        versions: 1,
+        ..plan(57)
+    };
+    for lapse in [Lapse::Paused, Lapse::CutOff] {
+        run(plan, async |harness| {
+            let until = Instant::now() + Duration::from_secs(20);
+            let open = async |node| {
+                let address = harness.caller_address(node);
+                connect::open(address, CONNECT_TIMEOUT).await.unwrap()
+            };
+            let kept = join_all((0..STREAMS).map(|_| open(0))).await;
+            match lapse {
+                Lapse::Paused => harness.nodes[0].signal(Signal::STOP),
+                Lapse::CutOff => harness.nodes[0].store.set(Mode::Silent),
+            }
+            for _ in 0..4 {
+                harness.add_replica_of("v2").await.unwrap();
+            }
+            // The other nodes know them.
+            sleep(Duration::from_millis(600)).await;
+            let begin = (0..STREAMS).map(async |at| {
+                let mut stream = Stream::new(question(harness));
+                let id = stream.question.id.clone();
+                let conn = open(1).await;
+                let _ = read(harness, (1, conn), &mut stream, &id, until, EVENTS).await;
+                // Half of the callers don't say who began their streams.
+                stream.origin = stream.origin.filter(|_| at % 2 == 0);
+                stream
+            });
+            let streams = join_all(begin).await;
+            let resume = streams
+                .into_iter()
+                .zip(kept)
+                .map(async |(mut stream, conn)| {
+                    let id = format!("r{:x}", harness.next_number());
+                    read(harness, (0, conn), &mut stream, &id, until, usize::MAX).await
+                });
+            let wake = async {
+                sleep(Duration::from_millis(50)).await;
+                harness.nodes[0].signal(Signal::CONT);
+            };
+            // A stream of two versions is a violation.
+            let (ends, ()) = tokio::join!(join_all(resume), wake);
+            println!("{lapse:?} {ends:?}");
+            expect_that!(ends, not(contains(none())), "{lapse:?}");
+        });
+    }
+}
