--- a/src/split.rs
+++ b/src/split.rs
@@ -81,7 +81,7 @@
 
 impl Scanner {
     /// Scans bytes up to the end of an event or of comments, and returns the position after it. The
-    /// next call goes on with the bytes from there.
+    /// next call takes the bytes from there.
     pub fn next_end(&mut self, bytes: &[u8]) -> Option<usize> {
         for (at, byte) in bytes.iter().enumerate() {
             let last_return = std::mem::take(&mut self.last_return);
