Stand-in: a replica that crashes before a stream begins breaks it off

Cause: the crash was a notification, which only reaches streams that wait for it at that moment. A stream whose task had not begun, or was sending, missed it and went on for the 23 ms until its connection was closed, which is longer than a stream of two events takes.

Change: the crash is a state, which a stream sees at its next event whenever it began.

--- a/standin/src/site/replica.rs
+++ b/standin/src/site/replica.rs
@@ -20,7 +20,7 @@
 use hyper_util::rt::TokioIo;
 use rand::Rng as _;
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, Semaphore, mpsc};
+use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::time::sleep;
 
 use super::script::{Framing, Script, Style};
@@ -127,8 +127,8 @@
     slots: Semaphore,
     waiting: Cell<usize>,
     down: Cell<bool>,
-    /// Notified when the process ends.
-    crashed: Notify,
+    /// Becomes true when the process ends.
+    crashed: watch::Sender<bool>,
     history: History,
     tasks: RefCell<Vec<JoinHandle<()>>>,
 }
@@ -191,7 +191,7 @@
             slots: Semaphore::new(slots),
             waiting: Cell::new(0),
             down: Cell::new(false),
-            crashed: Notify::new(),
+            crashed: watch::Sender::new(false),
             history,
             tasks: RefCell::default(),
         });
@@ -234,7 +234,7 @@
         /// Time in which the proxy notices. A process closes its connections no sooner than its
         /// listener.
         const PROXY_TIME: Duration = Duration::from_millis(20);
-        self.crashed.notify_waiters();
+        self.crashed.send_replace(true);
         let mut tasks = std::mem::take(&mut *self.tasks.borrow_mut()).into_iter();
         // The first task listens. There is none if the replica has crashed before.
         let Some(listener) = tasks.next() else {
@@ -328,10 +328,10 @@
             .collect();
         let script = Script::draw(self.style.get(), fault.break_rate, events, last > 0);
         let (framing, length) = (script.framing, script.length());
-        let replica = Rc::clone(self);
+        let crashed = self.crashed.subscribe();
         let task = actix_rt::spawn(async move {
             let _running = running;
-            script.send(chunks, reset, step, &replica.crashed).await;
+            script.send(chunks, reset, step, crashed).await;
         });
         if is_lost {
             let _ = task.await;
--- a/standin/src/site/script.rs
+++ b/standin/src/site/script.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use rand::Rng as _;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
 use super::replica::Lost;
@@ -125,12 +125,20 @@
         }
     }
 
-    /// Sends an event each `step`, until the stream ends or `crashed` is notified.
-    pub async fn send(self, chunks: Chunks, reset: Reset, step: Duration, crashed: &Notify) {
+    /// Sends an event each `step`, until the stream ends or `crashed` is true.
+    pub async fn send(
+        self,
+        chunks: Chunks,
+        reset: Reset,
+        step: Duration,
+        mut crashed: watch::Receiver<bool>,
+    ) {
         for (at, event) in self.events.into_iter().enumerate() {
             let has_crashed = tokio::select! {
+                biased;
+                // An error means that the replica is gone.
+                _ = crashed.wait_for(|has_crashed| *has_crashed) => true,
                 () = sleep(step) => false,
-                () = crashed.notified() => true,
             };
             if has_crashed || self.cut_at == Some(at) {
                 let cut = match self.cut {
