A pause of the node does not count as silence of its endpoints

What callers saw: a node stood still for 1.5 s, and moved all its streams to other endpoints when it went on, though their endpoints had sent all the time. Items of batch jobs ran again.

Cause: a limit on an endpoint's silence is a timer. After a pause it has elapsed as well as the data has arrived, and the timer is looked at before the connection's task has read.

Change: clock::within reads for 100 ms more if the timer came over 100 ms late, which only happens after a pause, and the last event counts as of then. Used wherever an endpoint's answer to a request or an item is read.

Why it works: what the endpoint sent is in the socket when the process goes on. An endpoint that was silent itself is given up 100 ms later than before.

--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -7,7 +7,6 @@
 
 use http_body_util::BodyExt as _;
 use hyper::StatusCode;
-use tokio::time::timeout;
 
 use super::commit::RETRY_DELAY;
 use super::item::{Partial, State};
@@ -15,6 +14,7 @@
 use super::work::{Slot, Work};
 use crate::answer::{self, Content, Framing, Reader};
 use crate::catalog::Endpoint;
+use crate::clock;
 use crate::connect;
 use crate::event;
 use crate::name::Name;
@@ -217,7 +217,7 @@
     let Ok(request) = forward.request(endpoint, None, last) else {
         return Exit::Impossible;
     };
-    let response = match timeout(IDLE_TIMEOUT, conn.send(request)).await {
+    let response = match clock::within(IDLE_TIMEOUT, conn.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(_)) => return Exit::Interrupted(End::Error, "broken_before_head"),
         Err(_) => return Exit::Interrupted(End::Error, "silent_before_head"),
@@ -239,7 +239,7 @@
     let mut reader = Reader::new(Framing::of(&response), Content::Resumable, last);
     let mut body = response.into_body();
     loop {
-        let frame = match timeout(IDLE_TIMEOUT, body.frame()).await {
+        let frame = match clock::within(IDLE_TIMEOUT, body.frame()).await {
             Err(_) => return Exit::Interrupted(End::Error, "silent"),
             Ok(None) => break,
             Ok(Some(Err(_))) => return Exit::Interrupted(End::Error, "broken_stream"),
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -6,10 +6,17 @@
 
 use std::fmt;
 use std::ops::{Add, AddAssign, Sub};
+use std::pin::pin;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rustix::time::{ClockId, clock_gettime};
-use tokio::time::Instant;
+use tokio::time::error::Elapsed;
+use tokio::time::{Instant, timeout};
+
+/// Delay of a timer beyond which this process must have been paused.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(100);
+/// Time in which a process that was paused reads what arrived meanwhile.
+const READ_TIME: Duration = Duration::from_millis(100);
 
 /// A point in time: microseconds since an origin chosen by the process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -85,6 +92,28 @@
     }
 }
 
+/// Waits up to `limit` for `future`, which waits for another process. A pause of this process is not
+/// the other one's delay: what arrived during the pause is read before the wait counts as too long.
+///
+/// # Errors
+/// [`Elapsed`] after `limit`, or a moment after a pause that exceeded it.
+pub async fn within<F>(limit: Duration, future: F) -> Result<F::Output, Elapsed>
+where
+    F: Future,
+{
+    let mut future = pin!(future);
+    let began = Instant::now();
+    match timeout(limit, future.as_mut()).await {
+        Err(_) if was_paused(limit, began.elapsed()) => timeout(READ_TIME, future).await,
+        result => result,
+    }
+}
+
+/// Returns true if this process was paused during a wait that took `waited` and was limited to `limit`.
+pub fn was_paused(limit: Duration, waited: Duration) -> bool {
+    waited > limit + MAX_TIMER_DELAY
+}
+
 /// Time since the start of this VM, including the time in which it was suspended.
 ///
 /// [`Time`] stops while the VM is suspended, so that old evidence would still
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -22,7 +22,7 @@
 use crate::attempt::{Attempt, Failure, Next, Repeat};
 use crate::catalog::keyring::Organisation;
 use crate::catalog::{Endpoint, Kind, Route};
-use crate::clock::{Time, Uptime};
+use crate::clock::{self, Time, Uptime};
 use crate::connect;
 use crate::event;
 use crate::identity;
@@ -319,7 +319,7 @@
             return Ended::Failed(Failure::NotRun, End::Left, "request_target");
         };
         let silence = self.silence_limit(FIRST_EVENT_TIMEOUT, left);
-        let response = match timeout(silence, conn.send(request)).await {
+        let response = match clock::within(silence, conn.send(request)).await {
             Ok(Ok(response)) => response,
             Ok(Err(connect::Failure::Unsent(_))) => {
                 return Ended::Failed(Failure::NotRun, End::Failed, "connect");
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -6,13 +6,12 @@
 use hyper::Response;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::CONTENT_LENGTH;
-use tokio::time::timeout;
 
 use super::{EVENT_TIMEOUT, Ended, FIRST_EVENT_TIMEOUT, Head, Relay};
 use crate::answer::{self, Content, Framing, Reader};
 use crate::attempt::Failure;
 use crate::catalog::Kind;
-use crate::clock::Time;
+use crate::clock::{self, Time};
 use crate::connect::Conn;
 use crate::permit::Permit;
 use crate::platform::forward;
@@ -34,7 +33,7 @@
         let left = self.attempt.deadline().since(self.node.clock.now());
         let limit = self.silence_limit(FIRST_EVENT_TIMEOUT, left);
         let body = Limited::new(response.into_body(), MAX_ERROR_BYTES);
-        match timeout(limit, body.collect()).await {
+        match clock::within(limit, body.collect()).await {
             Ok(Ok(body)) => Ended::Error(head.map(|()| body.to_bytes())),
             Ok(Err(error)) if error.is::<LengthLimitError>() => {
                 Ended::Failed(Failure::Lost, End::Error, "error_size")
@@ -77,7 +76,13 @@
         let mut last_event = self.node.clock.now();
         loop {
             let limit = self.event_limit(content, began.is_some(), last_event);
-            let frame = match timeout(limit, body.frame()).await {
+            let waiting = self.node.clock.now();
+            let read = clock::within(limit, body.frame()).await;
+            let now = self.node.clock.now();
+            if clock::was_paused(limit, now.since(waiting)) {
+                last_event = now;
+            }
+            let frame = match read {
                 Err(_) => return self.timed_out("silent"),
                 Ok(None) => break,
                 Ok(Some(Err(_))) => {
