A stream goes on only at the process that its endpoint's entry is about

What callers saw: an endpoint crashed and started again under its id and address with the next version of its software. Until its new entry had reached a node, streams and items that were interrupted elsewhere went on there by the old entry, with events of both versions (ORDER, MIXED). No node has to be out of step for it.

Cause: the version that is compared is the one in the node's list of endpoints. Neither id nor address tell one process from the next one.

Change: where an entry tells when its process started, a node asks the process for that before it continues a stream or an item, on the connection that the request then uses. Another start: the request has not run, and another endpoint is tried (replaced).

Why it works: one connection leads to one process. A process that does not say is taken for the same one, as before.

Stand-ins of replicas tell when they started, so the soak asks each time.

--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -15,7 +15,8 @@
 use crate::answer::{self, Content, Framing, Reader};
 use crate::catalog::Endpoint;
 use crate::clock;
-use crate::connect;
+use crate::connect::process::{self, Fault};
+use crate::connect::{self, Conn};
 use crate::event;
 use crate::name::Name;
 use crate::origin::Origin;
@@ -196,6 +197,16 @@
     xxhash_rust::xxh3::xxh3_64(id.as_bytes())
 }
 
+/// Opens a connection to an endpoint. The process that continues an output must be the one whose software
+/// version is known.
+async fn connect(endpoint: &Endpoint, last: Option<u64>) -> Result<Conn, Fault> {
+    if last.is_some() {
+        return process::open(endpoint, CONNECT_TIMEOUT).await;
+    }
+    let opened = connect::open(endpoint.address, CONNECT_TIMEOUT).await;
+    opened.map_err(|_| Fault::Unreachable)
+}
+
 async fn exchange(
     jobs: &Jobs,
     work: &Work,
@@ -206,14 +217,16 @@
     written: &Cell<u32>,
 ) -> Exit {
     let endpoint = &permit.endpoint;
-    let Ok(mut conn) = connect::open(endpoint.address, CONNECT_TIMEOUT).await else {
-        return Exit::Interrupted(End::Failed, "connect");
+    let last = work.partials.borrow()[item].last;
+    let mut conn = match connect(endpoint, last).await {
+        Ok(conn) => conn,
+        Err(Fault::Unreachable) => return Exit::Interrupted(End::Failed, "connect"),
+        Err(Fault::Replaced) => return Exit::Interrupted(End::Left, "replaced"),
     };
     // The process may have been paused since the item was scheduled.
     if jobs.is_behind() {
         return Exit::Interrupted(End::Left, "jobs_unread");
     }
-    let last = work.partials.borrow()[item].last;
     let Ok(request) = forward.request(endpoint, None, last) else {
         return Exit::Impossible;
     };
--- a/src/connect.rs
+++ b/src/connect.rs
@@ -21,6 +21,7 @@
 
 use stream::Stream;
 
+pub mod process;
 mod stream;
 
 /// Why a request got no response head.
@@ -130,6 +131,11 @@
         }
     }
 
+    /// Waits until the connection can take the next request, and returns false if it never will.
+    pub async fn is_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
     /// Returns false once the other side has closed the connection.
     pub fn is_open(&self) -> bool {
         !self.sender.is_closed()
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -23,7 +23,8 @@
 use crate::catalog::keyring::Organisation;
 use crate::catalog::{Endpoint, Kind, Route};
 use crate::clock::{self, Time, Uptime};
-use crate::connect;
+use crate::connect::process::{self, Fault};
+use crate::connect::{self, Conn};
 use crate::event;
 use crate::identity;
 use crate::name::Name;
@@ -309,9 +310,13 @@
         self.written = 0;
         // Set before anything is sent, because this task may be aborted at any await point.
         self.mark_spent(true);
-        let opened = connect::open(endpoint.address, CONNECT_TIMEOUT).await;
-        let Ok(mut conn) = opened else {
-            return Ended::Failed(Failure::NotRun, End::Failed, "connect");
+        let mut conn = match self.connect(endpoint).await {
+            Ok(conn) => conn,
+            Err(Fault::Unreachable) => {
+                return Ended::Failed(Failure::NotRun, End::Failed, "connect");
+            }
+            // The endpoint is sound, but no place for this stream.
+            Err(Fault::Replaced) => return Ended::Failed(Failure::NotRun, End::Left, "replaced"),
         };
         let left = deadline.since(self.node.clock.now());
         let last = self.attempt.last();
@@ -346,6 +351,16 @@
         }
     }
 
+    /// Opens a connection to an endpoint. The process that continues a stream must be the one whose
+    /// software version is known.
+    async fn connect(&self, endpoint: &Endpoint) -> Result<Conn, Fault> {
+        if self.attempt.software().is_some() {
+            return process::open(endpoint, CONNECT_TIMEOUT).await;
+        }
+        let opened = connect::open(endpoint.address, CONNECT_TIMEOUT).await;
+        opened.map_err(|_| Fault::Unreachable)
+    }
+
     /// How long an endpoint may be silent: until the deadline if the request can't be retried
     /// elsewhere.
     fn silence_limit(&self, usual: Duration, left: Duration) -> Duration {
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -10,5 +10,6 @@
 pub mod forward;
 pub mod job;
 pub mod organisation;
+pub mod process;
 pub mod settings;
 pub mod store;
--- a/standin/src/site/proxy.rs
+++ b/standin/src/site/proxy.rs
@@ -38,6 +38,7 @@
 pub struct Proxy {
     /// Address on which it listens.
     pub address: SocketAddr,
+    server: Rc<Cell<SocketAddr>>,
     mode: Rc<Cell<Mode>>,
     open: Rc<RefCell<Vec<Connection>>>,
     accept: JoinHandle<()>,
@@ -54,6 +55,8 @@
         let mode = Rc::new(Cell::new(Mode::Pass));
         let open: Rc<RefCell<Vec<Connection>>> = Rc::default();
         let (modes, connections) = (Rc::clone(&mode), Rc::clone(&open));
+        let server = Rc::new(Cell::new(server));
+        let current = Rc::clone(&server);
         let accept = actix_rt::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
                 if modes.get() == Mode::Refuse {
@@ -62,6 +65,7 @@
                 let mode = Rc::clone(&modes);
                 let reset = Reset::default();
                 let armed = reset.clone();
+                let server = current.get();
                 let task = actix_rt::spawn(async move {
                     if let Ok(upstream) = TcpStream::connect(server).await {
                         Box::pin(forward(client, upstream, mode, armed)).await;
@@ -74,12 +78,18 @@
         });
         Ok(Self {
             address,
+            server,
             mode,
             open,
             accept,
         })
     }
 
+    /// Forwards new connections to another server, as when a process starts again at its address.
+    pub fn lead_to(&self, server: SocketAddr) {
+        self.server.set(server);
+    }
+
     /// Stops listening, and keeps open connections.
     pub fn stop_listening(&self) {
         self.accept.abort();
--- a/standin/src/site/replica.rs
+++ b/standin/src/site/replica.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::task::JoinHandle;
+use auburnspoke::clock::unix_millis;
 use bytes::Bytes;
 use eyre::Result;
 use hyper::body::{Body, Frame, Incoming};
@@ -119,6 +120,8 @@
     pub id: String,
     /// Version of its software, which each event names.
     pub software: String,
+    /// Unix time in milliseconds at which it started.
+    pub born: u64,
     /// The fault that it has now.
     pub fault: Cell<Fault>,
     /// How it frames its streams and breaks them off.
@@ -185,6 +188,7 @@
         let replica = Rc::new(Self {
             id,
             software,
+            born: unix_millis(),
             fault: Cell::default(),
             style: Cell::default(),
             step,
@@ -252,6 +256,15 @@
         });
     }
 
+    /// Answers what the process says of itself.
+    fn report(&self) -> Response<Stream> {
+        let report = serde_json::json!({"phase": "mixed", "born": self.born}).to_string();
+        let mut response = Response::new(Stream::Whole(Some(report.into())));
+        let media = hyper::header::HeaderValue::from_static("application/json");
+        response.headers_mut().insert("content-type", media);
+        response
+    }
+
     async fn handle(
         self: &Rc<Self>,
         request: Request<Incoming>,
@@ -264,6 +277,9 @@
                 .unwrap_or_default()
                 .to_owned()
         };
+        if request.uri().path() == "/-/report" {
+            return Ok(self.report());
+        }
         let id = header("x-attempt-id");
         if header("x-target-instance") != self.id {
             return Ok(refuse(StatusCode::MISDIRECTED_REQUEST, &id));
@@ -456,6 +472,7 @@
 
 enum Stream {
     Empty,
+    Whole(Option<Bytes>),
     Chunks(
         mpsc::Receiver<Result<Bytes, Lost>>,
         #[allow(dead_code)] AbortOnDrop,
@@ -472,6 +489,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Lost>>> {
         match &mut *self {
             Self::Empty => Poll::Ready(None),
+            Self::Whole(body) => Poll::Ready(body.take().map(|body| Ok(Frame::data(body)))),
             Self::Chunks(chunks, _) => chunks
                 .poll_recv(context)
                 .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
@@ -479,6 +497,6 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Empty)
+        matches!(self, Self::Empty | Self::Whole(None))
     }
 }
--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -214,11 +214,30 @@
         Ok(())
     }
 
+    /// Has a replica crash and start again under its id and address with this software version. Its row
+    /// still describes the process that ended.
+    ///
+    /// # Errors
+    /// Fails if there is no such replica, or no port is free.
+    pub async fn restart_replica(&self, id: &str, software: &str) -> Result<()> {
+        let old = self.replicas.borrow_mut().remove(id);
+        let Upstream { replica, proxy } = old.ok_or_else(|| eyre!("no replica has the id {id}"))?;
+        replica.crash();
+        proxy.reset();
+        let history = Rc::clone(&self.history);
+        let (replica, address) =
+            Replica::start(id.into(), software.into(), SLOTS, EVENT_INTERVAL, history).await?;
+        proxy.lead_to(address);
+        let upstream = Upstream { replica, proxy };
+        self.replicas.borrow_mut().insert(id.into(), upstream);
+        Ok(())
+    }
+
     /// Writes a replica's row to the store.
     pub fn write_replica(&self, upstream: &Upstream, state: &str) {
         let Upstream { replica, proxy } = upstream;
         let row = json!({"service": SERVICE, "address": proxy.address, "zone": "z0",
-                         "version": replica.software, "slots": SLOTS, "state": state,
+                         "version": replica.software, "born": replica.born, "slots": SLOTS, "state": state,
                          "cold_left_ms": 0, "seq": 1});
         self.store.put("servers", &replica.id, &row);
     }
--- a/standin/tests/edge_streams.rs
+++ b/standin/tests/edge_streams.rs
@@ -10,7 +10,7 @@
 use standin::site::proxy::Mode;
 use standin::site::replica::Fault;
 use standin::site::script::{Cut, Style};
-use standin::soak::caller::{Question, ask, submit_jobs};
+use standin::soak::caller::{Question, ask, submit_job, submit_jobs};
 use standin::soak::check::{End, Job, Report};
 use standin::soak::fleet::Harness;
 use standin::soak::resume::{Stream, leave_and_resume, read, resume};
@@ -314,3 +314,80 @@
         });
     }
 }
+
+/// Guards against a stream that goes on at an endpoint that started again under its id with another
+/// software version, while its entry still names the version before.
+#[gtest]
+fn resume_endpoint_started_again() {
+    const EVENTS: usize = 2;
+    let plan = Plan {
+        replicas: 3,
+        versions: 1,
+        ..plan(60)
+    };
+    run(plan, async |harness| {
+        let until = Instant::now() + Duration::from_secs(20);
+        let open = async |node| {
+            let address = harness.caller_address(node);
+            connect::open(address, CONNECT_TIMEOUT).await.unwrap()
+        };
+        // The two endpoints that stay have 8 slots.
+        let begin = (0..8).map(async |_| {
+            let mut stream = Stream::new(question(harness));
+            let id = stream.question.id.clone();
+            let conn = open(1).await;
+            let _ = read(harness, (1, conn), &mut stream, &id, until, EVENTS).await;
+            stream
+        });
+        let streams = join_all(begin).await;
+        let restarted = harness.replicas.borrow().keys().next().cloned().unwrap();
+        harness.restart_replica(&restarted, "v2").await.unwrap();
+        let resume = streams.into_iter().map(async |mut stream| {
+            let id = format!("r{:x}", harness.next_number());
+            let conn = open(0).await;
+            read(harness, (0, conn), &mut stream, &id, until, usize::MAX).await
+        });
+        // A stream of two versions is a violation.
+        let ends = join_all(resume).await;
+        println!("{ends:?}");
+        expect_that!(ends, each(some(eq(&End::Whole))));
+    });
+}
+
+/// Guards against the same for an item of a batch job.
+#[gtest]
+fn resume_items_started_again() {
+    /// Items that run at the same time. An endpoint that breaks off more of them at once is left out.
+    const ITEMS: usize = 4;
+    let plan = Plan {
+        replicas: 2,
+        versions: 1,
+        ..plan(61)
+    };
+    run(plan, async |harness| {
+        for upstream in harness.replicas.borrow().values() {
+            // No item ends before the endpoint starts again.
+            upstream.replica.fault.set(Fault {
+                slowdown: 10,
+                ..Fault::default()
+            });
+        }
+        let paths = (0..ITEMS).map(|at| format!("/n/item/{at}")).collect();
+        let submit = submit_job(harness, paths, false);
+        let restart = async {
+            sleep(Duration::from_secs(1)).await;
+            let restarted = harness.replicas.borrow().keys().next().cloned().unwrap();
+            harness.restart_replica(&restarted, "v2").await.unwrap();
+            sleep(Duration::from_secs(2)).await;
+            harness.write_replica(&harness.replicas.borrow()[&restarted], "ready");
+        };
+        tokio::join!(submit, restart);
+        let jobs = harness.jobs.borrow();
+        let jobs: Vec<Job> = jobs.iter().map(|job| job.borrow().clone()).collect();
+        let mut report = Report::default();
+        report.check_jobs(&jobs, &harness.history);
+        println!("{report}");
+        expect_that!(report.items, eq(ITEMS));
+        expect_that!(report.violations, is_empty());
+    });
+}
