--- a/standin/tests/batch_endless.rs
+++ b/standin/tests/batch_endless.rs
@@ -63,7 +63,7 @@
 
 /// Submits jobs while one of three endpoints answers without end. Returns once all results are listed.
 async fn submit(harness: &Rc<Harness>) {
-    let listener = raw::listen(harness, "i-endless").await;
+    let listener = raw::listen(harness, "i-endless", raw::SLOTS).await;
     actix_rt::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             actix_rt::spawn(answer_events(stream));
--- a/standin/tests/edge_early.rs
+++ b/standin/tests/edge_early.rs
@@ -14,7 +14,8 @@
 use hyper::{Request, StatusCode};
 use standin::site::replica::{split_software, text};
 use standin::soak::Plan;
-use standin::soak::check::expected_stream;
+use standin::soak::caller::submit_job;
+use standin::soak::check::{Job, Report, expected_stream};
 use standin::soak::fleet::{HOST, Harness, KEY};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpSocket, TcpStream};
@@ -44,9 +45,38 @@
 #[derive(Clone, Copy, Debug)]
 struct Early {
     status: &'static str,
+    framing: Framing,
     finish: Finish,
 }
 
+/// How the endpoint says where its answer ends, of which it sends a part.
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    /// By the end of the connection.
+    Connection,
+    /// By a length.
+    Length,
+    /// By a last chunk.
+    Chunks,
+}
+
+impl Framing {
+    /// Returns the header for an answer with this part, and the part as it is sent.
+    fn frame(self, part: &str) -> (String, String) {
+        match self {
+            Self::Connection => (String::new(), part.to_owned()),
+            Self::Length => {
+                let header = format!("content-length: {}\r\n", 2 * part.len());
+                (header, part.to_owned())
+            }
+            Self::Chunks => {
+                let chunk = format!("{:x}\r\n{part}\r\n", part.len());
+                ("transfer-encoding: chunked\r\n".to_owned(), chunk)
+            }
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Finish {
     /// It resets the connection.
@@ -61,7 +91,7 @@
 
 /// The beginning of an answer to the request at `path`: an event where it is a stream.
 fn part(path: &str) -> (&'static str, String) {
-    if path.starts_with("/q/") || path.starts_with("/v/") {
+    if ["/q/", "/v/", "/n/"].iter().any(|it| path.starts_with(it)) {
         let event = format!("id: 1\ndata: {}@v1\n\n", text(path, 1));
         return ("text/event-stream", event);
     }
@@ -76,8 +106,9 @@
     let path = lines.next().and_then(|it| it.split(' ').nth(1));
     let id = lines.find_map(|it| it.strip_prefix("x-attempt-id: "));
     let (media, body) = part(path.unwrap_or_default());
+    let (length, body) = early.framing.frame(&body);
     let answer = format!(
-        "HTTP/1.1 {}\r\nx-attempt-id: {}\r\nx-response-stamp: s\r\ncontent-type: {media}\r\n\r\n{body}",
+        "HTTP/1.1 {}\r\nx-attempt-id: {}\r\nx-response-stamp: s\r\ncontent-type: {media}\r\n{length}\r\n{body}",
         early.status,
         id.unwrap_or_default(),
     );
@@ -101,7 +132,12 @@
     socket.set_recv_buffer_size(RECEIVE_BYTES).unwrap();
     socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
     let listener = socket.listen(64).unwrap();
-    raw::register(harness, "i-early", listener.local_addr().unwrap());
+    raw::register(
+        harness,
+        "i-early",
+        listener.local_addr().unwrap(),
+        raw::SLOTS,
+    );
     let asked = Rc::new(Cell::new(0));
     let count = Rc::clone(&asked);
     actix_rt::spawn(async move {
@@ -160,13 +196,54 @@
 /// reset while the request was still being sent.
 #[gtest]
 fn ask_answer_cut_during_upload() {
-    for finish in [
-        Finish::Reset,
-        Finish::CloseUnread,
-        Finish::HalfCloseThenReset,
+    for framing in [Framing::Connection, Framing::Length, Framing::Chunks] {
+        for finish in [
+            Finish::Reset,
+            Finish::CloseUnread,
+            Finish::HalfCloseThenReset,
+        ] {
+            let early = Early {
+                status: "200 OK",
+                framing,
+                finish,
+            };
+            play(early, LONG);
+        }
+    }
+}
+
+/// Guards against an item of a batch job that is completed with the output of an answer whose status is
+/// none, or with a part of an answer.
+#[gtest]
+fn item_answer_invalid() {
+    const ITEMS: usize = 8;
+    for (status, framing) in [
+        ("000 Nothing", Framing::Connection),
+        ("099 Nothing", Framing::Connection),
+        ("2x0 Nothing", Framing::Connection),
+        ("600 Nothing", Framing::Connection),
+        ("200 OK", Framing::Length),
+        ("200 OK", Framing::Chunks),
     ] {
-        let status = "200 OK";
-        play(Early { status, finish }, LONG);
+        let early = Early {
+            status,
+            framing,
+            finish: Finish::Close,
+        };
+        run(PLAN, async |harness| {
+            let asked = add_early(harness, early).await;
+            let paths = (0..ITEMS).map(|_| format!("/n/item/{}", harness.next_number()));
+            submit_job(harness, paths.collect(), false).await;
+            let jobs: Vec<Job> = {
+                let jobs = harness.jobs.borrow();
+                jobs.iter().map(|job| job.borrow().clone()).collect()
+            };
+            let mut report = Report::default();
+            report.check_jobs(&jobs, &harness.history);
+            expect_that!(report.items, eq(ITEMS), "{early:?}");
+            expect_that!(report.violations, is_empty(), "{early:?}");
+            expect_that!(asked.get(), gt(0), "{early:?}");
+        });
     }
 }
 
@@ -175,11 +252,18 @@
 fn ask_status_invalid() {
     for status in [
         "000 Nothing",
+        "099 Nothing",
+        "2x0 Nothing",
+        "OK Nothing",
         "101 Switching Protocols",
         "600 Nothing",
         "999 Nothing",
     ] {
-        let finish = Finish::Close;
-        play(Early { status, finish }, 1);
+        let early = Early {
+            status,
+            framing: Framing::Connection,
+            finish: Finish::Close,
+        };
+        play(early, 1);
     }
 }
--- a/standin/tests/edge_endless.rs
+++ b/standin/tests/edge_endless.rs
@@ -25,6 +25,7 @@
 /// Longest time of an answer that takes 160 ms at a sound endpoint. One that waits for the endless
 /// bytes is given up at the caller's deadline of 5 s.
 const MAX_TIME: Duration = Duration::from_secs(2);
+/// More than the sound replicas have slots.
 const REQUESTS: usize = 12;
 
 const PLAN: Plan = raw::plan(71);
@@ -43,30 +44,35 @@
 const BLOCK_BYTES: usize = 64 * 1024;
 const MAX_FLOOD_BYTES: usize = 128 * 1024 * 1024;
 
-/// A flood: bytes without end as fast as they are read, behind a head with this status and type.
+/// A flood: bytes without end as fast as they are read.
 #[derive(Clone, Copy, Debug)]
 struct Flood {
-    status: &'static str,
-    media: &'static str,
+    /// Status and type of the head before them; none if they come inside the head.
+    head: Option<(&'static str, &'static str)>,
     bytes: &'static [u8],
 }
 
-const FLOODS: [Flood; 3] = [
+const FLOODS: [Flood; 5] = [
     Flood {
-        status: "500 Internal Server Error",
-        media: "text/plain",
+        head: Some(("500 Internal Server Error", "text/plain")),
         bytes: b"core dump: 00 00 00 00\n",
     },
     Flood {
-        status: "502 Bad Gateway",
-        media: "text/event-stream",
+        head: Some(("502 Bad Gateway", "text/event-stream")),
         bytes: b"data: core dump\n\n",
     },
     Flood {
-        status: "200 OK",
-        media: "text/event-stream",
+        head: Some(("200 OK", "text/event-stream")),
         bytes: b"core dump: 00 00 00 00\n",
     },
+    Flood {
+        head: Some(("200 OK", "text/event-stream")),
+        bytes: b"data: core dump\n",
+    },
+    Flood {
+        head: None,
+        bytes: b"x-noise: 1\r\n",
+    },
 ];
 
 const ENDLESS: [Endless; 5] = [
@@ -121,9 +127,15 @@
 }
 
 async fn answer_flood(mut stream: TcpStream, flood: Flood) {
-    let Some(head) = head(&mut stream, flood.status, flood.media).await else {
+    let (status, media) = flood.head.unwrap_or(("200 OK", "text/event-stream"));
+    let Some(head) = head(&mut stream, status, media).await else {
         return;
     };
+    let head = match flood.head {
+        Some(_) => &head[..],
+        // Without the empty line at its end.
+        None => head.trim_end_matches("\r\n\r\n"),
+    };
     let block = flood.bytes.repeat(BLOCK_BYTES / flood.bytes.len());
     let mut sent = stream.write_all(head.as_bytes()).await;
     for _ in 0..MAX_FLOOD_BYTES / BLOCK_BYTES {
@@ -136,12 +148,13 @@
     let _ = stream.read_u8().await;
 }
 
-/// Registers an endpoint that answers each connection with `answer`, and counts its requests.
-async fn add_endless<F>(harness: &Harness, answer: F) -> Rc<Cell<usize>>
+/// Registers an endpoint with these slots that answers each connection with `answer`, and counts its
+/// requests.
+async fn add_endless<F>(harness: &Harness, slots: usize, answer: F) -> Rc<Cell<usize>>
 where
     F: AsyncFn(TcpStream) + Copy + 'static,
 {
-    let listener = raw::listen(harness, "i-endless").await;
+    let listener = raw::listen(harness, "i-endless", slots).await;
     let asked = Rc::new(Cell::new(0));
     let count = Rc::clone(&asked);
     actix_rt::spawn(async move {
@@ -154,9 +167,9 @@
     asked
 }
 
-/// Sends more requests than the sound replicas have slots. Returns how each ended and how long it took.
-async fn ask_all(harness: &Harness) -> Vec<(End, Duration)> {
-    let asking = (0..REQUESTS).map(async |_| {
+/// Sends requests at the same time. Returns how each ended and how long it took.
+async fn ask_all(harness: &Harness, requests: usize) -> Vec<(End, Duration)> {
+    let asking = (0..requests).map(async |_| {
         let address = harness.caller_address(0);
         let mut conn = connect::open(address, CONNECT_TIMEOUT).await.unwrap();
         let number = harness.next_number();
@@ -179,8 +192,11 @@
 fn ask_endless_bytes() {
     for endless in ENDLESS {
         run(PLAN, async |harness| {
-            let asked = add_endless(harness, async move |it| answer(it, endless).await).await;
-            for (end, took) in ask_all(harness).await {
+            let asked = add_endless(harness, raw::SLOTS, async move |it| {
+                answer(it, endless).await
+            })
+            .await;
+            for (end, took) in ask_all(harness, REQUESTS).await {
                 // A caller that can't be served in time is refused at once.
                 expect_that!(end, any![eq(End::Whole), eq(End::Refused)], "{endless:?}");
                 expect_that!(took, le(MAX_TIME), "{endless:?}");
@@ -196,8 +212,11 @@
 fn ask_flood() {
     for flood in FLOODS {
         run(PLAN, async |harness| {
-            let asked = add_endless(harness, async move |it| answer_flood(it, flood).await).await;
-            for (end, took) in ask_all(harness).await {
+            let asked = add_endless(harness, raw::SLOTS, async move |it| {
+                answer_flood(it, flood).await
+            })
+            .await;
+            for (end, took) in ask_all(harness, REQUESTS).await {
                 expect_that!(end, any![eq(End::Whole), eq(End::Refused)], "{flood:?}");
                 expect_that!(took, le(MAX_TIME), "{flood:?}");
             }
@@ -207,3 +226,23 @@
         });
     }
 }
+
+/// Guards against a node that keeps a little of each of many floods, which is too much in all.
+#[gtest]
+fn ask_flood_many() {
+    /// More than all endpoints of the users' first site have slots.
+    const MANY: usize = 100;
+    for flood in FLOODS {
+        run(PLAN, async |harness| {
+            let answer = async move |it| answer_flood(it, flood).await;
+            let asked = add_endless(harness, MANY, answer).await;
+            let ends = ask_all(harness, MANY).await;
+            let memory = harness.nodes[0].peak_memory().unwrap();
+            expect_that!(memory, le(MAX_MEMORY), "{flood:?}");
+            expect_that!(asked.get(), gt(MANY / 2), "{flood:?}");
+            // The sound replicas have slots for a few only.
+            let ends: Vec<End> = ends.into_iter().map(|(end, _)| end).collect();
+            expect_that!(ends, contains(eq(&End::Whole)), "{flood:?}");
+        });
+    }
+}
--- a/standin/tests/edge_streams.rs
+++ b/standin/tests/edge_streams.rs
@@ -256,6 +256,8 @@
     Paused,
     /// The store does not answer it.
     CutOff,
+    /// Neither the store nor another node answers it.
+    Alone,
 }
 
 /// Guards against a node that was out of step while endpoints of a new software version joined: a
@@ -269,7 +271,13 @@
         ..plan(57)
     };
     // When other members tell a node that is cut off depends on the phase of its feed.
-    for lapse in [Lapse::Paused, Lapse::CutOff, Lapse::CutOff, Lapse::CutOff] {
+    for lapse in [
+        Lapse::Paused,
+        Lapse::CutOff,
+        Lapse::CutOff,
+        Lapse::CutOff,
+        Lapse::Alone,
+    ] {
         run(plan, async |harness| {
             let until = Instant::now() + Duration::from_secs(20);
             let open = async |node| {
@@ -279,7 +287,7 @@
             let kept = join_all((0..STREAMS).map(|_| open(0))).await;
             match lapse {
                 Lapse::Paused => harness.nodes[0].signal(Signal::STOP),
-                Lapse::CutOff => harness.nodes[0].store.set(Mode::Silent),
+                Lapse::CutOff | Lapse::Alone => harness.nodes[0].store.set(Mode::Silent),
             }
             for _ in 0..4 {
                 harness.add_replica_of("v2").await.unwrap();
@@ -296,6 +304,10 @@
                 stream
             });
             let streams = join_all(begin).await;
+            let others = &harness.nodes[1..];
+            if lapse == Lapse::Alone {
+                others.iter().for_each(|node| node.signal(Signal::STOP));
+            }
             let resume = streams
                 .into_iter()
                 .zip(kept)
@@ -309,6 +321,7 @@
             };
             // A stream of two versions is a violation.
             let (ends, ()) = tokio::join!(join_all(resume), wake);
+            others.iter().for_each(|node| node.signal(Signal::CONT));
             println!("{lapse:?} {ends:?}");
             expect_that!(ends, not(contains(none())), "{lapse:?}");
         });
