--- a/standin/tests/edge_endless.rs
+++ b/standin/tests/edge_endless.rs
@@ -193,7 +193,7 @@
     for endless in ENDLESS {
         run(PLAN, async |harness| {
             let asked = add_endless(harness, raw::SLOTS, async move |it| {
-                answer(it, endless).await
+                answer(it, endless).await;
             })
             .await;
             for (end, took) in ask_all(harness, REQUESTS).await {
@@ -213,7 +213,7 @@
     for flood in FLOODS {
         run(PLAN, async |harness| {
             let asked = add_endless(harness, raw::SLOTS, async move |it| {
-                answer_flood(it, flood).await
+                answer_flood(it, flood).await;
             })
             .await;
             for (end, took) in ask_all(harness, REQUESTS).await {
--- a/standin/tests/edge_heads.rs
+++ b/standin/tests/edge_heads.rs
@@ -68,7 +68,7 @@
 
 /// Registers an endpoint that stops so, and counts the requests at which it did.
 async fn add_stopping(harness: &Harness, stop: Stop) -> Rc<Cell<usize>> {
-    let listener = raw::listen(harness, "i-stops").await;
+    let listener = raw::listen(harness, "i-stops", raw::SLOTS).await;
     let stopped = Rc::new(Cell::new(0));
     let count = Rc::clone(&stopped);
     actix_rt::spawn(async move {
