--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -16,7 +16,6 @@
 use crate::catalog::Endpoint;
 use crate::clock;
 use crate::connect::process::{self, Fault};
-use crate::connect::{self, Conn};
 use crate::event;
 use crate::name::Name;
 use crate::origin::Origin;
@@ -197,16 +196,6 @@
     xxhash_rust::xxh3::xxh3_64(id.as_bytes())
 }
 
-/// Opens a connection to an endpoint. The process that continues an output must be the one whose software
-/// version is known.
-async fn connect(endpoint: &Endpoint, last: Option<u64>) -> Result<Conn, Fault> {
-    if last.is_some() {
-        return process::open(endpoint, CONNECT_TIMEOUT).await;
-    }
-    let opened = connect::open(endpoint.address, CONNECT_TIMEOUT).await;
-    opened.map_err(|_| Fault::Unreachable)
-}
-
 async fn exchange(
     jobs: &Jobs,
     work: &Work,
@@ -218,7 +207,7 @@
 ) -> Exit {
     let endpoint = &permit.endpoint;
     let last = work.partials.borrow()[item].last;
-    let mut conn = match connect(endpoint, last).await {
+    let mut conn = match process::open(endpoint, last.is_some(), CONNECT_TIMEOUT).await {
         Ok(conn) => conn,
         Err(Fault::Unreachable) => return Exit::Interrupted(End::Failed, "connect"),
         Err(Fault::Replaced) => return Exit::Interrupted(End::Left, "replaced"),
--- a/src/connect/process.rs
+++ b/src/connect/process.rs
@@ -28,16 +28,6 @@
     Replaced,
 }
 
-impl Fault {
-    /// Returns the label in logs and metrics.
-    pub fn reason(self) -> &'static str {
-        match self {
-            Self::Unreachable => "connect",
-            Self::Replaced => "replaced",
-        }
-    }
-}
-
 /// The process that a connection leads to.
 enum Process {
     /// The one that the endpoint's entry is about.
@@ -48,17 +38,21 @@
     Unknown,
 }
 
-/// Opens a connection to the process of the endpoint's entry. A process that does not say which one it is
-/// counts as that one: endpoints that are overloaded would be lost for streams otherwise.
+/// Opens a connection to an endpoint. If it is for a request that continues an answer, it leads to the process
+/// of the endpoint's entry. A process that does not say which one it is counts as that one: an overloaded
+/// endpoint would be lost for streams otherwise.
 ///
 /// # Errors
 /// [`Fault`], where `limit` is for connecting.
-pub async fn open(endpoint: &Endpoint, limit: Duration) -> Result<Conn, Fault> {
+pub async fn open(endpoint: &Endpoint, continues: bool, limit: Duration) -> Result<Conn, Fault> {
     let connect = async || {
         let opened = super::open(endpoint.address, limit).await;
         opened.map_err(|_| Fault::Unreachable)
     };
     let mut conn = connect().await?;
+    if !continues {
+        return Ok(conn);
+    }
     match check(&mut conn, endpoint).await {
         Process::Same => Ok(conn),
         Process::Other => Err(Fault::Replaced),
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -23,8 +23,8 @@
 use crate::catalog::keyring::Organisation;
 use crate::catalog::{Endpoint, Kind, Route};
 use crate::clock::{self, Time, Uptime};
+use crate::connect;
 use crate::connect::process::{self, Fault};
-use crate::connect::{self, Conn};
 use crate::event;
 use crate::identity;
 use crate::name::Name;
@@ -310,7 +310,8 @@
         self.written = 0;
         // Set before anything is sent, because this task may be aborted at any await point.
         self.mark_spent(true);
-        let mut conn = match self.connect(endpoint).await {
+        let continues = self.attempt.software().is_some();
+        let mut conn = match process::open(endpoint, continues, CONNECT_TIMEOUT).await {
             Ok(conn) => conn,
             Err(Fault::Unreachable) => {
                 return Ended::Failed(Failure::NotRun, End::Failed, "connect");
@@ -351,16 +352,6 @@
         }
     }
 
-    /// Opens a connection to an endpoint. The process that continues a stream must be the one whose
-    /// software version is known.
-    async fn connect(&self, endpoint: &Endpoint) -> Result<Conn, Fault> {
-        if self.attempt.software().is_some() {
-            return process::open(endpoint, CONNECT_TIMEOUT).await;
-        }
-        let opened = connect::open(endpoint.address, CONNECT_TIMEOUT).await;
-        opened.map_err(|_| Fault::Unreachable)
-    }
-
     /// How long an endpoint may be silent: until the deadline if the request can't be retried
     /// elsewhere.
     fn silence_limit(&self, usual: Duration, left: Duration) -> Duration {
--- a/standin/tests/edge_streams.rs
+++ b/standin/tests/edge_streams.rs
@@ -306,7 +306,9 @@
             let streams = join_all(begin).await;
             let others = &harness.nodes[1..];
             if lapse == Lapse::Alone {
-                others.iter().for_each(|node| node.signal(Signal::STOP));
+                for node in others {
+                    node.signal(Signal::STOP);
+                }
             }
             let resume = streams
                 .into_iter()
@@ -321,7 +323,9 @@
             };
             // A stream of two versions is a violation.
             let (ends, ()) = tokio::join!(join_all(resume), wake);
-            others.iter().for_each(|node| node.signal(Signal::CONT));
+            for node in others {
+                node.signal(Signal::CONT);
+            }
             println!("{lapse:?} {ends:?}");
             expect_that!(ends, not(contains(none())), "{lapse:?}");
         });
