--- a/standin/tests/edge_stop.rs
+++ b/standin/tests/edge_stop.rs
@@ -142,16 +142,16 @@
     }
 }
 
-/// Guards against requests that a leaving node takes late, on any kind of route, and cuts without an
-/// answer at the end of its grace period.
-#[gtest]
-fn stop_late_on_each_route() {
-    /// Tokens of a response that takes 1.2 s.
-    const MEDIUM: u64 = 1_500;
+/// Sends a request on each kind of route to each node, which then stops: `sent(node)` after its signal,
+/// over connections that were opened before. Each must be answered or refused as not run.
+fn play_routes<S>(seed: u64, tokens: u64, sent: S)
+where
+    S: Fn(usize) -> Duration,
+{
     /// Streams that may be resumed and that may not, other answers that may be repeated and that may
     /// not.
     const ROUTES: [&str; 4] = ["q", "v", "i", "o"];
-    let answered = run(9, async |harness| {
+    let answered = run(seed, async |harness| {
         let late = (0..NODES).map(async |node| {
             let mut conns = Vec::new();
             for _ in ROUTES {
@@ -159,13 +159,12 @@
             }
             let stopped = Instant::now();
             harness.nodes[node].signal(Signal::TERM);
-            let sent = Duration::from_millis(4_200 + 250 * node as u64);
-            sleep(sent.saturating_sub(stopped.elapsed())).await;
+            sleep(sent(node).saturating_sub(stopped.elapsed())).await;
             let asked = conns
                 .into_iter()
                 .zip(ROUTES)
                 .map(async |(mut conn, route)| {
-                    let any = question(harness, MEDIUM);
+                    let any = question(harness, tokens);
                     let late = Question {
                         path: format!("/{route}/{}", any.id),
                         repeatable: matches!(route, "q" | "i"),
@@ -182,6 +181,25 @@
     expect_that!(answered, each((eq(&true), anything())));
 }
 
+/// Guards against requests that a leaving node takes late, on any kind of route, and cuts without an
+/// answer at the end of its grace period.
+#[gtest]
+fn stop_late_on_each_route() {
+    /// Tokens of a response that takes 1.2 s.
+    const MEDIUM: u64 = 1_500;
+    let sent = |node| Duration::from_millis(4_200 + 250 * node as u64);
+    play_routes(9, MEDIUM, sent);
+}
+
+/// Does the same with requests that take longer than what is left of the grace period.
+#[gtest]
+fn stop_too_long_on_each_route() {
+    /// Tokens of a response that takes 2.4 s. Requests are cut 7.3 s after the signal.
+    const LONG: u64 = 3_000;
+    let sent = |node| Duration::from_millis(5_000 + 180 * node as u64);
+    play_routes(12, LONG, sent);
+}
+
 /// Guards against a leaving node that refuses requests although they can end in time.
 #[gtest]
 fn stop_short_request() {
