--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -21,12 +21,11 @@
 use crate::answer::{self, Framing};
 use crate::attempt::{Attempt, Failure, Next, Repeat};
 use crate::catalog::keyring::Organisation;
-use crate::catalog::{Endpoint, Kind, Route};
-use crate::clock::{self, Time, Uptime};
+use crate::catalog::{Kind, Route};
+use crate::clock::{self, Time};
 use crate::connect;
 use crate::connect::process::{self, Fault};
 use crate::event;
-use crate::identity;
 use crate::name::Name;
 use crate::permit::Permit;
 use crate::permit::count::{Denial, Token};
@@ -40,6 +39,7 @@
 mod finish;
 mod loss;
 mod origin;
+mod report;
 mod stream;
 
 use admit::Denied;
@@ -420,82 +420,4 @@
             let _ = head.send(Head::Whole(response));
         }
     }
-
-    /// Logs and counts a request that ends without a whole answer. `status` is none for a stream that
-    /// has begun. The status may be an endpoint's, which is no rejection of this node.
-    fn log_refused(
-        &self,
-        next: Next,
-        why: &'static str,
-        status: Option<StatusCode>,
-        retry_after: Duration,
-    ) {
-        let now = self.node.clock.now();
-        let verdict = self.node.detector.condemned_by(&self.call.subject);
-        log::info!(
-            "{} id={} route={} print={} why={why} answer={next:?} status={} verdict={} waited_ms={} retry_after_ms={}",
-            event::REQUEST_REFUSED,
-            self.call.forward.id,
-            self.call.route.name,
-            self.call.subject.request,
-            status.map_or(0, |it| it.as_u16()),
-            verdict.map_or_else(|| "-".to_owned(), |it| it.to_string()),
-            now.since(self.call.arrived).as_millis(),
-            retry_after.as_millis(),
-        );
-        if let Some(status) = status.filter(|_| next != Next::Pass || verdict.is_some()) {
-            self.node.count.reject(why, status);
-        }
-    }
-
-    fn log_granted(&self, endpoint: &Endpoint) {
-        let now = self.node.clock.now();
-        let catalog = self.node.catalog.read();
-        log::info!(
-            "{} id={} print={} organisation={} endpoint={} software={} waited_ms={} behind={:?} resumes={} known_ms={} config={} vouched_ms={:?}",
-            event::REQUEST_GRANTED,
-            self.call.forward.id,
-            self.call.subject.request,
-            self.call.organisation.as_ref().map_or("-", |it| &it.name),
-            endpoint.id,
-            endpoint.software.as_deref().unwrap_or("-"),
-            now.since(self.call.arrived).as_millis(),
-            self.attempt.last(),
-            self.call.resumes.as_deref().unwrap_or("-"),
-            now.since(catalog.confirmed).as_millis(),
-            catalog.config.as_ref().map_or(0, |config| config.version),
-            identity::age(&catalog, Uptime::now()).map(|age| age.as_millis()),
-        );
-    }
-
-    /// Counts a run that resumes a stream.
-    fn count_resumption(&self, endpoint: &Endpoint) {
-        if self.attempt.last().is_none() {
-            return;
-        }
-        let by = if self.attempt.has_begun() {
-            "node"
-        } else {
-            "caller"
-        };
-        let origin = self.attempt.software();
-        let software = endpoint.software.as_ref();
-        self.node.count.resumption(by, origin, software);
-    }
-
-    fn log_done(&self, endpoint: &Name) {
-        let took = self.node.clock.now().since(self.call.arrived);
-        log::info!(
-            "{} id={} route={} endpoint={endpoint} first_ms={:?} took_ms={} last={:?} framing={} end={}",
-            event::REQUEST_DONE,
-            self.call.forward.id,
-            self.call.route.name,
-            self.first.map(|first| first.as_millis()),
-            took.as_millis(),
-            self.attempt.last(),
-            self.ending.map_or("-", |(framing, _)| framing.label()),
-            self.ending.map_or("-", |(_, end)| end.label()),
-        );
-        self.node.count.done(took);
-    }
 }
--- a/standin/src/soak/caller.rs
+++ b/standin/src/soak/caller.rs
@@ -93,6 +93,19 @@
     pub repeatable: bool,
 }
 
+impl Question {
+    /// Returns a request that is unique in its run, on the route of this name.
+    pub fn new(harness: &Harness, route: &str, tokens: u64) -> Self {
+        let number = harness.next_number();
+        Self {
+            path: format!("/{route}/{number}"),
+            id: format!("a{number:x}"),
+            tokens,
+            repeatable: matches!(route, "q" | "i"),
+        }
+    }
+}
+
 /// Sends a request to `node` over `conn` and records how it ends.
 pub async fn ask(harness: &Harness, node: usize, conn: &mut Conn, question: Question) -> End {
     ask_at(harness, node, conn, question, None).await
--- a/standin/tests/edge_endless.rs
+++ b/standin/tests/edge_endless.rs
@@ -172,13 +172,7 @@
     let asking = (0..requests).map(async |_| {
         let address = harness.caller_address(0);
         let mut conn = connect::open(address, CONNECT_TIMEOUT).await.unwrap();
-        let number = harness.next_number();
-        let question = Question {
-            path: format!("/q/{number}"),
-            id: format!("a{number:x}"),
-            tokens: 200,
-            repeatable: true,
-        };
+        let question = Question::new(harness, "q", 200);
         let began = Instant::now();
         let end = ask(harness, 0, &mut conn, question).await;
         (end, began.elapsed())
--- a/standin/tests/edge_heads.rs
+++ b/standin/tests/edge_heads.rs
@@ -89,13 +89,7 @@
     let asking = (0..REQUESTS).map(async |_| {
         let address = harness.caller_address(0);
         let mut conn = connect::open(address, CONNECT_TIMEOUT).await.unwrap();
-        let number = harness.next_number();
-        let question = Question {
-            path: format!("/{route}/{number}"),
-            id: format!("a{number:x}"),
-            tokens: 200,
-            repeatable: route == "q",
-        };
+        let question = Question::new(harness, route, 200);
         ask(harness, 0, &mut conn, question).await
     });
     join_all(asking).await
--- a/standin/tests/edge_pauses.rs
+++ b/standin/tests/edge_pauses.rs
@@ -48,13 +48,7 @@
         let ask_all = join_all((0..STREAMS).map(async |_| {
             let address = harness.caller_address(0);
             let mut conn = connect::open(address, CONNECT_TIMEOUT).await.unwrap();
-            let number = harness.next_number();
-            let question = Question {
-                path: format!("/q/{number}"),
-                id: format!("a{number:x}"),
-                tokens: 200,
-                repeatable: true,
-            };
+            let question = Question::new(harness, "q", 200);
             ask(harness, 0, &mut conn, question).await
         }));
         let pause = async {
--- a/standin/tests/edge_stop.rs
+++ b/standin/tests/edge_stop.rs
@@ -83,13 +83,7 @@
 }
 
 fn question(harness: &Harness, tokens: u64) -> Question {
-    let number = harness.next_number();
-    Question {
-        path: format!("/q/{number}"),
-        id: format!("a{number:x}"),
-        tokens,
-        repeatable: true,
-    }
+    Question::new(harness, "q", tokens)
 }
 
 /// Opens a connection to a node that has served a request.
@@ -164,12 +158,7 @@
                 .into_iter()
                 .zip(ROUTES)
                 .map(async |(mut conn, route)| {
-                    let any = question(harness, tokens);
-                    let late = Question {
-                        path: format!("/{route}/{}", any.id),
-                        repeatable: matches!(route, "q" | "i"),
-                        ..any
-                    };
+                    let late = Question::new(harness, route, tokens);
                     ask(harness, node, &mut conn, late).await
                 });
             join_all(asked).await
--- a/standin/tests/edge_streams.rs
+++ b/standin/tests/edge_streams.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use auburnspoke::connect;
+use auburnspoke::connect::{self, Conn};
 use futures_util::future::join_all;
 use googletest::prelude::*;
 use rustix::process::Signal;
@@ -44,13 +44,21 @@
 
 /// Returns a request for a stream that may be resumed.
 fn question(harness: &Harness) -> Question {
-    let number = harness.next_number();
-    Question {
-        path: format!("/q/{number}"),
-        id: format!("a{number:x}"),
-        tokens: 200,
-        repeatable: true,
-    }
+    Question::new(harness, "q", 200)
+}
+
+async fn open(harness: &Harness, node: usize) -> Conn {
+    let address = harness.caller_address(node);
+    connect::open(address, CONNECT_TIMEOUT).await.unwrap()
+}
+
+/// Begins a stream at a node. Its caller leaves after some events.
+async fn begin(harness: &Harness, node: usize, until: Instant, events: usize) -> Stream {
+    let mut stream = Stream::new(question(harness));
+    let id = stream.question.id.clone();
+    let conn = open(harness, node).await;
+    let _ = read(harness, (node, conn), &mut stream, &id, until, events).await;
+    stream
 }
 
 /// Guards against a node that resumes a stream at an endpoint of another software version.
@@ -280,11 +288,7 @@
     ] {
         run(plan, async |harness| {
             let until = Instant::now() + Duration::from_secs(20);
-            let open = async |node| {
-                let address = harness.caller_address(node);
-                connect::open(address, CONNECT_TIMEOUT).await.unwrap()
-            };
-            let kept = join_all((0..STREAMS).map(|_| open(0))).await;
+            let kept = join_all((0..STREAMS).map(|_| open(harness, 0))).await;
             match lapse {
                 Lapse::Paused => harness.nodes[0].signal(Signal::STOP),
                 Lapse::CutOff | Lapse::Alone => harness.nodes[0].store.set(Mode::Silent),
@@ -295,10 +299,7 @@
             // The other nodes know them, and no member has told node 0.
             sleep(Duration::from_millis(700)).await;
             let begin = (0..STREAMS).map(async |at| {
-                let mut stream = Stream::new(question(harness));
-                let id = stream.question.id.clone();
-                let conn = open(1).await;
-                let _ = read(harness, (1, conn), &mut stream, &id, until, EVENTS).await;
+                let mut stream = begin(harness, 1, until, EVENTS).await;
                 // Half of the callers don't say who began their streams.
                 stream.origin = stream.origin.filter(|_| at % 2 == 0);
                 stream
@@ -337,6 +338,8 @@
 #[gtest]
 fn resume_endpoint_started_again() {
     const EVENTS: usize = 2;
+    /// Slots of the two endpoints that stay.
+    const SLOTS: usize = 8;
     let plan = Plan {
         replicas: 3,
         versions: 1,
@@ -344,24 +347,12 @@
     };
     run(plan, async |harness| {
         let until = Instant::now() + Duration::from_secs(20);
-        let open = async |node| {
-            let address = harness.caller_address(node);
-            connect::open(address, CONNECT_TIMEOUT).await.unwrap()
-        };
-        // The two endpoints that stay have 8 slots.
-        let begin = (0..8).map(async |_| {
-            let mut stream = Stream::new(question(harness));
-            let id = stream.question.id.clone();
-            let conn = open(1).await;
-            let _ = read(harness, (1, conn), &mut stream, &id, until, EVENTS).await;
-            stream
-        });
-        let streams = join_all(begin).await;
+        let streams = join_all((0..SLOTS).map(|_| begin(harness, 1, until, EVENTS))).await;
         let restarted = harness.replicas.borrow().keys().next().cloned().unwrap();
         harness.restart_replica(&restarted, "v2").await.unwrap();
         let resume = streams.into_iter().map(async |mut stream| {
             let id = format!("r{:x}", harness.next_number());
-            let conn = open(0).await;
+            let conn = open(harness, 0).await;
             read(harness, (0, conn), &mut stream, &id, until, usize::MAX).await
         });
         // A stream of two versions is a violation.
