A run's logs stay until they are read

Cause: the folder's name had the process and the seed. All plays of that test file have one process and one seed, and the next one that is kept removes the folder.

Change: each run of a process has a folder of its own; the harness knows its path.

--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -7,6 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use eyre::{Result, WrapErr as _, ensure, eyre};
@@ -84,6 +85,8 @@
 pub struct Harness {
     /// Parameters of the run.
     pub plan: Plan,
+    /// The folder of its settings and logs.
+    pub folder: PathBuf,
     /// The store.
     pub store: Rc<Store>,
     /// The nodes.
@@ -384,12 +387,16 @@
     Ok(folder.join("auburnspoke"))
 }
 
-/// Creates the folder of a run's settings and logs.
+/// Creates the folder of a run's settings and logs. Each run of a process has its own: the next run of the
+/// same seed would remove the logs of one that failed.
 ///
 /// # Errors
 /// Fails if it cannot be created.
 pub fn log_folder(plan: Plan) -> Result<PathBuf> {
-    let folder = std::env::temp_dir().join(format!("soak-{}-{}", std::process::id(), plan.seed));
+    static RUNS: AtomicUsize = AtomicUsize::new(0);
+    let run = RUNS.fetch_add(1, Ordering::Relaxed);
+    let name = format!("soak-{}-{run}-{}", std::process::id(), plan.seed);
+    let folder = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&folder)?;
     Ok(folder)
 }
@@ -536,6 +543,7 @@
     }
     let harness = Harness {
         plan,
+        folder: folder.to_owned(),
         store,
         nodes,
         replicas: RefCell::default(),
--- a/standin/tests/edge_stop.rs
+++ b/standin/tests/edge_stop.rs
@@ -380,8 +380,10 @@
         while harness.nodes.iter().any(Node::is_running) {
             sleep(Duration::from_millis(50)).await;
         }
-        let folder = log_folder(harness.plan).unwrap();
-        let log = |node| std::fs::read_to_string(folder.join(format!("node-{node}.log"))).unwrap();
+        let log = |node| {
+            let path = harness.folder.join(format!("node-{node}.log"));
+            std::fs::read_to_string(path).unwrap()
+        };
         (0..NODES).flat_map(|node| grants(&log(node))).collect()
     });
     expect_that!(granted, each(le(&(LAST_GRANT + TOLERANCE))));
