The item under which endpoints crash has events left for each of its runs

Cause: the test's. Its item had two events. The item keeps the event and goes on behind it, rightly, and after two such runs nothing is left: the next run answers nothing and is whole. Two of the six draws are of that way in 26 of 100 plays, by calculation.

Change: the item has 24 events, so that no crashing run ends it. The expected number of runs is 7, as before.

--- a/standin/tests/batch_crashes.rs
+++ b/standin/tests/batch_crashes.rs
@@ -7,7 +7,7 @@
 
 use fleet::Fleet;
 use googletest::prelude::*;
-use standin::site::replica::UNLUCKY_RUNS;
+use standin::site::replica::{EVENT_TOKENS, UNLUCKY_RUNS};
 
 /// Runs that may fail before an item is given up.
 const ATTEMPTS: u32 = 4;
@@ -18,9 +18,12 @@
 /// enough for it to be taken for the cause.
 #[gtest]
 fn run_endpoints_crash() {
+    /// An endpoint that crashes may send an event before, and the next run goes on behind it. No run ends
+    /// the output before the last one.
+    const TOKENS: u64 = EVENT_TOKENS * 4 * UNLUCKY_RUNS as u64;
     let (runs, listed) = actix_rt::System::new().block_on(async {
         let fleet = Fleet::start(ATTEMPTS).await;
-        fleet.submit("/n/unlucky").await;
+        fleet.submit_long("/n/unlucky", TOKENS).await;
         let read = fleet.read(0, LENGTH);
         let listed = tokio::select! {
             answer = read => String::from_utf8_lossy(answer.body()).into_owned(),
--- a/standin/tests/batch_owners.rs
+++ b/standin/tests/batch_owners.rs
@@ -221,7 +221,7 @@
     let (before, after) = actix_rt::System::new().block_on(async {
         let fleet = Fleet::start(ATTEMPTS).await;
         fleet.serve(0);
-        let status = fleet.submit_items(&ids, &path).await;
+        let status = fleet.submit_items(&ids, &path, fleet::TOKENS).await;
         assert_eq!(status, StatusCode::ACCEPTED);
         let refuse = Degradation {
             refuse: true,
--- a/standin/tests/support/fleet.rs
+++ b/standin/tests/support/fleet.rs
@@ -44,6 +44,8 @@
 pub const NODES: usize = 8;
 const SERVICE: &str = "llm";
 const HOST: &str = "batch.example";
+/// Tokens of an item's output, unless the test asks for more.
+pub const TOKENS: u64 = 20;
 /// Ids of the only item and the only job.
 const ITEM: &str = "item-1";
 const JOB: &str = "job-1";
@@ -284,6 +286,14 @@
         assert_eq!(self.try_submit(path).await, StatusCode::ACCEPTED);
     }
 
+    /// Does the same with an item of this many tokens.
+    #[allow(dead_code, reason = "each test file uses a part of it")]
+    pub async fn submit_long(&self, path: &str, tokens: u64) {
+        self.serve(0);
+        let status = self.submit_items(&[ITEM.to_owned()], path, tokens).await;
+        assert_eq!(status, StatusCode::ACCEPTED);
+    }
+
     /// Submits a job of one item to the first node and returns the status of the response.
     pub async fn try_submit(&self, path: &str) -> StatusCode {
         self.serve(0);
@@ -292,16 +302,17 @@
 
     /// Does the same in whatever phase the node is.
     pub async fn submit_anyway(&self, path: &str) -> StatusCode {
-        self.submit_items(&[ITEM.to_owned()], path).await
+        self.submit_items(&[ITEM.to_owned()], path, TOKENS).await
     }
 
     /// Submits a job of items with these ids and the same path to the first node, and returns the
     /// status of the response.
-    pub async fn submit_items(&self, ids: &[String], path: &str) -> StatusCode {
+    pub async fn submit_items(&self, ids: &[String], path: &str, tokens: u64) -> StatusCode {
         let item = |id: &String| {
             format!(
                 "{{\"id\":\"{id}\",\"path\":\"{path}\",\
-                 \"headers\":{{\"X-Token-Count\":\"10,20\"}},\"tokens\":30}}"
+                 \"headers\":{{\"X-Token-Count\":\"10,{tokens}\"}},\"tokens\":{}}}",
+                tokens + 10
             )
         };
         let items: Vec<String> = ids.iter().map(item).collect();
